Add the whole path, thin, in its final shape

One request travels from a caller through an entry VM to a stub backend server that announced itself, under a catalogue entry that an operator added. The design page, the folders by life span, the core types, the closed lists of error kinds, reasons and log events come with it. The session is a golden file, run in memory with virtual time.

--- /dev/null
+++ b/camphorspread/connection/client.py
@@ -0,0 +1,157 @@
+"""The client side of HTTP/1.1 connections."""
+
+import asyncio
+from datetime import timedelta
+
+import attrs
+import h11
+
+from camphorspread.connection.limits import ConnectionLimits
+from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.network import Address, Network, Stream
+
+__all__ = ["ClientConnection", "ResponseBrokenError", "open_connection"]
+
+CONNECT_LIMIT = timedelta(seconds=1)
+CONTINUE_STATUS = 100
+
+
+class ResponseBrokenError(Exception):
+    """The response ended early, was reset, was no valid HTTP, or came without a request."""
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """A connection that carries one request at a time.
+
+    Attributes:
+        head_sent: Set once the head of the current request may have left.
+        requests_carried: How many exchanges ended cleanly on this connection.
+    """
+
+    address: Address
+    stream: Stream
+    state: h11.Connection
+    limits: ConnectionLimits
+    head_sent: asyncio.Event = attrs.field(factory=asyncio.Event)
+    requests_carried: int = 0
+
+    async def send_head(self, head: RequestHead) -> None:
+        """Send the head of a request.
+
+        Raises:
+            ConnectionError: The stream was reset.
+        """
+        event = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+        data = self.state.send(event)
+        self.head_sent.set()
+        await self.stream.write(data)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the request body."""
+        encoded = self.state.send(h11.Data(data=data))
+        if encoded:
+            await self.stream.write(encoded)
+
+    async def finish_request(self) -> None:
+        """End the request."""
+        encoded = self.state.send(h11.EndOfMessage())
+        if encoded:
+            await self.stream.write(encoded)
+
+    async def read_head(self) -> ResponseHead:
+        """Return the next response head; status 100 means that the body is wanted.
+
+        Raises:
+            ResponseBrokenError: The connection ended or broke the protocol.
+        """
+        while True:
+            match await self._next_event():
+                case h11.InformationalResponse(status_code=status, headers=headers):
+                    if status == CONTINUE_STATUS:
+                        return ResponseHead(status, tuple(headers))
+                case h11.Response(status_code=status, headers=headers):
+                    return ResponseHead(status, tuple(headers))
+                case _:
+                    raise ResponseBrokenError("the connection ended before a response")
+
+    async def read_final_head(self) -> ResponseHead:
+        """Return the next response head that isn't status 100.
+
+        Raises:
+            ResponseBrokenError: The connection ended or broke the protocol.
+        """
+        while True:
+            head = await self.read_head()
+            if head.status != CONTINUE_STATUS:
+                return head
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the response body, or `b""` at its clean end.
+
+        Raises:
+            ResponseBrokenError: The body was cut short.
+        """
+        while True:
+            match await self._next_event():
+                case h11.Data(data=data):
+                    if data:
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    return b""
+                case _:
+                    raise ResponseBrokenError("the response was cut short")
+
+    @property
+    def is_reusable(self) -> bool:
+        """True if request and response both ended and nothing is left over."""
+        done = self.state.our_state is h11.DONE and self.state.their_state is h11.DONE
+        return done and not self.state.trailing_data[0]
+
+    def start_next(self) -> None:
+        """Make the connection ready for the next request."""
+        self.state.start_next_cycle()
+        self.head_sent.clear()
+        self.requests_carried += 1
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.stream.close()
+
+    def abort(self) -> None:
+        """Reset the connection, which cancels the request at the other end."""
+        self.stream.abort()
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self.state.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise ResponseBrokenError(str(exc)) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                async with asyncio.timeout(self.limits.progress.total_seconds()):
+                    data = await self.stream.read()
+            except TimeoutError as exc:
+                raise ResponseBrokenError("the response made no progress") from exc
+            except ConnectionError as exc:
+                raise ResponseBrokenError("the connection was reset") from exc
+            self.state.receive_data(data)
+
+
+async def open_connection(
+    network: Network,
+    address: Address,
+    limits: ConnectionLimits,
+    connect_limit: timedelta = CONNECT_LIMIT,
+) -> ClientConnection:
+    """Open a connection.
+
+    Raises:
+        OSError: The address refused, can't be reached, or didn't response in time.
+    """
+    async with asyncio.timeout(connect_limit.total_seconds()):
+        stream = await network.connect(address)
+    state = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.header_bytes)
+    return ClientConnection(address, stream, state, limits)
--- /dev/null
+++ b/camphorspread/connection/limits.py
@@ -0,0 +1,26 @@
+"""Limits of one connection."""
+
+from datetime import timedelta
+
+import attrs
+
+__all__ = ["ConnectionLimits"]
+
+
+@attrs.frozen
+class ConnectionLimits:
+    """What a connection may use before it is closed.
+
+    Attributes:
+        header_bytes: Size of a request or response head.
+        idle: Longest wait for the next request on an open connection.
+        progress: Longest wait for the next bytes of a head or body that has begun.
+        json_body_bytes: Size of a JSON message.
+        connections_per_peer: Open connections from one IP address.
+    """
+
+    header_bytes: int = 16384
+    idle: timedelta = timedelta(seconds=30)
+    progress: timedelta = timedelta(seconds=10)
+    json_body_bytes: int = 1048576
+    connections_per_peer: int = 512
--- /dev/null
+++ b/camphorspread/connection/link.py
@@ -0,0 +1,96 @@
+"""Requests with a JSON body and a JSON response between the project's own processes."""
+
+import asyncio
+import json
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.access_key import ACCESS_KEY_HEADER
+from camphorspread.connection.client import ClientConnection, ResponseBrokenError
+from camphorspread.connection.messages import RequestHead
+from camphorspread.connection.network import Address
+from camphorspread.connection.pool import ConnectionPool
+
+__all__ = ["JsonLink", "JsonResponse", "LinkError"]
+
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+
+class LinkError(Exception):
+    """The other process gave no whole response in time."""
+
+
+@attrs.frozen
+class JsonResponse:
+    """Status and decoded body of a response."""
+
+    status: int
+    value: object
+
+
+@attrs.define(eq=False)
+class JsonLink:
+    """Sends JSON messages to other processes, with the access key."""
+
+    pool: ConnectionPool
+    access_key: bytes = b""
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        value: object = None,
+        limit: timedelta = timedelta(seconds=1),
+    ) -> JsonResponse:
+        """Send one message and return the response.
+
+        Args:
+            address: Where the other process listens.
+            method: HTTP method.
+            target: Path and query.
+            value: JSON body; None sends none.
+            limit: Longest time for the whole exchange.
+
+        Raises:
+            LinkError: No connection, no whole response, or no response in time.
+        """
+        conn: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                conn = await self.pool.acquire(address)
+                response = await self._exchange(conn, address, method, target, value)
+        except (OSError, ResponseBrokenError, TimeoutError, ValueError) as exc:
+            if conn is not None:
+                conn.abort()
+            raise LinkError(f"{method} {target} at {address}: {exc or 'no response'}") from exc
+        except asyncio.CancelledError:
+            if conn is not None:
+                conn.abort()
+            raise
+        self.pool.release(conn)
+        return response
+
+    async def _exchange(
+        self, conn: ClientConnection, address: Address, method: str, target: str, value: object
+    ) -> JsonResponse:
+        body = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
+        headers = (
+            (b"host", str(address).encode()),
+            (ACCESS_KEY_HEADER, self.access_key),
+            (b"content-length", b"%d" % len(body)),
+        )
+        await conn.send_head(RequestHead(method.encode(), target.encode(), headers))
+        if body:
+            await conn.send_body(body)
+        await conn.finish_request()
+        head = await conn.read_head()
+        parts: list[bytes] = []
+        size = 0
+        while part := await conn.read_body():
+            size += len(part)
+            if size > MAX_RESPONSE_BYTES:
+                raise ResponseBrokenError("the response is over the limit")
+            parts.append(part)
+        return JsonResponse(head.status, json.loads(b"".join(parts) or b"null"))
--- /dev/null
+++ b/camphorspread/connection/messages.py
@@ -0,0 +1,37 @@
+"""Heads of HTTP requests and responses, apart from their encoding."""
+
+import attrs
+
+__all__ = ["Headers", "RequestHead", "ResponseHead", "find_header", "without_headers"]
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@attrs.frozen
+class RequestHead:
+    """The head of a request; header names are lower-case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers = ()
+
+
+@attrs.frozen
+class ResponseHead:
+    """The head of a response; header names are lower-case."""
+
+    status: int
+    headers: Headers = ()
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header with this lower-case name, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def without_headers(headers: Headers, names: frozenset[bytes]) -> Headers:
+    """Return the headers whose names aren't in `names`."""
+    return tuple(item for item in headers if item[0] not in names)
--- /dev/null
+++ b/camphorspread/connection/server.py
@@ -0,0 +1,326 @@
+"""The server side of HTTP/1.1 connections."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import attrs
+import h11
+
+from camphorspread.connection.limits import ConnectionLimits
+from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.network import Address, Stream
+from camphorspread.request.errors import ErrorKind, Refusal
+
+__all__ = [
+    "CallerGoneError",
+    "Exchange",
+    "ExchangeHandler",
+    "HttpServer",
+    "RefusedError",
+    "StalledError",
+    "refuse_or_abort",
+]
+
+
+class CallerGoneError(Exception):
+    """The other end closed or reset the connection before the exchange ended."""
+
+
+class StalledError(Exception):
+    """The other end made no progress within the limit."""
+
+
+class RefusedError(Exception):
+    """The other end broke a rule of HTTP or a limit.
+
+    Attributes:
+        refusal: The response that it gets, where one can still be sent.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep the refusal."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request on a server connection and its response."""
+
+    head: RequestHead
+    peer: Address
+    stream: Stream
+    state: h11.Connection
+    limits: ConnectionLimits
+    response_started: bool = False
+    aborted: bool = False
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the request body, or `b""` at its end.
+
+        Raises:
+            CallerGoneError: The connection ended within the body.
+            StalledError: No byte arrived within the progress limit.
+            RefusedError: The body breaks the framing.
+        """
+        while True:
+            if self.state.they_are_waiting_for_100_continue:
+                await self.send_continue()
+            event = self._next_event()
+            match event:
+                case h11.Data(data=data):
+                    if data:
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    return b""
+                case h11.ConnectionClosed():
+                    raise CallerGoneError
+                case h11.NEED_DATA:
+                    await self._receive()
+                case _:
+                    return b""
+
+    async def read_json(self) -> object:
+        """Read the whole body as JSON.
+
+        Raises:
+            RefusedError: The body is over the limit or no JSON.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while part := await self.read_body():
+            size += len(part)
+            if size > self.limits.json_body_bytes:
+                message = f"the body is over {self.limits.json_body_bytes} bytes"
+                raise RefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, message))
+            parts.append(part)
+        try:
+            return json.loads(b"".join(parts))
+        except ValueError as exc:
+            refusal = Refusal(ErrorKind.MALFORMED_REQUEST, "the body isn't valid JSON")
+            raise RefusedError(refusal) from exc
+
+    async def send_continue(self) -> None:
+        """Tell the other end to send its body."""
+        event = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+        await self._send(event)
+
+    async def send_head(self, head: ResponseHead) -> None:
+        """Send the head of the response."""
+        self.response_started = True
+        await self._send(h11.Response(status_code=head.status, headers=list(head.headers)))
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the response body."""
+        await self._send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the response."""
+        await self._send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Reset the connection, so that the response can't look complete."""
+        self.aborted = True
+        self.stream.abort()
+
+    async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
+        """Send a whole response with a body of known length."""
+        length = (b"content-length", b"%d" % len(body))
+        event = h11.Response(status_code=head.status, headers=[*head.headers, length])
+        self.response_started = True
+        parts = [self.state.send(event)]
+        if body and self.head.method != b"HEAD":
+            parts.append(self.state.send(h11.Data(data=body)))
+        parts.append(self.state.send(h11.EndOfMessage()))
+        await self._write(b"".join(part for part in parts if part))
+
+    async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
+        """Send a whole response as JSON."""
+        body = json.dumps(value, separators=(",", ":")).encode()
+        content_type = (b"content-type", b"application/json")
+        await self.respond(ResponseHead(status, (content_type, *headers)), body)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send the response that belongs to the refusal's error kind."""
+        response = refusal.response
+        headers = (
+            (b"camphorspread-error", refusal.kind.value.encode()),
+            (b"camphorspread-outcome", response.outcome.value.encode()),
+            (b"camphorspread-reason", refusal.reason.value.encode()),
+        )
+        value = {
+            "error": refusal.kind.value,
+            "outcome": response.outcome.value,
+            "reason": refusal.reason.value,
+            "message": refusal.message,
+        }
+        await self.respond_json(response.status, value, headers)
+
+    async def wait_until_gone(self) -> None:
+        """Return when the other end closes the connection; the body must have been read.
+
+        Bytes of a next request that arrive early are kept for it.
+        """
+        while self.state.their_state is not h11.CLOSED:
+            try:
+                data = await self.stream.read()
+            except ConnectionError:
+                return
+            self.state.receive_data(data)
+            if not data or len(self.state.trailing_data[0]) > self.limits.header_bytes:
+                return
+
+    def _next_event(self) -> object:
+        try:
+            return self.state.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise RefusedError(make_protocol_refusal(exc)) from exc
+
+    async def _receive(self) -> None:
+        await receive_into(self.state, self.stream, self.limits.progress)
+
+    async def _send(self, event: object) -> None:
+        data = self.state.send(event)
+        if data:
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            async with asyncio.timeout(self.limits.progress.total_seconds()):
+                await self.stream.write(data)
+        except TimeoutError as exc:
+            raise StalledError from exc
+        except ConnectionError as exc:
+            raise CallerGoneError from exc
+
+
+ExchangeHandler = Callable[[Exchange], Awaitable[None]]
+
+
+def make_protocol_refusal(exc: h11.RemoteProtocolError) -> Refusal:
+    """Return the refusal for a request that `h11` doesn't accept."""
+    if exc.error_status_hint == HEADER_TOO_LARGE_STATUS:
+        return Refusal(ErrorKind.HEADER_TOO_LARGE, "the request head is over the limit")
+    return Refusal(ErrorKind.MALFORMED_REQUEST, "the request isn't valid HTTP/1.1")
+
+
+HEADER_TOO_LARGE_STATUS = 431
+
+
+async def receive_into(state: h11.Connection, stream: Stream, limit: timedelta) -> None:
+    """Read once from the stream and hand the bytes to `h11`.
+
+    Raises:
+        CallerGoneError: The stream was reset.
+        StalledError: Nothing arrived within the limit.
+    """
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            data = await stream.read()
+    except TimeoutError as exc:
+        raise StalledError from exc
+    except ConnectionError as exc:
+        raise CallerGoneError from exc
+    state.receive_data(data)
+
+
+async def refuse_or_abort(exchange: Exchange, refusal: Refusal) -> None:
+    """Send a refusal, or reset the connection if a response has begun."""
+    if exchange.response_started:
+        exchange.abort()
+    else:
+        await exchange.refuse(refusal)
+
+
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves exchanges on streams, one after the other on each connection.
+
+    Attributes:
+        handler: Called once for each request; it sends the response.
+        limits: Limits of each connection.
+        on_refused: Called with each refusal that the server itself sends.
+        on_failed: Called with each exception that the handler doesn't expect.
+        draining: True once connections close after their current exchange.
+    """
+
+    handler: ExchangeHandler
+    limits: ConnectionLimits = attrs.field(factory=ConnectionLimits)
+    on_refused: Callable[[Refusal, Address], None] = lambda _refusal, _peer: None
+    on_failed: Callable[[Exception], None] = lambda _exc: None
+    draining: bool = False
+    open_connections: Counter[str] = attrs.field(factory=Counter)
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one connection until it closes."""
+        host = stream.peer.host
+        if self.open_connections[host] >= self.limits.connections_per_peer:
+            stream.abort()
+            return
+        self.open_connections[host] += 1
+        try:
+            await self._serve_exchanges(stream)
+        except (CallerGoneError, StalledError):
+            stream.abort()
+        finally:
+            self.open_connections[host] -= 1
+            if not self.open_connections[host]:
+                del self.open_connections[host]
+            stream.close()
+
+    async def _serve_exchanges(self, stream: Stream) -> None:
+        state = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        while True:
+            try:
+                head = await self._read_head(state, stream)
+            except RefusedError as exc:
+                await self._refuse_head(state, stream, exc.refusal)
+                return
+            if head is None:
+                return
+            exchange = Exchange(head, stream.peer, stream, state, self.limits)
+            await self._handle(exchange)
+            if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
+                return
+            if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+                return
+            state.start_next_cycle()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        try:
+            await self.handler(exchange)
+        except RefusedError as exc:
+            self.on_refused(exc.refusal, exchange.peer)
+            await refuse_or_abort(exchange, exc.refusal)
+        except (CallerGoneError, StalledError):
+            raise
+        except Exception as exc:
+            # A fault in one exchange must neither end the process nor leave a caller waiting.
+            self.on_failed(exc)
+            await refuse_or_abort(exchange, Refusal(ErrorKind.INTERNAL, "a fault in this program"))
+
+    async def _read_head(self, state: h11.Connection, stream: Stream) -> RequestHead | None:
+        limit = self.limits.idle
+        while True:
+            try:
+                event = state.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise RefusedError(make_protocol_refusal(exc)) from exc
+            match event:
+                case h11.Request(method=method, target=target, headers=headers):
+                    return RequestHead(bytes(method), bytes(target), tuple(headers))
+                case h11.NEED_DATA:
+                    await receive_into(state, stream, limit)
+                    if state.trailing_data[0]:
+                        limit = self.limits.progress
+                case _:
+                    return None
+
+    async def _refuse_head(self, state: h11.Connection, stream: Stream, refusal: Refusal) -> None:
+        self.on_refused(refusal, stream.peer)
+        if state.our_state is h11.IDLE:
+            head = RequestHead(b"GET", b"/")
+            await Exchange(head, stream.peer, stream, state, self.limits).refuse(refusal)
--- /dev/null
+++ b/camphorspread/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a process: clock, settings, registries, membership and node shells."""
--- /dev/null
+++ b/camphorspread/process/caller_listener.py
@@ -0,0 +1,71 @@
+"""The listener for callers: lookups and steered requests."""
+
+from urllib.parse import parse_qs, urlsplit
+
+from returns.result import Failure, Success
+
+from camphorspread.connection.server import Exchange
+from camphorspread.process.entry_state import EntryState
+from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
+from camphorspread.request.steer import refuse, steer_request
+
+__all__ = ["encode_lookup_response", "handle_caller"]
+
+STEER_PREFIX = "/s/"
+
+
+async def handle_caller(state: EntryState, exchange: Exchange) -> None:
+    """Serve one exchange of the callers' listener."""
+    target = exchange.head.target.decode("ascii", "replace")
+    path = urlsplit(target).path
+    if path == "/v1/lookup":
+        await serve_lookup(state, exchange, target)
+    elif path.startswith(STEER_PREFIX):
+        service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
+        rest = target.removeprefix(STEER_PREFIX + service) or "/"
+        rest = rest if rest.startswith("/") else "/" + rest
+        await steer_request(state, exchange, service, rest.encode())
+    else:
+        await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
+
+
+async def serve_lookup(state: EntryState, exchange: Exchange, target: str) -> None:
+    """Serve `GET /v1/lookup?service=NAME[&address=IP]`."""
+    query = parse_qs(urlsplit(target).query)
+    service = query.get("service", [""])[0]
+    if not service:
+        message = "the query needs service=NAME"
+        await refuse(state, exchange, Refusal(ErrorKind.MALFORMED_REQUEST, message))
+        return
+    if state.catalogue is None:
+        message = "this VM has no catalogue yet"
+        await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message))
+        return
+    own = state.fleet.own
+    place = Place(own.availability_zone, own.region)
+    match resolve_lookup(state.catalogue, state.fleet, service, place):
+        case Success(response):
+            await exchange.respond_json(200, encode_lookup_response(response))
+        case Failure(refusal):
+            await refuse(state, exchange, refusal)
+
+
+def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
+    """Return the JSON form of a lookup response."""
+    return {
+        "service": response.service,
+        "version": response.version,
+        "ttl_ms": int(response.ttl.total_seconds() * 1000),
+        "targets": [
+            {
+                "vm": item.vm,
+                "availability_zone": item.availability_zone,
+                "host": item.address.host,
+                "port": item.address.port,
+                "weight": item.weight,
+                "reason": item.reason.value,
+            }
+            for item in response.targets
+        ],
+    }
--- /dev/null
+++ b/camphorspread/process/clock.py
@@ -0,0 +1,59 @@
+"""The clock interface and its two implementations."""
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+import attrs
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
+
+
+class Clock(Protocol):
+    """Source of instants."""
+
+    def monotonic(self) -> timedelta:
+        """Return the time since an arbitrary origin; it never decreases."""
+
+    def wall(self) -> datetime:
+        """Return the date and time in UTC, for people only."""
+
+
+@attrs.frozen
+class SystemClock:
+    """The clock of the machine."""
+
+    def monotonic(self) -> timedelta:
+        """Return the time since an arbitrary origin; it never decreases."""
+        return timedelta(microseconds=time.monotonic_ns() // 1000)
+
+    def wall(self) -> datetime:
+        """Return the date and time in UTC."""
+        return datetime.now(UTC)
+
+
+@attrs.define
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Examples:
+        >>> clock = ManualClock()
+        >>> clock.advance(timedelta(seconds=2))
+        >>> clock.monotonic()
+        datetime.timedelta(seconds=2)
+    """
+
+    elapsed: timedelta = timedelta(0)
+    start: datetime = datetime(2026, 1, 1, tzinfo=UTC)
+
+    def monotonic(self) -> timedelta:
+        """Return the time that `advance` has added up to."""
+        return self.elapsed
+
+    def wall(self) -> datetime:
+        """Return the start plus the elapsed time."""
+        return self.start + self.elapsed
+
+    def advance(self, duration: timedelta) -> None:
+        """Move the clock forward."""
+        self.elapsed += duration
--- /dev/null
+++ b/camphorspread/process/command/run.py
@@ -0,0 +1,53 @@
+"""`camphorspread run`: run one node from its settings file."""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from camphorspread.connection.access_key import read_access_key
+from camphorspread.connection.link import JsonLink
+from camphorspread.connection.network import TcpNetwork
+from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.clock import SystemClock
+from camphorspread.process.control_node import run_control_node
+from camphorspread.process.control_state import ControlState
+from camphorspread.process.entry_node import run_entry_node
+from camphorspread.process.entry_state import make_entry_state
+from camphorspread.process.events import make_event_log
+from camphorspread.process.settings import ControlSettings, EntrySettings, Settings, read_settings
+
+__all__ = ["run_node"]
+
+
+def run_node(path: Path) -> int:
+    """Run the node that the settings file describes; return the exit code."""
+    match read_settings(path):
+        case Failure(faults):
+            print("\n".join(faults), file=sys.stderr)
+            return 2
+        case Success(settings):
+            asyncio.run(run_until_signal(settings))
+    return 0
+
+
+async def run_until_signal(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
+    log = make_event_log(settings.place.vm, clock)
+    access_key = read_access_key(Path(settings.access_key_file))
+    match settings:
+        case EntrySettings():
+            state = make_entry_state(settings, clock, network, log, rng, access_key)
+            node = asyncio.create_task(run_entry_node(state))
+        case ControlSettings():
+            link = JsonLink(ConnectionPool(network, clock), access_key)
+            control = ControlState(settings, clock, network, log, rng, link, access_key)
+            node = asyncio.create_task(run_control_node(control))
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, node.cancel)
+    await asyncio.gather(node, return_exceptions=True)
--- /dev/null
+++ b/camphorspread/process/control_state.py
@@ -0,0 +1,45 @@
+"""What a control process holds while it runs."""
+
+import asyncio
+import random
+
+import attrs
+
+from camphorspread.connection.link import JsonLink
+from camphorspread.connection.network import Network
+from camphorspread.process.clock import Clock
+from camphorspread.process.events import EventLog
+from camphorspread.process.settings import ControlSettings
+from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.replica_view import ReplicaView
+
+__all__ = ["ControlState"]
+
+
+@attrs.define(eq=False)
+class ControlState:
+    """State of a control process, used by its shells.
+
+    Attributes:
+        settings: Settings of the process.
+        clock: Source of instants.
+        network: Opens and accepts streams.
+        log: Writes numbered events.
+        rng: Source of random numbers.
+        link: Messages to other processes.
+        access_key: Key of operators and own processes.
+        catalogue: The newest accepted catalogue.
+        changed: Set and replaced at each accepted change.
+        view: What this replica knows about the leader.
+    """
+
+    settings: ControlSettings
+    clock: Clock
+    network: Network
+    log: EventLog
+    rng: random.Random
+    link: JsonLink
+    access_key: bytes
+    catalogue: Catalogue = attrs.field(factory=Catalogue)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    view: ReplicaView = attrs.field(factory=ReplicaView)
--- /dev/null
+++ b/camphorspread/process/entry_state.py
@@ -0,0 +1,82 @@
+"""What an entry process holds while it runs."""
+
+import random
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.link import JsonLink
+from camphorspread.connection.network import Network
+from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.clock import Clock
+from camphorspread.process.endpoints import Registry
+from camphorspread.process.events import EventLog
+from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.settings import EntrySettings
+from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.shares import HeldShares
+
+__all__ = ["EntryState", "make_entry_state"]
+
+INCARNATION_BITS = 64
+
+
+@attrs.define(eq=False)
+class EntryState:
+    """State of an entry process, used by its shells.
+
+    Attributes:
+        settings: Settings of the process.
+        clock: Source of instants.
+        network: Opens and accepts streams.
+        log: Writes numbered events.
+        rng: Source of random numbers.
+        pool: Idle connections to backend servers and other VMs.
+        link: Messages to other processes.
+        catalogue: The catalogue in force, or None before the first poll.
+        fleet: Known entry VMs.
+        registry: Endpoints that backend servers announced here.
+        incarnation: Differs after each start of the process.
+        started: Instant of the start.
+        catalogue_lease_end: Until when the catalogue is known to be the newest.
+        held_shares: Shares of limits and caps that this VM holds.
+        is_leaving: True once a planned stop has begun.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    network: Network
+    log: EventLog
+    rng: random.Random
+    pool: ConnectionPool
+    link: JsonLink
+    fleet: FleetView
+    catalogue: Catalogue | None = None
+    registry: Registry = attrs.field(factory=Registry)
+    incarnation: str = ""
+    started: timedelta = timedelta(0)
+    catalogue_lease_end: timedelta = timedelta(0)
+    held_shares: HeldShares = attrs.field(factory=HeldShares)
+    is_leaving: bool = False
+
+
+def make_entry_state(
+    settings: EntrySettings,
+    clock: Clock,
+    network: Network,
+    log: EventLog,
+    rng: random.Random,
+    access_key: bytes,
+) -> EntryState:
+    """Return the state of a process that has just started."""
+    pool = ConnectionPool(network, clock)
+    vms = {
+        item.vm: VmRecord(item.vm, item.availability_zone, item.region, item.callers, item.peers)
+        for item in settings.entry_vms
+    }
+    fleet = FleetView(settings.place.vm, vms)
+    link = JsonLink(pool, access_key)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet)
+    state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    state.started = clock.monotonic()
+    return state
--- /dev/null
+++ b/camphorspread/process/events.py
@@ -0,0 +1,73 @@
+"""The closed list of log events and the logger that writes them."""
+
+import enum
+import sys
+from typing import Any, TextIO
+
+import structlog
+
+from camphorspread.process.clock import Clock
+
+__all__ = ["Event", "EventLog", "make_event_log"]
+
+
+class Event(enum.Enum):
+    """Log events; the number is stable and listed in `docs/events.md`."""
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPED = 101
+    LISTENING = 102
+    HANDLER_FAILED = 103
+    REQUEST_REFUSED = 200
+    REQUEST_SERVED = 201
+    REQUEST_RETRIED = 202
+    RESPONSE_CUT = 203
+    CALLER_GONE = 204
+    CONNECTION_REFUSED = 205
+    ENDPOINT_ANNOUNCED = 300
+    ENDPOINT_LEAVING = 301
+    ENDPOINT_EXPIRED = 302
+    ANNOUNCEMENT_REFUSED = 303
+    CATALOGUE_IN_FORCE = 400
+    CATALOGUE_POLL_FAILED = 401
+    CHANGE_ACCEPTED = 402
+    CHANGE_REFUSED = 403
+
+
+class EventLog:
+    """Writes numbered events.
+
+    Examples:
+        >>> log = make_event_log("sofia-a-1", SystemClock(), sys.stdout)  # doctest: +SKIP
+        >>> log.write(Event.PROCESS_STARTED, role="entry")  # doctest: +SKIP
+    """
+
+    def __init__(self, logger: Any) -> None:
+        """Keep the logger."""
+        self.logger = logger
+
+    def write(self, event: Event, **fields: Any) -> None:
+        """Write one event with its fields."""
+        self.logger.msg(event.name.lower(), number=event.value, **fields)
+
+
+def make_event_log(vm: str, clock: Clock, output: TextIO | None = None) -> EventLog:
+    """Return a log that writes JSON lines.
+
+    Args:
+        vm: Name of the VM, a field of each line.
+        clock: Source of the date and time of each line.
+        output: Where to write; standard error if None.
+    """
+
+    def add_time(_logger: Any, _method: str, fields: dict[str, Any]) -> dict[str, Any]:
+        return {"time": clock.wall().isoformat(timespec="milliseconds"), **fields}
+
+    logger = structlog.wrap_logger(
+        structlog.PrintLogger(output or sys.stderr),
+        processors=[
+            add_time,
+            structlog.processors.JSONRenderer(),
+        ],
+    )
+    return EventLog(logger.bind(vm=vm))
--- /dev/null
+++ b/camphorspread/process/fleet.py
@@ -0,0 +1,66 @@
+"""What a VM knows about the VMs of the fleet."""
+
+import enum
+
+import attrs
+
+from camphorspread.connection.network import Address
+
+__all__ = ["FleetView", "VmRecord", "VmState"]
+
+
+class VmState(enum.Enum):
+    """State of an entry VM as others see it."""
+
+    ALIVE = "alive"
+    LEAVING = "leaving"
+    SUSPECTED = "suspected"
+    LOST = "lost"
+
+
+@attrs.frozen
+class VmRecord:
+    """One entry VM.
+
+    Attributes:
+        vm: Name of the VM.
+        availability_zone: Its availability zone.
+        region: Its region.
+        callers: Where it listens for callers.
+        peers: Where it listens for the project's own processes.
+        incarnation: Differs after each start of its process; empty while unknown.
+        state: As seen from the VM that holds the record.
+        uptime_s: Whole seconds since the start of its process, when last heard.
+        free_slots: Free slots of live endpoints by service, when last heard.
+        total_slots: Slots of live endpoints by service, when last heard.
+        catalogue_version: Version it runs, when last heard.
+    """
+
+    vm: str
+    availability_zone: str
+    region: str
+    callers: Address
+    peers: Address
+    incarnation: str = ""
+    state: VmState = VmState.ALIVE
+    uptime_s: int = 0
+    free_slots: dict[str, int] = attrs.field(factory=dict)
+    total_slots: dict[str, int] = attrs.field(factory=dict)
+    catalogue_version: int = 0
+
+
+@attrs.frozen
+class FleetView:
+    """All known entry VMs, by name, and which of them is this one."""
+
+    own_vm: str
+    vms: dict[str, VmRecord]
+
+    @property
+    def own(self) -> VmRecord:
+        """The record of this VM."""
+        return self.vms[self.own_vm]
+
+    def usable(self) -> list[VmRecord]:
+        """Return the VMs that lookups may name, sorted by name."""
+        return [self.vms[vm] for vm in sorted(self.vms) if self.vms[vm].state is VmState.ALIVE]
--- /dev/null
+++ b/camphorspread/version/catalogue.py
@@ -0,0 +1,190 @@
+"""The entries that operators write and the catalogue that holds them."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+__all__ = [
+    "AvailabilityZoneEntry",
+    "Catalogue",
+    "DrainEntry",
+    "DrainKind",
+    "RegionEntry",
+    "ServiceClass",
+    "ServiceEntry",
+    "Versioned",
+    "is_idempotent",
+    "is_never_repeated",
+]
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
+
+class ServiceClass(enum.Enum):
+    """Order in which requests are kept under overload, the first one longest."""
+
+    CRITICAL = "critical"
+    UPLOAD = "upload"
+    INTERACTIVE = "interactive"
+    DEFERRABLE = "deferrable"
+
+
+@attrs.frozen
+class ServiceEntry:
+    """A service, its owner, its class and its limits.
+
+    Attributes:
+        name: Name that callers look up.
+        owner: Who responses for the entry.
+        service_class: Order under overload.
+        shift_cap_per_second: Requests a second served outside their home region, fleet-wide.
+        region_limit: Requests in flight in one region.
+        never_repeated: Rules `METHOD /path-prefix` of requests that run at most once.
+        queue_length: Requests that may wait at one owner of endpoints.
+        lookup_ttl_ms: How long callers may keep a lookup response, in milliseconds.
+        request_time_limit_ms: Longest time of a request, in milliseconds.
+        body_limit_bytes: Largest request body.
+        promised_ms: Time within which a response counts as on time, in milliseconds.
+    """
+
+    name: str
+    owner: str
+    service_class: ServiceClass
+    shift_cap_per_second: int
+    region_limit: int
+    never_repeated: tuple[str, ...] = ()
+    queue_length: int = 64
+    lookup_ttl_ms: int = 5000
+    request_time_limit_ms: int = 10000
+    body_limit_bytes: int = 268435456
+    promised_ms: int = 1000
+
+    @property
+    def lookup_ttl(self) -> timedelta:
+        """How long callers may keep a lookup response."""
+        return timedelta(milliseconds=self.lookup_ttl_ms)
+
+    @property
+    def request_time_limit(self) -> timedelta:
+        """Longest time of a request."""
+        return timedelta(milliseconds=self.request_time_limit_ms)
+
+
+@attrs.frozen
+class AvailabilityZoneEntry:
+    """An availability zone and its entry VMs."""
+
+    name: str
+    vms: tuple[str, ...]
+
+
+@attrs.frozen
+class RegionEntry:
+    """A region, its owner, its capacity and its availability zones.
+
+    Attributes:
+        name: Name of the region.
+        owner: Who responses for the entry.
+        limit: Requests in flight that the region may carry, over all services.
+        availability_zones: Its availability zones.
+        delays_ms: One-way delay to other regions, in milliseconds.
+        link_bytes_per_second: What the links to other regions carry each way in total.
+    """
+
+    name: str
+    owner: str
+    limit: int
+    availability_zones: tuple[AvailabilityZoneEntry, ...]
+    delays_ms: dict[str, float] = attrs.field(factory=dict)
+    link_bytes_per_second: int = 500000000
+
+    @property
+    def vms(self) -> tuple[str, ...]:
+        """Names of all entry VMs of the region, sorted."""
+        return tuple(sorted(vm for zone in self.availability_zones for vm in zone.vms))
+
+
+class DrainKind(enum.Enum):
+    """What a drain entry takes out of service."""
+
+    VM = "vm"
+    AVAILABILITY_ZONE = "availability_zone"
+    REGION = "region"
+
+
+@attrs.frozen
+class DrainEntry:
+    """A VM, availability zone or region that callers are steered away from."""
+
+    kind: DrainKind
+    name: str
+    owner: str
+
+
+@attrs.frozen
+class Versioned:
+    """An entry and the catalogue version that last changed it."""
+
+    entry: ServiceEntry | RegionEntry | DrainEntry
+    version: int
+
+
+@attrs.frozen
+class Catalogue:
+    """All entries at one version.
+
+    Attributes:
+        version: Number of accepted changes.
+        services: Service entries by name.
+        regions: Region entries by name.
+        drains: Drain entries by `kind/name`.
+    """
+
+    version: int = 0
+    services: dict[str, Versioned] = attrs.field(factory=dict)
+    regions: dict[str, Versioned] = attrs.field(factory=dict)
+    drains: dict[str, Versioned] = attrs.field(factory=dict)
+
+    def find_service(self, name: str) -> ServiceEntry | None:
+        """Return the entry of a service, or None."""
+        versioned = self.services.get(name)
+        return versioned.entry if versioned else None
+
+    def find_region(self, name: str) -> RegionEntry | None:
+        """Return the entry of a region, or None."""
+        versioned = self.regions.get(name)
+        return versioned.entry if versioned else None
+
+    def is_drained(self, kind: DrainKind, name: str) -> bool:
+        """Return True if a drain entry names this VM, availability zone or region."""
+        return f"{kind.value}/{name}" in self.drains
+
+
+def is_never_repeated(entry: ServiceEntry, method: str, path: str) -> bool:
+    """Return True if a rule of the entry says that the request runs at most once.
+
+    Args:
+        entry: Entry of the service.
+        method: HTTP method.
+        path: Path below the service, with its leading slash.
+
+    Examples:
+        >>> entry = ServiceEntry(
+        ...     "filing-svc", "water", ServiceClass.CRITICAL, 10, 100, ("POST /fees",)
+        ... )
+        >>> is_never_repeated(entry, "POST", "/fees/17")
+        True
+        >>> is_never_repeated(entry, "GET", "/fees/17")
+        False
+    """
+    for rule in entry.never_repeated:
+        rule_method, _, prefix = rule.partition(" ")
+        if rule_method in ("*", method) and path.startswith(prefix):
+            return True
+    return False
+
+
+def is_idempotent(entry: ServiceEntry, method: str, path: str) -> bool:
+    """Return True if the request may be sent again after it may have run."""
+    return method in IDEMPOTENT_METHODS and not is_never_repeated(entry, method, path)
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,17 @@
+"""Hooks of the test run: each `@fixture.NAME` tag sets up a shared fixture."""
+
+from behave.fixture import use_fixture_by_tag
+
+from features.fixtures.session import session
+from features.fixtures.virtual_time import virtual_loop
+
+FIXTURES = {
+    "fixture.session": session,
+    "fixture.virtual_loop": virtual_loop,
+}
+
+
+def before_tag(context, tag):
+    """Set up the fixture that the tag names."""
+    if tag.startswith("fixture."):
+        use_fixture_by_tag(tag, context, FIXTURES)
