--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -57,6 +57,7 @@
     limits: ConnectionLimits
     response_started: bool = False
     aborted: bool = False
+    is_last: bool = False
 
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
@@ -111,7 +112,8 @@
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
         self.response_started = True
-        await self._send(h11.Response(status_code=head.status, headers=list(head.headers)))
+        headers = [*head.headers, *self._closing_headers()]
+        await self._send(h11.Response(status_code=head.status, headers=headers))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -129,7 +131,8 @@
     async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send a whole response with a body of known length."""
         length = (b"content-length", b"%d" % len(body))
-        event = h11.Response(status_code=head.status, headers=[*head.headers, length])
+        headers = [*head.headers, length, *self._closing_headers()]
+        event = h11.Response(status_code=head.status, headers=headers)
         self.response_started = True
         parts = [self.state.send(event)]
         if body and self.head.method != b"HEAD":
@@ -173,6 +176,9 @@
             if not data or len(self.state.trailing_data[0]) > self.limits.header_bytes:
                 return
 
+    def _closing_headers(self) -> tuple:
+        return ((b"connection", b"close"),) if self.is_last else ()
+
     def _next_event(self) -> object:
         try:
             return self.state.next_event()
@@ -282,8 +288,10 @@
             if head is None:
                 return
             exchange = Exchange(head, stream.peer, stream, state, self.limits)
+            # The header tells the other end, so that it sends nothing more on this connection.
+            exchange.is_last = self.draining
             await self._handle(exchange)
-            if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
+            if exchange.aborted or exchange.is_last or state.our_state is h11.MUST_CLOSE:
                 return
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
--- a/camphorspread/process/backend_listener.py
+++ b/camphorspread/process/backend_listener.py
@@ -1,5 +1,7 @@
 """The listener for backend servers: announcements of endpoints."""
 
+from datetime import timedelta
+
 from cattrs.preconf.json import make_converter
 from returns.result import Failure, Result, Success
 
@@ -9,16 +11,21 @@
     RENEWAL_INTERVAL,
     Announcement,
     EndpointState,
+    HandoverToken,
     record_announcement,
 )
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.fleet import VmRecord
+from camphorspread.process.ownership import Accepted, Redirected, decide_ownership
 from camphorspread.request.errors import ErrorKind, Refusal
 
 __all__ = ["decode_announcement", "encode_announcement", "handle_backend_server"]
 
 CONVERTER = make_converter(forbid_extra_keys=True)
 MAX_SLOTS = 10000
+# Holds while this VM has no catalogue entry of the service yet.
+DEFAULT_LONGEST_REQUEST = timedelta(seconds=10)
 
 
 async def handle_backend_server(state: EntryState, exchange: Exchange) -> None:
@@ -31,16 +38,47 @@
             state.log.write(Event.ANNOUNCEMENT_REFUSED, cause=refusal.message)
             await exchange.refuse(refusal)
         case Success(announcement):
-            await accept_announcement(state, exchange, announcement)
+            await take_announcement(state, exchange, announcement)
 
 
-async def accept_announcement(
+async def take_announcement(
     state: EntryState, exchange: Exchange, announcement: Announcement
 ) -> None:
-    """Record an announcement and tell the backend server when to renew it."""
+    """Accept an announcement or tell the backend server who owns the endpoint."""
+    now = state.clock.monotonic()
+    known = state.registry.find(announcement.service, announcement.endpoint)
+    is_owner = known is not None and known.lease_end > now and not known.is_given_up
+    received = find_handover(state, announcement)
+    match decide_ownership(state.fleet, announcement, is_owner, received is not None):
+        case Accepted(owners=owners):
+            accept_announcement(state, announcement, received)
+            token = None
+        case Redirected(owners=owners) if state.is_leaving and not state.is_handed_over:
+            # A leaving VM keeps its endpoints until its last request has ended.
+            accept_announcement(state, announcement, received)
+            owners, token = (state.fleet.own, *owners), None
+        case Redirected(owners=owners):
+            token = give_up(state, announcement, now)
+    await exchange.respond_json(200, encode_response(state, owners, token))
+
+
+def find_handover(state: EntryState, announcement: Announcement) -> int | None:
+    """Return the slots in use that the former owner stated when it handed the endpoint over."""
+    key = (announcement.service, announcement.endpoint, announcement.former_owner)
+    return state.handed_endpoints.get(key)
+
+
+def accept_announcement(
+    state: EntryState, announcement: Announcement, handed_over: int | None
+) -> None:
+    """Record an announcement and apply the state that it carries at once."""
     now = state.clock.monotonic()
-    known = state.registry.services.get(announcement.service, {}).get(announcement.endpoint)
-    record_announcement(state.registry, announcement, now)
+    known = state.registry.find(announcement.service, announcement.endpoint)
+    entry = state.catalogue.find_service(announcement.service) if state.catalogue else None
+    longest = entry.request_time_limit if entry else DEFAULT_LONGEST_REQUEST
+    endpoint = record_announcement(
+        state.registry, announcement, now, state.owner_name, longest, handed_over
+    )
     if known is None:
         state.log.write(
             Event.ENDPOINT_ANNOUNCED,
@@ -48,16 +86,48 @@
             endpoint=announcement.endpoint,
             slots=announcement.slots,
         )
+    if announcement.former_owner not in ("", state.owner_name):
+        state.log.write(
+            Event.ENDPOINT_TAKEN_OVER,
+            service=announcement.service,
+            endpoint=announcement.endpoint,
+            former_owner=announcement.former_owner,
+            reserved_slots=endpoint.former_in_use,
+        )
     if announcement.state is EndpointState.LEAVING:
         state.pool.close_address(announcement.address)
-    await exchange.respond_json(
-        200,
-        {
-            "owner": state.settings.place.vm,
-            "lease_ms": int(ENDPOINT_LEASE.total_seconds() * 1000),
-            "renew_ms": int(RENEWAL_INTERVAL.total_seconds() * 1000),
-        },
+
+
+def give_up(state: EntryState, announcement: Announcement, now: timedelta) -> HandoverToken | None:
+    """Stop sending to an endpoint; return what its next owner must know, if this VM owned it."""
+    endpoint = state.registry.find(announcement.service, announcement.endpoint)
+    if endpoint is None or announcement.former_owner != state.owner_name:
+        return None
+    endpoint.is_given_up = True
+    endpoint.lease_end = now
+    state.pool.close_address(announcement.address)
+    state.log.write(
+        Event.ENDPOINT_REDIRECTED, service=announcement.service, endpoint=announcement.endpoint
     )
+    return HandoverToken(state.owner_name, endpoint.in_use)
+
+
+def encode_response(
+    state: EntryState, owners: tuple[VmRecord, ...], token: HandoverToken | None
+) -> object:
+    """Return the response to an announcement: the owner and those who follow it."""
+    return {
+        "owner": owners[0].vm,
+        "accepted_by": state.owner_name if owners[0].vm == state.fleet.own_vm else "",
+        "next_owners": [
+            {"vm": vm.vm, "host": vm.backend_servers.host, "port": vm.backend_servers.port}
+            for vm in owners
+            if vm.backend_servers is not None
+        ],
+        "token": CONVERTER.unstructure(token) if token else None,
+        "lease_ms": int(ENDPOINT_LEASE.total_seconds() * 1000),
+        "renew_ms": int(RENEWAL_INTERVAL.total_seconds() * 1000),
+    }
 
 
 def encode_announcement(announcement: Announcement) -> object:
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -8,6 +8,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
+from camphorspread.request.once import find_once_key_prefix
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "handle_caller"]
@@ -46,7 +47,14 @@
     place = Place(own.availability_zone, own.region)
     match resolve_lookup(state.catalogue, state.fleet, service, place):
         case Success(response):
-            await exchange.respond_json(200, encode_lookup_response(response))
+            value = encode_lookup_response(response)
+            entry = state.catalogue.find_service(service)
+            names = tuple(item.vm for item in response.targets)
+            if own.vm in names:
+                state.last_named = state.clock.monotonic()
+            if entry is not None and entry.never_repeated:
+                value["once_key_prefix"] = find_once_key_prefix(state, names)
+            await exchange.respond_json(200, value)
         case Failure(refusal):
             await refuse(state, exchange, refusal)
 
--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from returns.result import Failure, Success
@@ -30,24 +31,29 @@
             print("\n".join(faults), file=sys.stderr)
             return 2
         case Success(settings):
-            asyncio.run(run_until_signal(settings))
-    return 0
+            return asyncio.run(run_until_signal(settings))
 
 
-async def run_until_signal(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
+async def run_until_signal(settings: Settings) -> int:
+    """Run a node until it has ended after SIGTERM or SIGINT; return the exit code."""
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
     access_key = read_access_key(Path(settings.access_key_file))
     match settings:
         case EntrySettings():
             state = make_entry_state(settings, clock, network, log, rng, access_key)
-            node = asyncio.create_task(run_entry_node(state))
+            return await run_entry_node(state, handle_signals)
         case ControlSettings():
             link = JsonLink(ConnectionPool(network, clock), access_key)
             control = ControlState(settings, clock, network, log, rng, link, access_key)
             node = asyncio.create_task(run_control_node(control))
+    handle_signals(node.cancel)
+    await asyncio.gather(node, return_exceptions=True)
+    return 0
+
+
+def handle_signals(handle: Callable[[], object]) -> None:
+    """Call a function on each SIGTERM and SIGINT."""
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.cancel)
-    await asyncio.gather(node, return_exceptions=True)
+        loop.add_signal_handler(signal_number, handle)
--- /dev/null
+++ b/camphorspread/process/drain_watch.py
@@ -0,0 +1,138 @@
+"""Carries out the steps of a planned stop of an entry VM."""
+
+import asyncio
+import sys
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.server import HttpServer
+from camphorspread.process.drain import (
+    Drain,
+    Effect,
+    EndProcess,
+    HandOver,
+    HandoverEnded,
+    ReportRemainder,
+    SignalReceived,
+    StartLeaving,
+    StopRequested,
+    Tick,
+    apply_event,
+)
+from camphorspread.process.drain import Event as DrainEvent
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.events import Event
+from camphorspread.process.fleet import FleetView, VmState
+from camphorspread.process.handover import hand_over
+from camphorspread.process.ledger import expire_keys
+from camphorspread.request.lookup import is_vm_drained
+
+__all__ = ["DrainWatch", "receive_signal", "watch_drain"]
+
+TICK_INTERVAL = timedelta(milliseconds=100)
+
+
+@attrs.define(eq=False)
+class DrainWatch:
+    """The drain of one entry process.
+
+    Attributes:
+        state: State of the process.
+        drain: State of the drain.
+        servers: Servers whose connections close after their current exchange.
+        ended: Exit code, once the process shall end.
+        tasks: Tasks that effects have started.
+    """
+
+    state: EntryState
+    servers: tuple[HttpServer, ...]
+    ended: asyncio.Future[int]
+    drain: Drain = attrs.field(factory=Drain)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+
+def receive_signal(watch: DrainWatch) -> None:
+    """Take one SIGTERM: drain, then report, then stop at once."""
+    take_event(watch, SignalReceived())
+
+
+async def watch_drain(watch: DrainWatch) -> None:
+    """Advance the drain and look for a drain entry until cancelled."""
+    state = watch.state
+    while True:
+        await asyncio.sleep(TICK_INTERVAL.total_seconds())
+        expire_keys(state.ledger, state.clock.monotonic())
+        if state.catalogue is not None and is_vm_drained(state.catalogue, state.fleet.own):
+            take_event(watch, StopRequested())
+        take_event(watch, make_tick(state))
+
+
+def make_tick(state: EntryState) -> Tick:
+    """Return what the drain needs to know."""
+    services = state.catalogue.services.values() if state.catalogue else ()
+    ttls = [item.entry.lookup_ttl for item in services]
+    longest = max(ttls, default=timedelta(0))
+    has_endpoints = any(state.registry.services.values())
+    return Tick(state.last_named, longest, state.requests_in_flight, has_endpoints)
+
+
+def take_event(watch: DrainWatch, event: DrainEvent) -> None:
+    """Apply an event and carry out its effects."""
+    for effect in apply_event(watch.drain, event, watch.state.clock.monotonic()):
+        carry_out(watch, effect)
+
+
+def carry_out(watch: DrainWatch, effect: Effect) -> None:
+    """Carry out one effect."""
+    state = watch.state
+    match effect:
+        case StartLeaving():
+            mark_leaving(state)
+            for server in watch.servers:
+                server.draining = True
+        case ReportRemainder():
+            report_remainder(state)
+        case HandOver():
+            task = asyncio.create_task(finish_handover(watch))
+            watch.tasks.add(task)
+            task.add_done_callback(watch.tasks.discard)
+        case EndProcess(exit_code=0, drain_time=drain_time):
+            state.log.write(Event.DRAIN_ENDED, drain_ms=to_milliseconds(drain_time))
+            end(watch, 0)
+        case EndProcess(exit_code=exit_code):
+            state.log.write(Event.STOPPED_AT_ONCE, requests=state.requests_in_flight)
+            end(watch, exit_code)
+
+
+def mark_leaving(state: EntryState) -> None:
+    """Show this VM as leaving in its own lookup responses and heartbeats."""
+    state.is_leaving = True
+    own = attrs.evolve(state.fleet.own, state=VmState.LEAVING)
+    state.fleet = FleetView(state.fleet.own_vm, {**state.fleet.vms, own.vm: own})
+    state.log.write(Event.DRAIN_STARTED, requests=state.requests_in_flight)
+
+
+def report_remainder(state: EntryState) -> None:
+    """Log and print what a stop at once would interrupt."""
+    requests, keys = state.requests_in_flight, len(state.running_keys)
+    state.log.write(Event.DRAIN_REMAINDER, requests=requests, once_keys=keys)
+    message = f"stopping now would interrupt {requests} requests, {keys} of them with a once key"
+    print(message, file=sys.stderr)
+
+
+async def finish_handover(watch: DrainWatch) -> None:
+    """Hand over and go on with the drain, whether a successor was found or not."""
+    await hand_over(watch.state)
+    take_event(watch, HandoverEnded())
+
+
+def end(watch: DrainWatch, exit_code: int) -> None:
+    """Say that the process shall end."""
+    if not watch.ended.done():
+        watch.ended.set_result(exit_code)
+
+
+def to_milliseconds(duration: timedelta) -> int:
+    """Return whole milliseconds."""
+    return duration // timedelta(milliseconds=1)
--- a/camphorspread/process/endpoints.py
+++ b/camphorspread/process/endpoints.py
@@ -8,17 +8,34 @@
 from camphorspread.connection.network import Address
 
 __all__ = [
+    "ENDPOINT_LEASE",
+    "FAILOVER_MARGIN",
+    "RAMP_STEP",
+    "RENEWAL_INTERVAL",
     "Announcement",
     "Endpoint",
     "EndpointState",
+    "HandoverToken",
     "LoadReport",
     "Registry",
+    "ReportHistory",
     "expire_endpoints",
     "record_announcement",
+    "record_failure",
+    "record_success",
+    "report_weight",
+    "take_report",
 ]
 
 ENDPOINT_LEASE = timedelta(seconds=2)
 RENEWAL_INTERVAL = timedelta(milliseconds=500)
+FAILOVER_MARGIN = timedelta(milliseconds=500)
+RAMP_STEP = timedelta(milliseconds=500)
+FIRST_RAMP_SLOTS = 1
+# A report that stands still this long comes from a counter that has stopped.
+MAX_UNCHANGED_REPORTS = 10
+# Errors this recent contradict a report of zero load.
+ERROR_MEMORY = timedelta(seconds=5)
 
 
 class EndpointState(enum.Enum):
@@ -36,6 +53,19 @@
     busy_slots: int = 0
 
 
+@attrs.frozen
+class HandoverToken:
+    """What a former owner says when it gives an endpoint up and has stopped sending to it.
+
+    Attributes:
+        former_owner: `VM/incarnation` of the former owner.
+        in_use: Slots that its requests still use.
+    """
+
+    former_owner: str
+    in_use: int
+
+
 @attrs.frozen
 class Announcement:
     """What a backend server sends about one endpoint.
@@ -48,6 +78,9 @@
         slots: Requests that it can run at once.
         state: Whether it is leaving.
         report: Load report.
+        former_owner: `VM/incarnation` that last accepted it, or empty after a fresh start.
+        failed_owners: VMs that didn't answer the backend server.
+        token: What the former owner said when it gave the endpoint up.
     """
 
     service: str
@@ -57,6 +90,24 @@
     slots: int
     state: EndpointState = EndpointState.ACTIVE
     report: LoadReport = attrs.field(factory=LoadReport)
+    former_owner: str = ""
+    failed_owners: tuple[str, ...] = ()
+    token: HandoverToken | None = None
+
+
+@attrs.define(eq=False)
+class ReportHistory:
+    """What the owner keeps of an endpoint's load reports.
+
+    Attributes:
+        report: The newest report, by sequence number.
+        unchanged: Renewals in a row that repeated its load.
+        is_late: True if the last renewal carried a report from the past.
+    """
+
+    report: LoadReport = attrs.field(factory=LoadReport)
+    unchanged: int = 0
+    is_late: bool = False
 
 
 @attrs.define(eq=False)
@@ -67,16 +118,45 @@
         announcement: The newest announcement.
         lease_end: When it counts as gone unless renewed.
         in_use: Slots taken by requests that this VM sent.
+        former_in_use: Slots that requests of the former owner may still use.
+        former_until: When the last request of the former owner must have ended.
+        ramp_slots: Slots that may be used so far.
+        ramp_start: Start of the current step of the ramp-up.
+        last_error: When a request to it last failed.
+        reports: Its load reports.
+        is_given_up: True once this VM has handed it over and sends nothing more.
     """
 
     announcement: Announcement
     lease_end: timedelta
     in_use: int = 0
+    former_in_use: int = 0
+    former_until: timedelta = timedelta(0)
+    ramp_slots: int = FIRST_RAMP_SLOTS
+    ramp_start: timedelta = timedelta(0)
+    last_error: timedelta | None = None
+    reports: ReportHistory = attrs.field(factory=ReportHistory)
+    is_given_up: bool = False
 
-    @property
-    def free_slots(self) -> int:
-        """Slots without a request."""
-        return max(self.announcement.slots - self.in_use, 0)
+    def count_free_slots(self, now: timedelta) -> int:
+        """Return the slots to which a request may be sent now."""
+        former = self.former_in_use if self.former_until > now else 0
+        free = self.announcement.slots - former - self.in_use
+        return max(min(free, self.ramp_slots - self.in_use), 0)
+
+    def is_sendable(self, now: timedelta) -> bool:
+        """Return True if this VM may send a request to it now."""
+        is_active = self.announcement.state is EndpointState.ACTIVE
+        return is_active and self.lease_end > now and not self.is_given_up
+
+    def rank(self, now: timedelta) -> float:
+        """Return the share of slots in use after one more request; lower is better.
+
+        A load report may only raise it, so that a false report draws no traffic.
+        """
+        weight = report_weight(self.reports, self.last_error, now)
+        hinted = weight * self.reports.report.busy_slots
+        return (max(float(self.in_use), hinted) + 1) / self.announcement.slots
 
 
 @attrs.define(eq=False)
@@ -85,35 +165,133 @@
 
     services: dict[str, dict[str, Endpoint]] = attrs.field(factory=dict)
 
+    def find(self, service: str, endpoint: str) -> Endpoint | None:
+        """Return an endpoint, or None."""
+        return self.services.get(service, {}).get(endpoint)
+
     def list_live(self, service: str, now: timedelta) -> list[Endpoint]:
         """Return the active endpoints of a service whose lease runs, sorted by name."""
         endpoints = self.services.get(service, {})
-        return [
-            endpoints[name]
-            for name in sorted(endpoints)
-            if endpoints[name].lease_end > now
-            and endpoints[name].announcement.state is EndpointState.ACTIVE
-        ]
+        return [endpoints[name] for name in sorted(endpoints) if endpoints[name].is_sendable(now)]
+
 
+def record_announcement(
+    registry: Registry,
+    announcement: Announcement,
+    now: timedelta,
+    own: str = "",
+    longest_request: timedelta = timedelta(0),
+    handed_over: int | None = None,
+) -> Endpoint:
+    """Add or renew an endpoint and return it.
 
-def record_announcement(registry: Registry, announcement: Announcement, now: timedelta) -> Endpoint:
-    """Add or renew an endpoint and return it."""
+    Args:
+        registry: Endpoints that this VM owns.
+        announcement: The announcement.
+        now: Current instant.
+        own: `VM/incarnation` of this VM.
+        longest_request: Longest time that a request of the service may take.
+        handed_over: Slots in use that the former owner stated in a handover, or None.
+    """
     endpoints = registry.services.setdefault(announcement.service, {})
     endpoint = endpoints.get(announcement.endpoint)
     if endpoint is None:
-        endpoint = Endpoint(announcement, now + ENDPOINT_LEASE)
+        endpoint = Endpoint(announcement, now, ramp_start=now)
         endpoints[announcement.endpoint] = endpoint
-        return endpoint
+    is_taken_over = announcement.former_owner not in ("", own)
+    if is_taken_over or endpoint.is_given_up:
+        count_former_requests(endpoint, announcement, now, longest_request, handed_over)
+    elif endpoint.lease_end <= now:
+        restart_ramp(endpoint, now)
+    take_report(endpoint.reports, announcement.report)
     endpoint.announcement = announcement
     endpoint.lease_end = now + ENDPOINT_LEASE
+    endpoint.is_given_up = False
     return endpoint
 
 
+def count_former_requests(
+    endpoint: Endpoint,
+    announcement: Announcement,
+    now: timedelta,
+    longest_request: timedelta,
+    handed_over: int | None,
+) -> None:
+    """Reserve the slots that requests of the former owner may use.
+
+    Without a handover all slots are reserved (quarantine). The former owner may have received a
+    renewal whose response was lost and send until its lease ends, so one lease is added.
+    """
+    if announcement.token is not None:
+        handed_over = announcement.token.in_use
+    if handed_over is None:
+        endpoint.former_in_use = announcement.slots
+        endpoint.former_until = now + ENDPOINT_LEASE + longest_request
+    else:
+        endpoint.former_in_use = handed_over
+        endpoint.former_until = now + longest_request
+    restart_ramp(endpoint, now)
+
+
+def restart_ramp(endpoint: Endpoint, now: timedelta) -> None:
+    """Begin the ramp-up again with one slot."""
+    endpoint.ramp_slots = FIRST_RAMP_SLOTS
+    endpoint.ramp_start = now
+
+
+def record_success(endpoint: Endpoint, now: timedelta) -> None:
+    """Count a complete response; the first one after each step adds a slot."""
+    if endpoint.ramp_slots < endpoint.announcement.slots and now - endpoint.ramp_start >= RAMP_STEP:
+        endpoint.ramp_slots += 1
+        endpoint.ramp_start = now
+
+
+def record_failure(endpoint: Endpoint, now: timedelta) -> None:
+    """Count a failed request; the step of the ramp-up begins again."""
+    endpoint.last_error = now
+    endpoint.ramp_start = now
+
+
+def take_report(history: ReportHistory, report: LoadReport) -> None:
+    """Add a load report; one that is older than the newest is ignored."""
+    history.is_late = report.sequence < history.report.sequence
+    if history.is_late:
+        return
+    is_same = report.busy_slots == history.report.busy_slots
+    history.unchanged = history.unchanged + 1 if is_same else 0
+    history.report = report
+
+
+def report_weight(history: ReportHistory, last_error: timedelta | None, now: timedelta) -> float:
+    """Return how far a load report is believed, from 0 to 1.
+
+    A frozen report and one of zero load under errors count nothing. After a report from the past
+    the newest one counts half, because it is older than it should be.
+
+    Args:
+        history: Reports of the endpoint.
+        last_error: When a request to the endpoint last failed, or None.
+        now: Current instant.
+
+    Examples:
+        >>> report_weight(ReportHistory(LoadReport(3, 2)), None, timedelta(0))
+        1.0
+        >>> report_weight(ReportHistory(LoadReport(3, 2), unchanged=10), None, timedelta(0))
+        0.0
+    """
+    has_errors = last_error is not None and now - last_error < ERROR_MEMORY
+    if history.unchanged >= MAX_UNCHANGED_REPORTS:
+        return 0.0
+    if has_errors and history.report.busy_slots == 0:
+        return 0.0
+    return 0.5 if history.is_late else 1.0
+
+
 def expire_endpoints(registry: Registry, now: timedelta) -> list[Endpoint]:
     """Remove and return the endpoints whose lease has ended and that run no request."""
     expired: list[Endpoint] = []
     for endpoints in registry.services.values():
         for name, endpoint in list(endpoints.items()):
-            if endpoint.lease_end <= now and not endpoint.in_use:
+            if endpoint.lease_end <= now and not endpoint.in_use and endpoint.former_until <= now:
                 expired.append(endpoints.pop(name))
     return expired
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -11,9 +11,11 @@
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
 from camphorspread.process.catalogue_poll import poll_catalogue
+from camphorspread.process.drain_watch import DrainWatch, receive_signal, watch_drain
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.peer_listener import handle_peer
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -29,13 +31,15 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers.
+        listeners: Its open listeners: callers, backend servers, peers.
         tasks: Its periodic tasks.
+        watch: Its drain.
     """
 
     state: EntryState
     listeners: tuple[Listener, ...]
     tasks: tuple[asyncio.Task, ...]
+    watch: DrainWatch
 
     async def stop(self) -> None:
         """Close listeners and tasks at once."""
@@ -49,29 +53,47 @@
 
 async def start_entry_node(state: EntryState) -> EntryNode:
     """Open the listeners of an entry process and start its tasks."""
+    callers = make_server(state, handle_caller)
+    backend_servers = make_server(state, handle_backend_server)
+    peers = make_server(state, handle_peer)
     listeners = (
-        await listen(state, state.settings.callers, handle_caller),
-        await listen(state, state.settings.backend_servers, handle_backend_server),
+        await state.network.listen(state.settings.callers, callers.serve),
+        await state.network.listen(state.settings.backend_servers, backend_servers.serve),
+        await state.network.listen(state.settings.peers, peers.serve),
     )
+    watch = DrainWatch(state, (callers, peers), asyncio.get_running_loop().create_future())
     tasks = (
+        asyncio.create_task(watch_drain(watch)),
         asyncio.create_task(poll_catalogue(state)),
         asyncio.create_task(expire_periodically(state)),
     )
     state.log.write(Event.PROCESS_STARTED, role="entry")
-    return EntryNode(state, listeners, tasks)
+    return EntryNode(state, listeners, tasks, watch)
 
 
-async def run_entry_node(state: EntryState) -> None:
-    """Run an entry process until cancelled."""
+async def run_entry_node(
+    state: EntryState, on_signal: Callable[[Callable[[], None]], None] = lambda _handle: None
+) -> int:
+    """Run an entry process until its drain has ended or it is cancelled.
+
+    Args:
+        state: State of the process.
+        on_signal: Called once with the function to call on each SIGTERM.
+
+    Returns:
+        The exit code.
+    """
     node = await start_entry_node(state)
+    on_signal(lambda: receive_signal(node.watch))
     try:
-        await asyncio.Event().wait()
+        return await node.watch.ended
     finally:
         await node.stop()
+        state.log.write(Event.PROCESS_STOPPED, role="entry")
 
 
-async def listen(state: EntryState, address: Address, handler: EntryHandler) -> Listener:
-    """Open one listener whose handler gets the state of the process."""
+def make_server(state: EntryState, handler: EntryHandler) -> HttpServer:
+    """Return the server of one listener; its handler gets the state of the process."""
 
     def log_refusal(refusal: Refusal, peer: Address) -> None:
         state.log.write(Event.CONNECTION_REFUSED, kind=refusal.kind.value, peer=peer.host)
@@ -79,10 +101,14 @@
     def log_failure(exc: Exception) -> None:
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
-    server = HttpServer(
-        lambda exchange: handler(state, exchange), on_refused=log_refusal, on_failed=log_failure
-    )
-    return await state.network.listen(address, server.serve)
+    async def count(exchange: Exchange) -> None:
+        state.requests_in_flight += 1
+        try:
+            await handler(state, exchange)
+        finally:
+            state.requests_in_flight -= 1
+
+    return HttpServer(count, on_refused=log_refusal, on_failed=log_failure)
 
 
 async def expire_periodically(state: EntryState) -> None:
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -1,5 +1,6 @@
 """What an entry process holds while it runs."""
 
+import asyncio
 import random
 from datetime import timedelta
 
@@ -12,7 +13,9 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.ledger import Ending, Ledger
 from camphorspread.process.settings import EntrySettings
+from camphorspread.request.once_key import HomeIdentity, OnceKey
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
 
@@ -41,6 +44,13 @@
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
         is_leaving: True once a planned stop has begun.
+        ledger: Once keys of this VM.
+        running_keys: Ending of each request with a once key that runs here.
+        successors: VM that took over the ledger of each incarnation that left.
+        requests_in_flight: Exchanges of callers and passed requests that are served now.
+        handed_endpoints: Slots in use by service, endpoint and former owner, from handovers.
+        is_handed_over: True once a leaving VM has handed its endpoints over.
+        last_named: When a lookup response last named this VM.
     """
 
     settings: EntrySettings
@@ -51,6 +61,7 @@
     pool: ConnectionPool
     link: JsonLink
     fleet: FleetView
+    ledger: Ledger
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
     incarnation: str = ""
@@ -58,6 +69,17 @@
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
     is_leaving: bool = False
+    running_keys: dict[OnceKey, asyncio.Future[Ending]] = attrs.field(factory=dict)
+    successors: dict[HomeIdentity, str] = attrs.field(factory=dict)
+    requests_in_flight: int = 0
+    last_named: timedelta = timedelta(0)
+    handed_endpoints: dict[tuple[str, str, str], int] = attrs.field(factory=dict)
+    is_handed_over: bool = False
+
+    @property
+    def owner_name(self) -> str:
+        """Name of this incarnation as an owner of endpoints."""
+        return f"{self.settings.place.vm}/{self.incarnation}"
 
 
 def make_entry_state(
@@ -71,12 +93,23 @@
     """Return the state of a process that has just started."""
     pool = ConnectionPool(network, clock)
     vms = {
-        item.vm: VmRecord(item.vm, item.availability_zone, item.region, item.callers, item.peers)
+        item.vm: VmRecord(
+            item.vm,
+            item.availability_zone,
+            item.region,
+            item.callers,
+            item.peers,
+            backend_servers=item.backend_servers,
+        )
         for item in settings.entry_vms
     }
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet)
-    state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
-    state.started = clock.monotonic()
+    place, started = settings.place, clock.monotonic()
+    incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    home = HomeIdentity(place.availability_zone, place.vm, incarnation)
+    ledger = Ledger(home, started)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, ledger)
+    state.incarnation = incarnation
+    state.started = started
     return state
--- a/camphorspread/process/fleet.py
+++ b/camphorspread/process/fleet.py
@@ -34,6 +34,7 @@
         free_slots: Free slots of live endpoints by service, when last heard.
         total_slots: Slots of live endpoints by service, when last heard.
         catalogue_version: Version it runs, when last heard.
+        backend_servers: Where it listens for backend servers.
     """
 
     vm: str
@@ -47,6 +48,7 @@
     free_slots: dict[str, int] = attrs.field(factory=dict)
     total_slots: dict[str, int] = attrs.field(factory=dict)
     catalogue_version: int = 0
+    backend_servers: Address | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/camphorspread/process/owner_choice.py
@@ -0,0 +1,94 @@
+"""Which entry VM a backend server announces an endpoint to."""
+
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.network import Address
+from camphorspread.process.endpoints import ENDPOINT_LEASE, FAILOVER_MARGIN, HandoverToken
+
+__all__ = ["AnnounceResponse", "OwnerChoice", "OwnerTarget", "note_failure", "take_response"]
+
+FAILOVER_AFTER = ENDPOINT_LEASE + FAILOVER_MARGIN
+
+
+@attrs.frozen
+class OwnerTarget:
+    """An entry VM that may own the endpoint; the name is empty while unknown."""
+
+    vm: str
+    address: Address
+
+
+@attrs.frozen
+class AnnounceResponse:
+    """What an entry VM answered to an announcement.
+
+    Attributes:
+        accepted_by: `VM/incarnation` of the VM that accepted, or empty if it names another one.
+        owners: Owners in order, the right one first.
+        token: What the answering VM said when it gave the endpoint up.
+    """
+
+    accepted_by: str
+    owners: tuple[OwnerTarget, ...]
+    token: HandoverToken | None = None
+
+
+@attrs.define(eq=False)
+class OwnerChoice:
+    """State of the choice.
+
+    Attributes:
+        targets: Owners in order.
+        position: The one to announce to.
+        last_contact: When an entry VM last answered.
+        former_owner: `VM/incarnation` that last accepted, or may have accepted unheard.
+        failed_owners: VMs that didn't answer since then.
+        token: Handover token for the next owner.
+    """
+
+    targets: tuple[OwnerTarget, ...]
+    last_contact: timedelta
+    position: int = 0
+    former_owner: str = ""
+    failed_owners: tuple[str, ...] = ()
+    token: HandoverToken | None = None
+
+    @property
+    def current(self) -> OwnerTarget:
+        """The entry VM to announce to."""
+        return self.targets[self.position]
+
+
+def take_response(choice: OwnerChoice, response: AnnounceResponse, now: timedelta) -> bool:
+    """Follow a response; return True if another entry VM must be asked now."""
+    choice.last_contact = now
+    answering = choice.current
+    if response.owners:
+        choice.targets = response.owners
+        choice.position = 0
+    if response.accepted_by:
+        choice.former_owner = response.accepted_by
+        choice.failed_owners = ()
+        choice.token = None
+        return False
+    choice.token = response.token or choice.token
+    return choice.current != answering
+
+
+def note_failure(choice: OwnerChoice, now: timedelta) -> bool:
+    """Count an announcement without an answer; return True if the next owner is asked now.
+
+    The silent VM may have accepted the announcement and may be sending. So it counts as a former
+    owner, and the token of the owner before it is void.
+    """
+    if now - choice.last_contact < FAILOVER_AFTER or len(choice.targets) == 1:
+        return False
+    silent = choice.current.vm
+    choice.former_owner = choice.former_owner or f"{silent}/"
+    choice.token = None
+    if silent not in choice.failed_owners:
+        choice.failed_owners = (*choice.failed_owners, silent)
+    choice.position = (choice.position + 1) % len(choice.targets)
+    return True
--- a/camphorspread/process/settings.py
+++ b/camphorspread/process/settings.py
@@ -61,6 +61,7 @@
         region: Its region.
         callers: Where it listens for callers.
         peers: Where it listens for the project's own processes.
+        backend_servers: Where it listens for backend servers, needed to name it as an owner.
     """
 
     vm: str
@@ -68,6 +69,7 @@
     region: str
     callers: Address
     peers: Address
+    backend_servers: Address | None = None
 
 
 @attrs.frozen
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -7,7 +7,7 @@
 import attrs
 
 from camphorspread.connection.link import JsonLink, LinkError
-from camphorspread.connection.messages import ResponseHead
+from camphorspread.connection.messages import ResponseHead, find_header
 from camphorspread.connection.network import Address, Listener, Network
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import encode_announcement
@@ -15,11 +15,22 @@
     RENEWAL_INTERVAL,
     Announcement,
     EndpointState,
+    HandoverToken,
     LoadReport,
 )
+from camphorspread.process.owner_choice import (
+    AnnounceResponse,
+    OwnerChoice,
+    OwnerTarget,
+    note_failure,
+    take_response,
+)
+from camphorspread.request.once_key import ONCE_KEY_HEADER
 
 __all__ = ["StubBackendServer", "start_stub_backend_server"]
 
+MAX_OWNERS_ASKED = 4
+
 
 @attrs.define(eq=False)
 class StubBackendServer:
@@ -27,11 +38,13 @@
 
     Attributes:
         announcement: What it announces.
-        owner: Where the entry VM that owns the endpoint listens for backend servers.
+        owner: Where the entry VM that is asked first listens for backend servers.
         service_time: How long a request takes.
         busy: Requests that run now.
         most_busy: Most requests that ran at once.
-        served: Method, path and once key of each request, in order.
+        started: Method, path and once key of each request, in the order of arrival.
+        served: Method and path of each request, in the order of their ends.
+        choice: The entry VM that it announces to.
     """
 
     announcement: Announcement
@@ -40,19 +53,28 @@
     service_time: timedelta = timedelta(milliseconds=2)
     busy: int = 0
     most_busy: int = 0
+    started: list[str] = attrs.field(factory=list)
     served: list[str] = attrs.field(factory=list)
     sequence: int = 0
+    choice: OwnerChoice = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with the entry VM that is asked first."""
+        self.choice = OwnerChoice((OwnerTarget("", self.owner),), read_time())
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request with its size."""
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
+        request = f"{exchange.head.method.decode()} {exchange.head.target.decode()}"
+        key = find_header(exchange.head.headers, ONCE_KEY_HEADER) or b""
+        self.started.append(f"{request} {key.decode()}".strip())
         try:
             size = 0
             while data := await exchange.read_body():
                 size += len(data)
             await asyncio.sleep(self.service_time.total_seconds())
-            self.served.append(f"{exchange.head.method.decode()} {exchange.head.target.decode()}")
+            self.served.append(request)
             body = f"{self.announcement.endpoint} received {size} bytes\n".encode()
             await exchange.respond(ResponseHead(200, ((b"content-type", b"text/plain"),)), body)
         finally:
@@ -65,16 +87,29 @@
             await asyncio.sleep(RENEWAL_INTERVAL.total_seconds())
 
     async def announce(self) -> None:
-        """Send the announcement once; a lost one is repeated by the next renewal."""
+        """Send the announcement to its owner, or to those that follow until one accepts it."""
+        for _ in range(MAX_OWNERS_ASKED):
+            if not await self.announce_once():
+                return
+
+    async def announce_once(self) -> bool:
+        """Send the announcement once; return True if another entry VM must be asked now."""
         self.sequence += 1
-        report = LoadReport(self.sequence, self.busy)
-        self.announcement = attrs.evolve(self.announcement, report=report)
+        self.announcement = attrs.evolve(
+            self.announcement,
+            report=LoadReport(self.sequence, self.busy),
+            former_owner=self.choice.former_owner,
+            failed_owners=self.choice.failed_owners,
+            token=self.choice.token,
+        )
+        message = encode_announcement(self.announcement)
+        target = self.choice.current.address
         try:
-            await self.link.call(
-                self.owner, "POST", "/v1/announce", encode_announcement(self.announcement)
-            )
-        except LinkError:
-            return
+            response = await self.link.call(target, "POST", "/v1/announce", message)
+            decoded = decode_response(response.value)
+        except (LinkError, KeyError, TypeError):
+            return note_failure(self.choice, read_time())
+        return take_response(self.choice, decoded, read_time())
 
     async def leave(self) -> None:
         """Announce that the endpoint is leaving."""
@@ -82,6 +117,28 @@
         await self.announce()
 
 
+def read_time() -> timedelta:
+    """Return the time of the event loop."""
+    return timedelta(seconds=asyncio.get_running_loop().time())
+
+
+def decode_response(value: object) -> AnnounceResponse:
+    """Read the response to an announcement.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: It is no response.
+    """
+    if not isinstance(value, dict):
+        raise TypeError("the response is no object")
+    owners = tuple(
+        OwnerTarget(item["vm"], Address(item["host"], item["port"]))
+        for item in value["next_owners"]
+    )
+    token = HandoverToken(**value["token"]) if value["token"] else None
+    return AnnounceResponse(value["accepted_by"], owners, token)
+
+
 async def start_stub_backend_server(
     network: Network, backend: StubBackendServer
 ) -> tuple[Listener, asyncio.Task]:
--- a/camphorspread/request/errors.py
+++ b/camphorspread/request/errors.py
@@ -35,6 +35,7 @@
     ONCE_HOME_UNREACHABLE = "once_home_unreachable"
     ONCE_IN_PROGRESS = "once_in_progress"
     ONCE_OUTCOME_UNKNOWN = "once_outcome_unknown"
+    ONCE_KEY_REUSED = "once_key_reused"
     LEDGER_FULL = "ledger_full"
     RESPONSE_NOT_KEPT = "response_not_kept"
     BODY_LIMIT_PASSED = "body_limit_passed"
@@ -78,6 +79,8 @@
     ErrorKind.ONCE_HOME_UNREACHABLE: ErrorResponse(503, Outcome.UNKNOWN),
     ErrorKind.ONCE_IN_PROGRESS: ErrorResponse(409, Outcome.UNKNOWN),
     ErrorKind.ONCE_OUTCOME_UNKNOWN: ErrorResponse(502, Outcome.UNKNOWN),
+    # The request itself didn't run, but the first one with the same key may have.
+    ErrorKind.ONCE_KEY_REUSED: ErrorResponse(422, Outcome.UNKNOWN),
     ErrorKind.LEDGER_FULL: ErrorResponse(503, Outcome.NOT_RUN),
     ErrorKind.RESPONSE_NOT_KEPT: ErrorResponse(409, Outcome.COMPLETED),
     ErrorKind.BODY_LIMIT_PASSED: ErrorResponse(413, Outcome.UNKNOWN),
--- /dev/null
+++ b/camphorspread/request/once.py
@@ -0,0 +1,330 @@
+"""Serves requests with a once key: at their home, or by passing them on to it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import attrs
+from returns.result import Failure, Success
+
+from camphorspread.connection.messages import find_header
+from camphorspread.connection.server import Exchange, refuse_or_abort
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.events import Event
+from camphorspread.process.fleet import VmRecord, VmState
+from camphorspread.process.ledger import (
+    Claimed,
+    Ending,
+    KeptResponse,
+    OutcomeUnknown,
+    Released,
+    RequestShape,
+    ResponseTooLarge,
+    Running,
+    claim_key,
+    end_claim,
+    make_ending_refusal,
+)
+from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline
+from camphorspread.request.errors import ErrorKind, Outcome, Refusal
+from camphorspread.request.once_key import (
+    ONCE_KEY_HEADER,
+    HomeIdentity,
+    OnceKey,
+    format_once_key_prefix,
+    parse_once_key,
+)
+from camphorspread.request.passing import PassedRequest, pass_request
+from camphorspread.request.reasons import Reason
+from camphorspread.request.recorder import ResponseRecorder
+from camphorspread.request.relay import BodyLimitPassed, NoResponse, UploadStalled
+from camphorspread.version.catalogue import Catalogue, is_never_repeated
+
+__all__ = [
+    "OnceAttempt",
+    "RunAttempt",
+    "check_once_rule",
+    "find_once_key_prefix",
+    "keep_outcome_true",
+    "serve_at_home",
+    "serve_keyed",
+]
+
+DEFAULT_WAIT = timedelta(seconds=10)
+DEFAULT_BODY_LIMIT_BYTES = 268435456
+# A small unread body would reset the connection before the caller has read the response.
+DISCARDED_BODY_BYTES = 65536
+
+
+@attrs.define(eq=False)
+class OnceAttempt:
+    """A claimed request while it runs.
+
+    Attributes:
+        recorder: Copy of its response.
+        was_sent: True once a byte of it may have reached a backend server.
+        refusal: The refusal that its caller was sent.
+    """
+
+    recorder: ResponseRecorder = attrs.field(factory=ResponseRecorder)
+    was_sent: bool = False
+    refusal: Refusal | None = None
+
+
+RunAttempt = Callable[[EntryState, Exchange, str, bytes, OnceAttempt], Awaitable[None]]
+
+
+def check_once_rule(
+    catalogue: Catalogue, service: str, method: bytes, target: bytes, has_key: bool
+) -> Refusal | None:
+    """Return the refusal of a request that needs a once key and has none.
+
+    It is asked before each attempt with the newest catalogue, so that a request that became
+    "never repeated" while it was served isn't sent again.
+    """
+    entry = catalogue.find_service(service)
+    path = target.partition(b"?")[0].decode("latin-1")
+    if has_key or entry is None or not is_never_repeated(entry, method.decode(), path):
+        return None
+    message = (
+        f"this request runs at most once and needs the header {ONCE_KEY_HEADER.decode()}: take "
+        f"once_key_prefix from GET /v1/lookup?service={service} and append .<own unique id>"
+    )
+    return Refusal(ErrorKind.ONCE_KEY_REQUIRED, message)
+
+
+def keep_outcome_true(attempt: OnceAttempt | None, refusal: Refusal) -> Refusal:
+    """Replace "not run" by "unknown" if an earlier attempt may have been sent."""
+    if attempt is None:
+        return refusal
+    if attempt.was_sent and refusal.response.outcome is Outcome.NOT_RUN:
+        refusal = make_ending_refusal(OutcomeUnknown())
+    attempt.refusal = refusal
+    return refusal
+
+
+def find_once_key_prefix(state: EntryState, vms: tuple[str, ...]) -> str | None:
+    """Return the prefix for the first of the VMs whose incarnation is known.
+
+    The uptime of another VM is the one last heard, so the prefix is at worst a little older.
+    """
+    for vm in vms:
+        record = state.fleet.vms[vm]
+        if vm == state.fleet.own_vm:
+            uptime = state.clock.monotonic() - state.started
+            return format_once_key_prefix(state.ledger.home, uptime)
+        if record.incarnation:
+            home = HomeIdentity(record.availability_zone, vm, record.incarnation)
+            return format_once_key_prefix(home, timedelta(seconds=record.uptime_s))
+    return None
+
+
+async def serve_keyed(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, run: RunAttempt
+) -> None:
+    """Serve a caller's request with a once key, here or through its home.
+
+    Args:
+        state: State of the entry process.
+        exchange: The caller's exchange.
+        service: Name of the service.
+        target: Path and query at the backend server.
+        run: Steers the request once it is claimed.
+    """
+    header = find_header(exchange.head.headers, ONCE_KEY_HEADER) or b""
+    match parse_once_key(header):
+        case Failure(refusal):
+            await refuse_keyed(state, exchange, refusal)
+        case Success(key) if is_served_here(state, key):
+            await serve_at_home(state, exchange, service, target, run)
+        case Success(key):
+            await pass_to_home(state, exchange, service, target, key)
+
+
+def is_served_here(state: EntryState, key: OnceKey) -> bool:
+    """Return True if this VM is the home of the key or took over the ledger of its home."""
+    return key.home.vm == state.fleet.own_vm or key.home in state.ledger.left_homes
+
+
+def find_home(state: EntryState, key: OnceKey) -> VmRecord | None:
+    """Return the VM that answers for the key."""
+    vm = state.successors.get(key.home, key.home.vm)
+    record = state.fleet.vms.get(vm)
+    return None if record is None or record.state is VmState.LOST else record
+
+
+async def pass_to_home(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, key: OnceKey
+) -> None:
+    """Pass a request on to its home; only the home can say that it wasn't run."""
+    record = find_home(state, key)
+    if record is None:
+        await refuse_unreachable(state, exchange, key, "the home is unknown or lost")
+        return
+    entry = state.catalogue.find_service(service) if state.catalogue else None
+    limit = entry.body_limit_bytes if entry else DEFAULT_BODY_LIMIT_BYTES
+    deadline = find_deadline(state, exchange, service)
+    try:
+        passed = PassedRequest(exchange, service, target, record, deadline, limit)
+        async with asyncio.timeout((deadline - state.clock.monotonic()).total_seconds()):
+            result = await pass_request(state, passed)
+    except TimeoutError:
+        # Opening the connection has a limit of its own, which ends in the same exception.
+        await refuse_unreachable(state, exchange, key, "no response in time")
+        return
+    except OSError as exc:
+        await refuse_unreachable(state, exchange, key, str(exc))
+        return
+    match result:
+        case NoResponse(detail=detail):
+            await refuse_unreachable(state, exchange, key, detail)
+        case UploadStalled():
+            refusal = Refusal(ErrorKind.UPLOAD_STALLED, "the body made no progress")
+            await refuse_keyed(state, exchange, refusal)
+        case BodyLimitPassed():
+            refusal = Refusal(ErrorKind.BODY_LIMIT_PASSED, f"the body is over {limit} bytes")
+            await refuse_keyed(state, exchange, refusal)
+        case _ if not exchange.response_started:
+            exchange.abort()
+
+
+async def refuse_unreachable(
+    state: EntryState, exchange: Exchange, key: OnceKey, cause: str
+) -> None:
+    """Say that the home can't be asked whether the request ran."""
+    state.log.write(Event.ONCE_HOME_UNREACHABLE, home=key.home.vm, cause=cause)
+    message = f"the home of the once key, {key.home.vm}, can't be reached"
+    refusal = Refusal(ErrorKind.ONCE_HOME_UNREACHABLE, message, Reason.ONCE_HOME)
+    await refuse_keyed(state, exchange, refusal)
+
+
+def find_deadline(state: EntryState, exchange: Exchange, service: str) -> timedelta:
+    """Return the deadline of a request, or a default one if its header is malformed."""
+    now = state.clock.monotonic()
+    entry = state.catalogue.find_service(service) if state.catalogue else None
+    limit = entry.request_time_limit if entry else DEFAULT_WAIT
+    header = find_header(exchange.head.headers, DEADLINE_HEADER)
+    return parse_deadline(header, now, limit).value_or(now + limit)
+
+
+async def serve_at_home(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, run: RunAttempt
+) -> None:
+    """Run a request with a once key, or answer it from the ledger.
+
+    The ledger is asked before anything else can refuse the request, because a refusal says "not
+    run" for all requests with the key.
+    """
+    match parse_once_key(find_header(exchange.head.headers, ONCE_KEY_HEADER) or b""):
+        case Failure(refusal):
+            await refuse_keyed(state, exchange, refusal)
+            return
+        case Success(key):
+            shape = make_shape(exchange, service, target)
+    match claim_key(state.ledger, key, shape, state.clock.monotonic()):
+        case Claimed():
+            await run_claimed(state, exchange, service, target, key, run)
+        case Running():
+            await wait_for_ending(state, exchange, service, key)
+        case Refusal() as refusal:
+            await refuse_keyed(state, exchange, refusal)
+        case ending:
+            await answer_repeat(state, exchange, ending)
+
+
+def make_shape(exchange: Exchange, service: str, target: bytes) -> RequestShape:
+    """Return what must be the same in all requests with the key."""
+    headers = exchange.head.headers
+    length = find_header(headers, b"content-length")
+    if length is None and find_header(headers, b"transfer-encoding") is None:
+        length = b"0"
+    return RequestShape(
+        service, exchange.head.method, target, None if length is None else int(length)
+    )
+
+
+async def run_claimed(
+    state: EntryState,
+    exchange: Exchange,
+    service: str,
+    target: bytes,
+    key: OnceKey,
+    run: RunAttempt,
+) -> None:
+    """Run a claimed request and record its ending, however it ends."""
+    attempt = OnceAttempt()
+    ended: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
+    state.running_keys[key] = ended
+    try:
+        await run(state, exchange, service, target, attempt)
+    finally:
+        ending = find_ending(attempt)
+        end_claim(state.ledger, key, ending)
+        del state.running_keys[key]
+        ended.set_result(ending)
+        if isinstance(ending, OutcomeUnknown):
+            state.log.write(Event.ONCE_OUTCOME_UNKNOWN, service=service, key=key.unique_id)
+
+
+def find_ending(attempt: OnceAttempt) -> Ending:
+    """Return how a request ended, judged by what was sent and what came back."""
+    recorder = attempt.recorder
+    if recorder.is_whole and recorder.head is not None:
+        if recorder.is_too_large:
+            return ResponseTooLarge()
+        return KeptResponse(recorder.head, bytes(recorder.body))
+    if attempt.was_sent:
+        return OutcomeUnknown()
+    refusal = attempt.refusal or Refusal(ErrorKind.OVERLOADED, "the request wasn't sent")
+    return Released(refusal)
+
+
+async def wait_for_ending(
+    state: EntryState, exchange: Exchange, service: str, key: OnceKey
+) -> None:
+    """Answer a repeat once the first request has ended, or at the repeat's own deadline.
+
+    A repeat that waits for a request that then wasn't sent gets the same refusal: running the
+    repeat would make the "not run" that the first caller was told untrue.
+    """
+    left = find_deadline(state, exchange, service) - state.clock.monotonic()
+    try:
+        async with asyncio.timeout(left.total_seconds()):
+            ending = await asyncio.shield(state.running_keys[key])
+    except TimeoutError:
+        message = "the first request with this once key still runs"
+        refusal = Refusal(ErrorKind.ONCE_IN_PROGRESS, message, Reason.ONCE_REPEAT)
+        await refuse_keyed(state, exchange, refusal)
+        return
+    await answer_repeat(state, exchange, ending)
+
+
+async def answer_repeat(state: EntryState, exchange: Exchange, ending: Ending) -> None:
+    """Send what the ledger has kept of the first request."""
+    match ending:
+        case KeptResponse(head=head, body=body):
+            await discard_body(exchange)
+            await exchange.send_head(head)
+            if body:
+                await exchange.send_body(body)
+            await exchange.finish()
+        case other:
+            await refuse_keyed(state, exchange, make_ending_refusal(other))
+
+
+async def refuse_keyed(state: EntryState, exchange: Exchange, refusal: Refusal) -> None:
+    """Send a refusal and log it."""
+    state.log.write(Event.REQUEST_REFUSED, kind=refusal.kind.value, reason=refusal.reason.value)
+    if not exchange.response_started:
+        await discard_body(exchange)
+    await refuse_or_abort(exchange, refusal)
+
+
+async def discard_body(exchange: Exchange) -> None:
+    """Read a small body to its end."""
+    length = find_header(exchange.head.headers, b"content-length")
+    is_awaited = exchange.state.they_are_waiting_for_100_continue
+    if length is None or is_awaited or int(length) > DISCARDED_BODY_BYTES:
+        return
+    while await exchange.read_body():
+        pass
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -1,13 +1,15 @@
 """Carries one request and its response between two connections."""
 
 import asyncio
+from collections.abc import Awaitable
 
 import attrs
 
 from camphorspread.connection.client import ClientConnection, ResponseBrokenError
-from camphorspread.connection.messages import RequestHead
+from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.connection.server import CallerGoneError, Exchange, StalledError
 from camphorspread.request.forwarding import is_framed, make_response_head
+from camphorspread.request.recorder import ResponseRecorder
 
 __all__ = [
     "BodyLimitPassed",
@@ -73,7 +75,11 @@
 
 
 async def relay(
-    exchange: Exchange, conn: ClientConnection, head: RequestHead, body_limit: int
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    body_limit: int,
+    recorder: ResponseRecorder | None = None,
 ) -> RelayResult:
     """Send the request on `conn` and stream its response to the caller.
 
@@ -85,17 +91,20 @@
         conn: A connection without a request.
         head: Head to send.
         body_limit: Largest body, in bytes.
+        recorder: Gets a copy of the response. With it, a caller that goes away after its whole
+            body has arrived doesn't cancel the request, so that a repeat finds the response.
 
     Returns:
         How it ended.
     """
-    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit))
-    download = asyncio.create_task(send_response(exchange, conn, head))
+    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit, recorder is None))
+    download = asyncio.create_task(send_response(exchange, conn, head, recorder))
     try:
         await asyncio.wait({upload, download}, return_when=asyncio.FIRST_COMPLETED)
         if not download.done():
             result = read_upload_fault(upload)
-            if result is not None:
+            is_uploaded = upload.exception() is None
+            if result is not None and not (recorder is not None and is_uploaded):
                 return result
         return await download
     finally:
@@ -126,8 +135,10 @@
             raise exc
 
 
-async def watch_caller(exchange: Exchange, conn: ClientConnection, body_limit: int) -> None:
-    """Stream the request body, then wait until the caller is gone."""
+async def watch_caller(
+    exchange: Exchange, conn: ClientConnection, body_limit: int, is_cancellable: bool
+) -> None:
+    """Stream the request body, then wait until the caller is gone if that cancels the request."""
     size = 0
     await conn.head_sent.wait()
     while data := await exchange.read_body():
@@ -136,11 +147,15 @@
             raise BodyLimitError
         await conn.send_body(data)
     await conn.finish_request()
-    await exchange.wait_until_gone()
+    if is_cancellable:
+        await exchange.wait_until_gone()
 
 
 async def send_response(
-    exchange: Exchange, conn: ClientConnection, head: RequestHead
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    recorder: ResponseRecorder | None,
 ) -> RelayResult:
     """Send the request head and stream the response to the caller."""
     try:
@@ -150,6 +165,8 @@
         return NoResponse(str(exc))
     if not is_framed(head.method, response):
         return NoResponse("the response has neither a length nor chunks")
+    if recorder is not None:
+        return await record_response(exchange, conn, make_response_head(response), recorder)
     try:
         await exchange.send_head(make_response_head(response))
         while data := await conn.read_body():
@@ -164,3 +181,31 @@
         exchange.abort()
         return CallerGone()
     return Relayed(response.status)
+
+
+async def record_response(
+    exchange: Exchange, conn: ClientConnection, head: ResponseHead, recorder: ResponseRecorder
+) -> RelayResult:
+    """Copy the response and stream it to the caller for as long as the caller is there."""
+    recorder.head = head
+    is_there = await is_delivered(exchange.send_head(head))
+    try:
+        while data := await conn.read_body():
+            recorder.add(data)
+            is_there = is_there and await is_delivered(exchange.send_body(data))
+    except ResponseBrokenError as exc:
+        exchange.abort()
+        return ResponseCut(str(exc))
+    # The copy is whole before the caller can see the end, so that a repeat always finds it.
+    recorder.is_whole = True
+    is_there = is_there and await is_delivered(exchange.finish())
+    return Relayed(head.status) if is_there else CallerGone()
+
+
+async def is_delivered(sending: Awaitable[None]) -> bool:
+    """Return False if the caller is gone or has stalled."""
+    try:
+        await sending
+    except (CallerGoneError, StalledError):
+        return False
+    return True
--- a/camphorspread/request/routing.py
+++ b/camphorspread/request/routing.py
@@ -32,14 +32,9 @@
     open_endpoints = [
         endpoint
         for endpoint in live
-        if endpoint.free_slots and endpoint.announcement.endpoint not in excluded
+        if endpoint.count_free_slots(now) and endpoint.announcement.endpoint not in excluded
     ]
     if not open_endpoints:
         message = f"all slots of {service} are in use"
         return Failure(Refusal(ErrorKind.OVERLOADED, message, Reason.SLOTS_FULL))
-    return Success(min(open_endpoints, key=rank_endpoint))
-
-
-def rank_endpoint(endpoint: Endpoint) -> float:
-    """Return the share of slots that would be in use after one more request."""
-    return (endpoint.in_use + 1) / endpoint.announcement.slots
+    return Success(min(open_endpoints, key=lambda endpoint: endpoint.rank(now)))
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -8,12 +8,19 @@
 from camphorspread.connection.client import ClientConnection
 from camphorspread.connection.messages import find_header
 from camphorspread.connection.server import Exchange, refuse_or_abort
-from camphorspread.process.endpoints import Endpoint
+from camphorspread.process.endpoints import Endpoint, record_failure, record_success
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import make_forward_head
+from camphorspread.request.once import (
+    OnceAttempt,
+    check_once_rule,
+    keep_outcome_true,
+    serve_keyed,
+)
+from camphorspread.request.once_key import ONCE_KEY_HEADER
 from camphorspread.request.relay import (
     BodyLimitPassed,
     CallerGone,
@@ -27,7 +34,7 @@
 from camphorspread.request.routing import choose_endpoint
 from camphorspread.version.catalogue import ServiceEntry
 
-__all__ = ["steer_request"]
+__all__ = ["refuse", "steer_attempt", "steer_request"]
 
 
 @attrs.frozen
@@ -39,12 +46,14 @@
         entry: Catalogue entry of the service.
         target: Path and query at the backend server.
         deadline: Instant by which it must be answered.
+        once: The claim of its once key, or None if it has none.
     """
 
     exchange: Exchange
     entry: ServiceEntry
     target: bytes
     deadline: timedelta
+    once: OnceAttempt | None = None
 
 
 async def steer_request(state: EntryState, exchange: Exchange, service: str, target: bytes) -> None:
@@ -56,22 +65,41 @@
         service: Name of the service.
         target: Path and query at the backend server.
     """
+    if find_header(exchange.head.headers, ONCE_KEY_HEADER) is not None:
+        await serve_keyed(state, exchange, service, target, steer_attempt)
+    else:
+        await steer_attempt(state, exchange, service, target, None)
+
+
+async def steer_attempt(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, once: OnceAttempt | None
+) -> None:
+    """Serve a request whose once key, if it has one, is claimed.
+
+    Args:
+        state: State of the entry process.
+        exchange: The caller's exchange.
+        service: Name of the service.
+        target: Path and query at the backend server.
+        once: The claim of its once key, or None if it has none.
+    """
     catalogue = state.catalogue
     if catalogue is None:
-        await exchange.refuse(Refusal(ErrorKind.NOT_READY, "this VM has no catalogue yet"))
+        refusal = Refusal(ErrorKind.NOT_READY, "this VM has no catalogue yet")
+        await refuse(state, exchange, refusal, once)
         return
     entry = catalogue.find_service(service)
     if entry is None:
         message = f"the catalogue has no service {service!r}"
-        await refuse(state, exchange, Refusal(ErrorKind.UNKNOWN_SERVICE, message))
+        await refuse(state, exchange, Refusal(ErrorKind.UNKNOWN_SERVICE, message), once)
         return
     now = state.clock.monotonic()
     header = find_header(exchange.head.headers, DEADLINE_HEADER)
     match parse_deadline(header, now, entry.request_time_limit):
         case Failure(refusal):
-            await refuse(state, exchange, refusal)
+            await refuse(state, exchange, refusal, once)
         case Success(deadline):
-            await serve(state, SteeredRequest(exchange, entry, target, deadline))
+            await serve(state, SteeredRequest(exchange, entry, target, deadline, once))
 
 
 async def serve(state: EntryState, req: SteeredRequest) -> None:
@@ -79,14 +107,29 @@
     excluded: frozenset[str] = frozenset()
     while True:
         now = state.clock.monotonic()
+        # The newest rules count at each attempt: they may have changed since the request came.
+        refusal = check_once_rule(
+            state.catalogue,
+            req.entry.name,
+            req.exchange.head.method,
+            req.target,
+            req.once is not None,
+        )
+        if refusal is not None:
+            await refuse(state, req.exchange, refusal, req.once)
+            return
         match choose_endpoint(state.registry, req.entry.name, now, excluded):
             case Failure(refusal):
-                await refuse(state, req.exchange, refusal)
+                await refuse(state, req.exchange, refusal, req.once)
                 return
             case Success(endpoint):
                 endpoint.in_use += 1
         try:
             conn = await connect(state, endpoint)
+            # It may have begun to leave, or its lease may have ended, while the connection opened.
+            if conn is not None and not endpoint.is_sendable(state.clock.monotonic()):
+                conn.abort()
+                conn = None
             if conn is not None:
                 await send(state, req, endpoint, conn)
                 return
@@ -100,6 +143,7 @@
     try:
         return await state.pool.acquire(endpoint.announcement.address)
     except OSError as exc:
+        record_failure(endpoint, state.clock.monotonic())
         state.log.write(
             Event.REQUEST_RETRIED, endpoint=endpoint.announcement.endpoint, cause=str(exc)
         )
@@ -113,12 +157,26 @@
     address = str(endpoint.announcement.address).encode()
     now = state.clock.monotonic()
     head = make_forward_head(req.exchange.head, req.target, address, req.deadline, now)
-    result = await relay(req.exchange, conn, head, req.entry.body_limit_bytes)
+    recorder = None
+    if req.once is not None:
+        req.once.was_sent = True
+        recorder = req.once.recorder
+    result = await relay(req.exchange, conn, head, req.entry.body_limit_bytes, recorder)
     if conn.is_reusable:
         state.pool.release(conn)
+    count_result(endpoint, result, state.clock.monotonic())
     await finish(state, req, result)
 
 
+def count_result(endpoint: Endpoint, result: RelayResult, now: timedelta) -> None:
+    """Count a success or failure of the endpoint; what the caller caused is neither."""
+    match result:
+        case Relayed():
+            record_success(endpoint, now)
+        case NoResponse() | ResponseCut():
+            record_failure(endpoint, now)
+
+
 async def finish(state: EntryState, req: SteeredRequest, result: RelayResult) -> None:
     """Log how the relay ended and send the error response where one is owed."""
     service = req.entry.name
@@ -128,7 +186,7 @@
         case NoResponse(detail=detail):
             message = "the backend server gave no response"
             state.log.write(Event.RESPONSE_CUT, service=service, cause=detail)
-            await refuse(state, req.exchange, Refusal(ErrorKind.BACKEND_FAILED, message))
+            await refuse(state, req.exchange, Refusal(ErrorKind.BACKEND_FAILED, message), req.once)
         case ResponseCut(detail=detail):
             state.log.write(Event.RESPONSE_CUT, service=service, cause=detail)
         case CallerGone():
@@ -136,13 +194,18 @@
             state.log.write(Event.CALLER_GONE, service=service)
         case UploadStalled():
             message = "the body made no progress"
-            await refuse(state, req.exchange, Refusal(ErrorKind.UPLOAD_STALLED, message))
+            await refuse(state, req.exchange, Refusal(ErrorKind.UPLOAD_STALLED, message), req.once)
         case BodyLimitPassed():
             message = f"the body is over {req.entry.body_limit_bytes} bytes"
-            await refuse(state, req.exchange, Refusal(ErrorKind.BODY_LIMIT_PASSED, message))
+            await refuse(
+                state, req.exchange, Refusal(ErrorKind.BODY_LIMIT_PASSED, message), req.once
+            )
 
 
-async def refuse(state: EntryState, exchange: Exchange, refusal: Refusal) -> None:
+async def refuse(
+    state: EntryState, exchange: Exchange, refusal: Refusal, once: OnceAttempt | None = None
+) -> None:
     """Send a refusal, or reset the connection if a response has begun, and log it."""
+    refusal = keep_outcome_true(once, refusal)
     state.log.write(Event.REQUEST_REFUSED, kind=refusal.kind.value, reason=refusal.reason.value)
     await refuse_or_abort(exchange, refusal)
