--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -53,7 +53,8 @@
             if own.vm in names:
                 state.last_named = state.clock.monotonic()
             if entry is not None and entry.never_repeated:
-                value["once_key_prefix"] = find_once_key_prefix(state, names)
+                prefix = find_once_key_prefix(state, names)
+                value |= {"once_key_prefix": prefix} if prefix else {}
             await exchange.respond_json(200, value)
         case Failure(refusal):
             await refuse(state, exchange, refusal)
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -23,6 +23,7 @@
 EXPIRY_INTERVAL = timedelta(milliseconds=250)
 
 EntryHandler = Callable[[EntryState, Exchange], Awaitable[None]]
+SignalInstaller = Callable[[Callable[[], None]], None]
 
 
 @attrs.define(eq=False)
@@ -51,8 +52,19 @@
         self.state.pool.close()
 
 
-async def start_entry_node(state: EntryState) -> EntryNode:
-    """Open the listeners of an entry process and start its tasks."""
+def ignore_signals(_handle: Callable[[], None]) -> None:
+    """Install no signal handler."""
+
+
+async def start_entry_node(
+    state: EntryState, on_signal: SignalInstaller = ignore_signals
+) -> EntryNode:
+    """Open the listeners of an entry process and start its tasks.
+
+    Args:
+        state: State of the process.
+        on_signal: Called once, before the start is logged, with the function to call on SIGTERM.
+    """
     callers = make_server(state, handle_caller)
     backend_servers = make_server(state, handle_backend_server)
     peers = make_server(state, handle_peer)
@@ -67,13 +79,12 @@
         asyncio.create_task(poll_catalogue(state)),
         asyncio.create_task(expire_periodically(state)),
     )
+    on_signal(lambda: receive_signal(watch))
     state.log.write(Event.PROCESS_STARTED, role="entry")
     return EntryNode(state, listeners, tasks, watch)
 
 
-async def run_entry_node(
-    state: EntryState, on_signal: Callable[[Callable[[], None]], None] = lambda _handle: None
-) -> int:
+async def run_entry_node(state: EntryState, on_signal: SignalInstaller = ignore_signals) -> int:
     """Run an entry process until its drain has ended or it is cancelled.
 
     Args:
@@ -83,8 +94,7 @@
     Returns:
         The exit code.
     """
-    node = await start_entry_node(state)
-    on_signal(lambda: receive_signal(node.watch))
+    node = await start_entry_node(state, on_signal)
     try:
         return await node.watch.ended
     finally:
