Steer lookups by client block and shift traffic in counted steps

Cause: the thin lookup ordered VMs by distance only, from the place of the VM that was asked. It now places the caller by the longest prefix of its address, prefers VMs that own endpoints, spreads callers by weighted rendezvous hashing, and applies the moves of a step controller.

--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -5,9 +5,10 @@
 from returns.result import Failure, Success
 
 from camphorspread.connection.server import Exchange
+from camphorspread.process.client_blocks import find_site, get_block
 from camphorspread.process.entry_state import EntryState
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
+from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "handle_caller"]
@@ -42,15 +43,24 @@
         message = "this VM has no catalogue yet"
         await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message))
         return
-    own = state.fleet.own
-    place = Place(own.availability_zone, own.region)
-    match resolve_lookup(state.catalogue, state.fleet, service, place):
+    address = query.get("address", [exchange.peer.host])[0]
+    lookup = LookupQuery(service, find_place(state, address), get_block(address))
+    match resolve_lookup(state.catalogue, state.fleet, lookup, state.shift_plan):
         case Success(response):
             await exchange.respond_json(200, encode_lookup_response(response))
         case Failure(refusal):
             await refuse(state, exchange, refusal)
 
 
+def find_place(state: EntryState, address: str) -> Place:
+    """Return the place of a caller, this VM's own if no block holds the address."""
+    site = find_site(state.blocks, address)
+    if site is None:
+        own = state.fleet.own
+        return Place(own.availability_zone, own.region)
+    return state.sites[site]
+
+
 def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
     """Return the JSON form of a lookup response."""
     return {
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -8,11 +8,14 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.client_blocks import BlockTable, build_table, parse_block
 from camphorspread.process.clock import Clock
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.shift import ShiftPlan
+from camphorspread.request.lookup import Place
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
 
@@ -41,6 +44,9 @@
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
         is_leaving: True once a planned stop has begun.
+        blocks: Blocks of client addresses and their site numbers.
+        sites: Places by site number.
+        shift_plan: Shifts between regions that are under way.
     """
 
     settings: EntrySettings
@@ -58,6 +64,9 @@
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
     is_leaving: bool = False
+    blocks: BlockTable = attrs.field(factory=BlockTable)
+    sites: list[Place] = attrs.field(factory=list)
+    shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
 
 
 def make_entry_state(
@@ -79,4 +88,17 @@
     state = EntryState(settings, clock, network, log, rng, pool, link, fleet)
     state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     state.started = clock.monotonic()
+    load_client_blocks(state)
     return state
+
+
+def load_client_blocks(state: EntryState) -> None:
+    """Fill the table of client blocks from the settings."""
+    numbers: dict[Place, int] = {}
+    pairs = []
+    for item in state.settings.client_blocks:
+        place = Place(item.availability_zone, item.region)
+        number = numbers.setdefault(place, len(numbers))
+        pairs.append((parse_block(item.block).unwrap(), number))
+    state.blocks = build_table(pairs)
+    state.sites = list(numbers)
--- a/camphorspread/process/fleet.py
+++ b/camphorspread/process/fleet.py
@@ -1,6 +1,7 @@
 """What a VM knows about the VMs of the fleet."""
 
 import enum
+from datetime import timedelta
 
 import attrs
 
@@ -34,6 +35,8 @@
         free_slots: Free slots of live endpoints by service, when last heard.
         total_slots: Slots of live endpoints by service, when last heard.
         catalogue_version: Version it runs, when last heard.
+        offered_per_second: Requests of callers by service in the last second, when last heard.
+        measured: When the numbers were received, or None before the first.
     """
 
     vm: str
@@ -47,6 +50,8 @@
     free_slots: dict[str, int] = attrs.field(factory=dict)
     total_slots: dict[str, int] = attrs.field(factory=dict)
     catalogue_version: int = 0
+    offered_per_second: dict[str, int] = attrs.field(factory=dict)
+    measured: timedelta | None = None
 
 
 @attrs.frozen
--- a/camphorspread/request/lookup.py
+++ b/camphorspread/request/lookup.py
@@ -1,5 +1,6 @@
-"""lookups: which entry VMs a caller should use for a service."""
+"""Lookups: which entry VMs a caller should use for a service."""
 
+from collections import defaultdict
 from datetime import timedelta
 
 import attrs
@@ -7,11 +8,15 @@
 
 from camphorspread.connection.network import Address
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.shift import Move, ShiftPlan
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.reasons import Reason
+from camphorspread.request.rendezvous import order_by_rendezvous, unit_hash
 from camphorspread.version.catalogue import Catalogue, DrainKind
 
-__all__ = ["LookupResponse", "LookupTarget", "Place", "resolve_lookup"]
+__all__ = ["LookupQuery", "LookupResponse", "LookupTarget", "Place", "resolve_lookup"]
+
+UNKNOWN_DELAY_MS = 1000.0
 
 
 @attrs.frozen
@@ -22,6 +27,21 @@
     region: str
 
 
+@attrs.frozen
+class LookupQuery:
+    """What a caller asks.
+
+    Attributes:
+        service: Name of the service.
+        place: Where the caller is.
+        block: Block of addresses of the caller; callers of one block get the same order.
+    """
+
+    service: str
+    place: Place
+    block: str
+
+
 @attrs.frozen
 class LookupTarget:
     """One entry VM in a lookup response."""
@@ -50,65 +70,142 @@
     targets: tuple[LookupTarget, ...]
 
 
+@attrs.frozen
+class RegionChoice:
+    """The region that serves a block and why."""
+
+    region: str
+    reason: Reason | None
+
+
 def resolve_lookup(
-    catalogue: Catalogue, fleet: FleetView, service: str, place: Place
+    catalogue: Catalogue, fleet: FleetView, query: LookupQuery, plan: ShiftPlan
 ) -> Result[LookupResponse, Refusal]:
     """Resolve a lookup.
 
     Args:
         catalogue: The catalogue in force.
         fleet: Known entry VMs.
-        service: Name of the service.
-        place: Where the caller is.
+        query: What the caller asks.
+        plan: Shifts between regions that are under way.
 
     Returns:
-        The nearest usable entry VMs first, or a refusal.
+        The VMs of the chosen region first, the caller's availability zone before the others, then
+        the remaining regions by delay; or a refusal.
     """
-    entry = catalogue.find_service(service)
+    entry = catalogue.find_service(query.service)
     if entry is None:
-        message = f"the catalogue has no service {service!r}"
+        message = f"the catalogue has no service {query.service!r}"
         return Failure(Refusal(ErrorKind.UNKNOWN_SERVICE, message))
-    usable = [vm for vm in fleet.usable() if not is_vm_drained(catalogue, vm)]
-    if not usable:
+    regions = group_by_region(list_usable(catalogue, fleet, query.service))
+    if not regions:
         message = "no entry VM is in service"
         return Failure(Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.NO_LIVE_ENDPOINT))
-    ranked = sorted(usable, key=lambda vm: (rank_distance(catalogue, place, vm), vm.vm))
-    targets = tuple(make_target(place, vm) for vm in ranked)
-    return Success(LookupResponse(service, catalogue.version, entry.lookup_ttl, targets))
+    choice = choose_region(regions, query, plan)
+    targets = [
+        make_target(query, vm, choice)
+        for region in order_regions(catalogue, regions, query, choice.region)
+        for vm in order_vms(regions[region], query)
+    ]
+    return Success(
+        LookupResponse(query.service, catalogue.version, entry.lookup_ttl, tuple(targets))
+    )
+
+
+def list_usable(catalogue: Catalogue, fleet: FleetView, service: str) -> list[VmRecord]:
+    """Return the VMs that may be named, those with endpoints of the service if there are any."""
+    usable = [vm for vm in fleet.usable() if not is_vm_drained(catalogue, vm)]
+    owners = [vm for vm in usable if vm.total_slots.get(service)]
+    return owners or usable
 
 
 def is_vm_drained(catalogue: Catalogue, vm: VmRecord) -> bool:
-    """Return True if a drain entry covers the VM."""
-    return (
-        catalogue.is_drained(DrainKind.VM, vm.vm)
-        or catalogue.is_drained(DrainKind.AVAILABILITY_ZONE, vm.availability_zone)
-        or catalogue.is_drained(DrainKind.REGION, vm.region)
+    """Return True if a drain entry covers the VM or its availability zone.
+
+    The drain of a region isn't meant here: the shift controller moves its callers step by step.
+    """
+    return catalogue.is_drained(DrainKind.VM, vm.vm) or catalogue.is_drained(
+        DrainKind.AVAILABILITY_ZONE, vm.availability_zone
     )
 
 
-SAME_ZONE_RANK = 0.0
-SAME_REGION_RANK = 1.0
-OTHER_REGION_RANK = 2.0
-UNKNOWN_DELAY_MS = 1000.0
+def group_by_region(vms: list[VmRecord]) -> dict[str, list[VmRecord]]:
+    """Return the VMs by region."""
+    regions: dict[str, list[VmRecord]] = defaultdict(list)
+    for vm in vms:
+        regions[vm.region].append(vm)
+    return regions
+
+
+def choose_region(
+    regions: dict[str, list[VmRecord]], query: LookupQuery, plan: ShiftPlan
+) -> RegionChoice:
+    """Return the region whose VMs come first for the caller's block."""
+    home = query.place.region
+    moves = [move for move in plan.moves(query.service, home) if move.target in regions]
+    moved = find_move(moves, unit_hash(query.service, query.block))
+    if moved is not None:
+        return RegionChoice(moved.target, moved.reason)
+    if home in regions:
+        return RegionChoice(home, None)
+    weights = {
+        region: float(sum(weigh(vm, query.service) for vm in vms))
+        for region, vms in regions.items()
+    }
+    return RegionChoice(order_by_rendezvous(query.block, weights)[0], Reason.SHIFTED_FOR_LOSS)
+
+
+def find_move(moves: list[Move], position: float) -> Move | None:
+    """Return the move that covers a block.
+
+    A block has a fixed position between 0 and 1. The moves cover a part that starts at 0, so a
+    larger fraction moves more blocks and never exchanges them.
+    """
+    covered = 0.0
+    for move in moves:
+        covered += move.fraction
+        if position < covered:
+            return move
+    return None
+
+
+def order_regions(
+    catalogue: Catalogue, regions: dict[str, list[VmRecord]], query: LookupQuery, first: str
+) -> list[str]:
+    """Return the regions: the chosen one, the caller's own, then the others by delay."""
+    home = query.place.region
+    entry = catalogue.find_region(home)
+    delays = entry.delays_ms if entry else {}
+
+    def rank(region: str) -> tuple[bool, bool, float, float]:
+        delay = delays.get(region, UNKNOWN_DELAY_MS)
+        return (region != first, region != home, delay, unit_hash(query.block, region))
+
+    return sorted(regions, key=rank)
+
+
+def order_vms(vms: list[VmRecord], query: LookupQuery) -> list[VmRecord]:
+    """Return the VMs of a region, those of the caller's availability zone first."""
+    by_name = {vm.vm: vm for vm in vms}
+    weights = {vm.vm: float(weigh(vm, query.service)) for vm in vms}
+    ordered = [by_name[name] for name in order_by_rendezvous(query.block, weights)]
+    return sorted(ordered, key=lambda vm: vm.availability_zone != query.place.availability_zone)
 
 
-def rank_distance(catalogue: Catalogue, place: Place, vm: VmRecord) -> float:
-    """Return 0 in the caller's availability zone, 1 in its region, more elsewhere."""
-    if vm.availability_zone == place.availability_zone:
-        return SAME_ZONE_RANK
-    if vm.region == place.region:
-        return SAME_REGION_RANK
-    region = catalogue.find_region(place.region)
-    delay = region.delays_ms.get(vm.region, UNKNOWN_DELAY_MS) if region else UNKNOWN_DELAY_MS
-    return OTHER_REGION_RANK + delay
+def weigh(vm: VmRecord, service: str) -> int:
+    """Return the weight of a VM: its slots, which change rarely, so that few callers move."""
+    return vm.total_slots.get(service, 0) or 1
 
 
-def make_target(place: Place, vm: VmRecord) -> LookupTarget:
+def make_target(query: LookupQuery, vm: VmRecord, choice: RegionChoice) -> LookupTarget:
     """Return the target of one VM with the reason for its place in the list."""
-    if vm.availability_zone == place.availability_zone:
+    if vm.region == choice.region and choice.reason is not None:
+        reason = choice.reason
+    elif vm.availability_zone == query.place.availability_zone:
         reason = Reason.SAME_AVAILABILITY_ZONE
-    elif vm.region == place.region:
+    elif vm.region == query.place.region:
         reason = Reason.SAME_REGION
     else:
         reason = Reason.OTHER_REGION
-    return LookupTarget(vm.vm, vm.availability_zone, vm.callers, 1, reason)
+    weight = weigh(vm, query.service)
+    return LookupTarget(vm.vm, vm.availability_zone, vm.callers, weight, reason)
