--- a/camphorspread/process/shift.py
+++ b/camphorspread/process/shift.py
@@ -126,9 +126,12 @@
         state.arrived = state.fraction
     reachable = {load.region: load for load in others if not load.is_lost and load.slots}
     drop_lost_targets(state, reachable)
-    if home.is_lost or not home.slots:
+    if home.is_lost:
         spread_lost_region(state, reachable, now)
         return
+    if not home.slots:
+        # Lookups already avoid VMs without endpoints; a fleet that starts has none for a moment.
+        return
     if limit_to_cap(state, entry, home, now) or in_transit:
         return
     wanted = find_wanted_fraction(state, home)
--- /dev/null
+++ b/camphorspread/process/shift_shell.py
@@ -0,0 +1,43 @@
+"""Runs the shift controller of an entry process for all services and regions."""
+
+import asyncio
+from datetime import timedelta
+
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.events import Event
+from camphorspread.process.region_load import sum_region_loads
+from camphorspread.process.shift import ShiftState, step_shift
+from camphorspread.version.catalogue import Catalogue, ServiceEntry
+
+__all__ = ["run_shifts", "step_all_shifts"]
+
+STEP_INTERVAL = timedelta(seconds=1)
+
+
+async def run_shifts(state: EntryState) -> None:
+    """Step the shift controller once a second until cancelled."""
+    while True:
+        await asyncio.sleep(STEP_INTERVAL.total_seconds())
+        if state.catalogue is not None:
+            step_all_shifts(state, state.catalogue)
+
+
+def step_all_shifts(state: EntryState, catalogue: Catalogue) -> None:
+    """Decide the next step of each service and home region."""
+    for versioned in catalogue.services.values():
+        for home in catalogue.regions:
+            step_one_shift(state, catalogue, versioned.entry, home)
+
+
+def step_one_shift(state: EntryState, catalogue: Catalogue, entry: ServiceEntry, home: str) -> None:
+    """Decide the next step of one service and home region, and log what changed."""
+    now = state.clock.monotonic()
+    loads = sum_region_loads(catalogue, state.fleet, entry.name, home, now)
+    shift = state.shift_plan.states.setdefault((entry.name, home), ShiftState())
+    before = dict(shift.moves)
+    others = [load for region, load in loads.items() if region != home]
+    lease_runs = now < state.catalogue_lease_end
+    step_shift(shift, entry, loads[home], others, now, lease_runs)
+    if shift.moves != before:
+        moves = {target: round(move.fraction, 3) for target, move in sorted(shift.moves.items())}
+        state.log.write(Event.SHIFT_CHANGED, service=entry.name, region=home, moves=moves)
