--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -9,12 +9,15 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.client_blocks import BlockTable, build_table, parse_block
 from camphorspread.process.clock import Clock
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.ledger import Ending, Ledger
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.shift import ShiftPlan
+from camphorspread.request.lookup import Place
 from camphorspread.request.once_key import HomeIdentity, OnceKey
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
@@ -51,6 +54,9 @@
         handed_endpoints: Slots in use by service, endpoint and former owner, from handovers.
         is_handed_over: True once a leaving VM has handed its endpoints over.
         last_named: When a lookup response last named this VM.
+        blocks: Blocks of client addresses and their site numbers.
+        sites: Places by site number.
+        shift_plan: Shifts between regions that are under way.
     """
 
     settings: EntrySettings
@@ -75,6 +81,9 @@
     last_named: timedelta = timedelta(0)
     handed_endpoints: dict[tuple[str, str, str], int] = attrs.field(factory=dict)
     is_handed_over: bool = False
+    blocks: BlockTable = attrs.field(factory=BlockTable)
+    sites: list[Place] = attrs.field(factory=list)
+    shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
 
     @property
     def owner_name(self) -> str:
@@ -112,4 +121,17 @@
     state = EntryState(settings, clock, network, log, rng, pool, link, fleet, ledger)
     state.incarnation = incarnation
     state.started = started
+    load_client_blocks(state)
     return state
+
+
+def load_client_blocks(state: EntryState) -> None:
+    """Fill the table of client blocks from the settings."""
+    numbers: dict[Place, int] = {}
+    pairs = []
+    for item in state.settings.client_blocks:
+        place = Place(item.availability_zone, item.region)
+        number = numbers.setdefault(place, len(numbers))
+        pairs.append((parse_block(item.block).unwrap(), number))
+    state.blocks = build_table(pairs)
+    state.sites = list(numbers)
--- a/camphorspread/process/fleet.py
+++ b/camphorspread/process/fleet.py
@@ -1,6 +1,7 @@
 """What a VM knows about the VMs of the fleet."""
 
 import enum
+from datetime import timedelta
 
 import attrs
 
@@ -35,6 +36,8 @@
         total_slots: Slots of live endpoints by service, when last heard.
         catalogue_version: Version it runs, when last heard.
         backend_servers: Where it listens for backend servers.
+        offered_per_second: Requests of callers by service in the last second, when last heard.
+        measured: When the numbers were received, or None before the first.
     """
 
     vm: str
@@ -49,6 +52,8 @@
     total_slots: dict[str, int] = attrs.field(factory=dict)
     catalogue_version: int = 0
     backend_servers: Address | None = None
+    offered_per_second: dict[str, int] = attrs.field(factory=dict)
+    measured: timedelta | None = None
 
 
 @attrs.frozen
--- a/features/steps/endpoints_steps.py
+++ b/features/steps/endpoints_steps.py
@@ -116,7 +116,14 @@
 
 @when("the owner of the endpoint drains")
 def step_drain_owner(context):
-    receive_signal(context.entry_fleet.nodes[context.owner].watch)
+    node = context.entry_fleet.nodes[context.owner]
+    receive_signal(node.watch)
+
+    async def stop_at_end():
+        await node.watch.ended
+        await node.stop()
+
+    context.entry_fleet.tasks.append(context.loop.create_task(stop_at_end()))
 
 
 @then("after {time:g} s the endpoint has a new owner that serves requests")
