--- /dev/null
+++ b/benchmarks/stops.py
@@ -0,0 +1,187 @@
+"""Stops of VMs under a steady load of keyed requests, in memory with virtual time.
+
+Reports how many requests end as outcome unknown when one of 7 entry VMs dies, and the drain time
+of an entry VM and of a backend server. Run it from the root of the repository:
+
+    python -m benchmarks.stops --seed 1
+"""
+
+import argparse
+import asyncio
+import json
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+import attrs
+
+from camphorspread.connection.messages import find_header
+from camphorspread.process.drain_watch import receive_signal
+from camphorspread.process.fleet import FleetView, VmState
+from camphorspread.process.ownership import list_owners
+from features.fixtures.entry_fleet import VM_NAMES, EntryFleet, make_service, open_entry_fleet
+
+SERVICE = "filing-svc"
+LOOKUP_TTL_MS = 5000
+WARM_UP_S, LOAD_S, CLOSE_S = 4.0, 12.0, 12.0
+# A sixth of the slots is in use on average, as on an ordinary day.
+RATE_PER_VM, BACKENDS, SLOTS, SERVICE_S = 33.0, 2, 10, 0.1
+HEARTBEAT_S, LOST_S = 1.5, 3.0
+
+
+@attrs.define(eq=False)
+class Load:
+    """Callers with Poisson arrivals; each follows lookups and repeats what got no response."""
+
+    fleet: EntryFleet
+    rng: random.Random
+    counts: Counter = attrs.field(factory=Counter)
+    keys: int = 0
+    tasks: set = attrs.field(factory=set)
+
+    async def arrive(self, vm):
+        """Start requests at one VM until cancelled."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(RATE_PER_VM))
+            task = asyncio.create_task(self.pay(vm))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def look_up(self, vm):
+        """Return targets and their prefixes, asking the next VM if one doesn't answer."""
+        start = VM_NAMES.index(vm)
+        for name in VM_NAMES[start:] + VM_NAMES[:start]:
+            result = await self.fleet.request(name, "GET", f"/v1/lookup?service={SERVICE}")
+            if result.head is not None and result.head.status == 200:
+                value = json.loads(result.body)
+                return [(item["vm"], item["once_key_prefix"]) for item in value["targets"]]
+        raise RuntimeError("no VM answers lookups")
+
+    async def pay(self, vm):
+        """Send one payment; repeat it through the next target if its response is lost.
+
+        After a refused connection nothing was sent, so the next target's prefix is used.
+        """
+        self.keys += 1
+        number, key, repeats = self.keys, "", 0
+        for target, prefix in (await self.look_up(vm))[:3]:
+            key = key or f"{prefix}.fee-{number}"
+            result = await self.fleet.request(
+                target, "POST", f"/s/{SERVICE}/fees", b"amount=17", key
+            )
+            if result.head is not None and not result.error:
+                break
+            if result.error.endswith("refused") and not repeats:
+                key = ""
+            else:
+                repeats += 1
+        else:
+            self.counts["no answer"] += 1
+            return
+        outcome = find_header(result.head.headers, b"camphorspread-outcome")
+        kind = find_header(result.head.headers, b"camphorspread-error")
+        name = "response" if outcome is None else f"{outcome.decode()} ({kind.decode()})"
+        self.counts[name + (" to a repeat" if repeats else "")] += 1
+
+
+def spread_state(fleet, vm, state):
+    """Tell all VMs the state of one, as heartbeats do."""
+    for node in fleet.nodes.values():
+        view = node.state.fleet
+        record = attrs.evolve(view.vms[vm], state=state)
+        node.state.fleet = FleetView(view.own_vm, {**view.vms, vm: record})
+
+
+async def start_backends(fleet):
+    """Start two backend servers for each VM, with names that hashing assigns to it."""
+    fleet.put_service(make_service(SERVICE, lookup_ttl_ms=LOOKUP_TTL_MS))
+    for vm in VM_NAMES:
+        view = fleet.state(vm).fleet
+        zone = view.own.availability_zone
+        names = (f"{vm}-{number}" for number in range(50))
+        own = [name for name in names if list_owners(view, SERVICE, name, zone)[0].vm == vm]
+        for name in own[:BACKENDS]:
+            await fleet.start_backend(SERVICE, name, vm, SLOTS, SERVICE_S)
+    await asyncio.sleep(0.5)
+    for node in fleet.nodes.values():
+        for endpoint in node.state.registry.services[SERVICE].values():
+            endpoint.ramp_slots = SLOTS
+
+
+async def run_load(fleet, seed, stop):
+    """Run the load around a stop and return what callers got."""
+    await start_backends(fleet)
+    load = Load(fleet, random.Random(seed))
+    sources = [asyncio.create_task(load.arrive(vm)) for vm in VM_NAMES]
+    await asyncio.sleep(WARM_UP_S)
+    await stop(fleet)
+    await asyncio.sleep(LOAD_S)
+    for source in sources:
+        source.cancel()
+    await asyncio.sleep(CLOSE_S)
+    return load
+
+
+async def kill(fleet):
+    """Kill the first VM; the others see it as lost after 3 s."""
+    await fleet.kill_vm(VM_NAMES[0])
+    loop = asyncio.get_running_loop()
+    loop.call_later(LOST_S, spread_state, fleet, VM_NAMES[0], VmState.LOST)
+
+
+async def drain(fleet):
+    """Drain the first VM and stop it when the drain has ended."""
+    node = fleet.nodes[VM_NAMES[0]]
+    receive_signal(node.watch)
+    loop = asyncio.get_running_loop()
+    loop.call_later(HEARTBEAT_S, spread_state, fleet, VM_NAMES[0], VmState.LEAVING)
+
+    async def stop_at_end():
+        await node.watch.ended
+        fleet.nodes.pop(VM_NAMES[0])
+        await node.stop()
+
+    fleet.tasks.append(asyncio.create_task(stop_at_end()))
+
+
+async def leave(fleet):
+    """Let the backend server of the first VM leave; note when its last request ends."""
+    backend = fleet.backends[0]
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    in_flight = backend.busy
+    await backend.leave()
+    while backend.busy:  # noqa: ASYNC110
+        # The stub has no event for the end of its last request.
+        await asyncio.sleep(0.001)
+    print(f"backend server drain time: {1000 * (loop.time() - start):.0f} ms")
+    print(f"  requests in flight when it said so: {in_flight}")
+
+
+def measure(title, seed, stop):
+    """Run one stop and print what callers got."""
+    context = SimpleNamespace()
+    with open_entry_fleet(context, len(VM_NAMES), seed) as fleet:
+        load = context.loop.run_until_complete(run_load(fleet, seed, stop))
+        lines = fleet.logs[VM_NAMES[0]].getvalue().splitlines()
+        runs = Counter(fleet.count_runs().values())
+    print(f"{title}, seed {seed}: {load.keys} payments, {dict(sorted(load.counts.items()))}")
+    print(f"  runs of each key: {dict(runs)}")
+    for line in lines:
+        value = json.loads(line)
+        if "drain_ms" in value:
+            print(f"  entry VM drain time: {value['drain_ms']} ms")
+
+
+def main():
+    """Run all stops."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    measure("one of 7 VMs dies", seed, kill)
+    measure("one of 7 VMs drains", seed, drain)
+    measure("one of 7 backend servers leaves", seed, leave)
+
+
+if __name__ == "__main__":
+    main()
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -9,7 +9,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
-from camphorspread.request.once import find_once_key_prefix
+from camphorspread.request.once import find_once_key_prefixes
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "handle_caller"]
@@ -48,15 +48,14 @@
     lookup = LookupQuery(service, find_place(state, address), get_block(address))
     match resolve_lookup(state.catalogue, state.fleet, lookup, state.shift_plan):
         case Success(response):
-            value = encode_lookup_response(response)
             entry = state.catalogue.find_service(service)
+            prefixes: dict[str, str] = {}
             names = tuple(item.vm for item in response.targets)
             if state.fleet.own_vm in names:
                 state.last_named = state.clock.monotonic()
             if entry is not None and entry.never_repeated:
-                prefix = find_once_key_prefix(state, names)
-                value |= {"once_key_prefix": prefix} if prefix else {}
-            await exchange.respond_json(200, value)
+                prefixes = find_once_key_prefixes(state, names)
+            await exchange.respond_json(200, encode_lookup_response(response, prefixes))
         case Failure(refusal):
             await refuse(state, exchange, refusal)
 
@@ -70,8 +69,17 @@
     return state.sites[site]
 
 
-def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
-    """Return the JSON form of a lookup response."""
+def encode_lookup_response(response: LookupResponse, prefixes: dict[str, str]) -> dict[str, object]:
+    """Return the JSON form of a lookup response.
+
+    Each target carries its own once key prefix: a caller that can't connect to the first target
+    has sent nothing, so it may use the next one with a key of that home.
+
+    Args:
+        response: The response.
+        prefixes: Once key prefixes by VM, empty for a service without rules that need them.
+    """
+    first = next(iter(prefixes.values()), None)
     return {
         "service": response.service,
         "version": response.version,
@@ -85,6 +93,7 @@
                 "weight": item.weight,
                 "reason": item.reason.value,
             }
+            | ({"once_key_prefix": prefixes[item.vm]} if item.vm in prefixes else {})
             for item in response.targets
         ],
-    }
+    } | ({"once_key_prefix": first} if first else {})
--- a/camphorspread/request/once.py
+++ b/camphorspread/request/once.py
@@ -44,7 +44,7 @@
     "OnceAttempt",
     "RunAttempt",
     "check_once_rule",
-    "find_once_key_prefix",
+    "find_once_key_prefixes",
     "keep_outcome_true",
     "serve_at_home",
     "serve_keyed",
@@ -103,20 +103,22 @@
     return refusal
 
 
-def find_once_key_prefix(state: EntryState, vms: tuple[str, ...]) -> str | None:
-    """Return the prefix for the first of the VMs whose incarnation is known.
+def find_once_key_prefixes(state: EntryState, vms: tuple[str, ...]) -> dict[str, str]:
+    """Return the prefix for each of the VMs whose incarnation is known, in their order.
 
-    The uptime of another VM is the one last heard, so the prefix is at worst a little older.
+    The uptime of another VM is the one last heard, so its prefix is at worst a little older.
     """
+    prefixes: dict[str, str] = {}
     for vm in vms:
         record = state.fleet.vms[vm]
         if vm == state.fleet.own_vm:
             uptime = state.clock.monotonic() - state.started
-            return format_once_key_prefix(state.ledger.home, uptime)
-        if record.incarnation:
+            prefixes[vm] = format_once_key_prefix(state.ledger.home, uptime)
+        elif record.incarnation:
             home = HomeIdentity(record.availability_zone, vm, record.incarnation)
-            return format_once_key_prefix(home, timedelta(seconds=record.uptime_s))
-    return None
+            uptime = timedelta(seconds=record.uptime_s)
+            prefixes[vm] = format_once_key_prefix(home, uptime)
+    return prefixes
 
 
 async def serve_keyed(
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -279,7 +279,11 @@
 def step_look_up_prefix(context, vm, other):
     fleet = context.entry_fleet
     response = run(context, fleet.request(vm, "GET", "/v1/lookup?service=filing-svc"))
-    prefix = json.loads(response.body)["once_key_prefix"]
+    value = json.loads(response.body)
+    prefix = value["once_key_prefix"]
+    assert prefix == value["targets"][0]["once_key_prefix"], value
+    homes = [item["once_key_prefix"].split(".")[1] for item in value["targets"]]
+    assert homes == [item["vm"] for item in value["targets"]], value
     context.results.append(run(context, pay(context, other, f"{prefix}.order-1")))
 
 
