--- a/camphorspread/process/ledger.py
+++ b/camphorspread/process/ledger.py
@@ -36,6 +36,7 @@
 # A prefix is issued from records that lag; a larger lead means that the caller made it up.
 MAX_ISSUE_LEAD = timedelta(seconds=5)
 MAX_KEYS = 100_000
+MINUTE = timedelta(minutes=1)
 
 
 @attrs.frozen
@@ -118,7 +119,8 @@
         started: Instant of its start; issued seconds count from it.
         max_keys: How many keys are kept.
         records: Claimed keys.
-        kept_until: When each key may be forgotten, in order of insertion.
+        kept_until: Minute in which each key may be forgotten.
+        expiring: Keys by that minute, so that forgetting doesn't look at all of them.
         left_homes: Incarnations whose keys were taken over.
         is_closed: True once the ledger has been handed over; no key is claimed any more.
     """
@@ -127,7 +129,8 @@
     started: timedelta
     max_keys: int = MAX_KEYS
     records: dict[OnceKey, LedgerRecord] = attrs.field(factory=dict)
-    kept_until: dict[OnceKey, timedelta] = attrs.field(factory=dict)
+    kept_until: dict[OnceKey, int] = attrs.field(factory=dict)
+    expiring: dict[int, set[OnceKey]] = attrs.field(factory=dict)
     left_homes: set[HomeIdentity] = attrs.field(factory=set)
     is_closed: bool = False
 
@@ -162,11 +165,24 @@
         return Refusal(ErrorKind.LEAVING, "the home of the once key is leaving", Reason.LEAVING)
     if len(ledger.records) >= ledger.max_keys:
         return Refusal(ErrorKind.LEDGER_FULL, f"{ledger.max_keys} once keys are kept already")
-    ledger.records[key] = LedgerRecord(shape, Running())
-    ledger.kept_until[key] = ledger.started + key.issued + KEPT_AGE
+    add_record(ledger, key, LedgerRecord(shape, Running()), ledger.started + key.issued + KEPT_AGE)
     return Claimed()
 
 
+def add_record(ledger: Ledger, key: OnceKey, record: LedgerRecord, until: timedelta) -> None:
+    """Add a key that is kept until an instant, rounded up to a minute."""
+    minute = -(-until // MINUTE)
+    ledger.records[key] = record
+    ledger.kept_until[key] = minute
+    ledger.expiring.setdefault(minute, set()).add(key)
+
+
+def remove_record(ledger: Ledger, key: OnceKey) -> None:
+    """Forget a key."""
+    del ledger.records[key]
+    ledger.expiring[ledger.kept_until.pop(key)].discard(key)
+
+
 def end_claim(ledger: Ledger, key: OnceKey, ending: Ending) -> None:
     """Record how a claimed request ended.
 
@@ -178,8 +194,7 @@
         raise ValueError(f"no request runs with the key {key.unique_id}")
     match ending:
         case Released():
-            del ledger.records[key]
-            del ledger.kept_until[key]
+            remove_record(ledger, key)
         case kept:
             ledger.records[key] = attrs.evolve(record, state=kept)
 
@@ -203,14 +218,18 @@
     A key over 30 minutes old is refused as expired, so its record isn't needed. A running request
     keeps its key.
     """
+    minutes = [minute for minute in ledger.expiring if minute * MINUTE <= now]
     old = [
         key
-        for key, until in ledger.kept_until.items()
-        if until <= now and not isinstance(ledger.records[key].state, Running)
+        for minute in minutes
+        for key in ledger.expiring[minute]
+        if not isinstance(ledger.records[key].state, Running)
     ]
     for key in old:
-        del ledger.records[key]
-        del ledger.kept_until[key]
+        remove_record(ledger, key)
+    for minute in minutes:
+        if not ledger.expiring[minute]:
+            del ledger.expiring[minute]
     return len(old)
 
 
@@ -239,5 +258,4 @@
     ledger.left_homes.add(home)
     for key, record in records.items():
         if key not in ledger.records:
-            ledger.records[key] = record
-            ledger.kept_until[key] = now + KEPT_AGE
+            add_record(ledger, key, record, now + KEPT_AGE)
