Add settings checks, operators' commands, observation of requests and load

Settings were checked for form only and faults of files, addresses and places appeared after the start. They are now checked whole, and all faults are reported at once. Operators had no way to see why a request went where it went: entry processes now keep decision records, metrics and spans and serve them, with a report for the bookkeeper, on the operators' listener.

features/process/settings, commands and observation cover it.

--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -48,7 +48,17 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a server connection and its response."""
+    """One request on a server connection and its response.
+
+    Attributes:
+        response_started: True once the head of the response may have left.
+        aborted: True once the connection was reset.
+        status: Status of the response; 0 before its head.
+        is_complete: True once the whole response was sent.
+        refusal: The refusal that was sent, or that reset the connection.
+        received_bytes: Body bytes received.
+        sent_bytes: Body bytes sent.
+    """
 
     head: RequestHead
     peer: Address
@@ -57,6 +67,11 @@
     limits: ConnectionLimits
     response_started: bool = False
     aborted: bool = False
+    status: int = 0
+    is_complete: bool = False
+    refusal: Refusal | None = None
+    received_bytes: int = 0
+    sent_bytes: int = 0
 
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
@@ -73,6 +88,7 @@
             match event:
                 case h11.Data(data=data):
                     if data:
+                        self.received_bytes += len(data)
                         return bytes(data)
                 case h11.EndOfMessage():
                     return b""
@@ -111,15 +127,18 @@
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
         self.response_started = True
+        self.status = head.status
         await self._send(h11.Response(status_code=head.status, headers=list(head.headers)))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
         await self._send(h11.Data(data=data))
+        self.sent_bytes += len(data)
 
     async def finish(self) -> None:
         """End the response."""
         await self._send(h11.EndOfMessage())
+        self.is_complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the response can't look complete."""
@@ -131,11 +150,14 @@
         length = (b"content-length", b"%d" % len(body))
         event = h11.Response(status_code=head.status, headers=[*head.headers, length])
         self.response_started = True
+        self.status = head.status
         parts = [self.state.send(event)]
         if body and self.head.method != b"HEAD":
             parts.append(self.state.send(h11.Data(data=body)))
         parts.append(self.state.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
+        self.sent_bytes += len(body)
+        self.is_complete = True
 
     async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
         """Send a whole response as JSON."""
@@ -145,6 +167,7 @@
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send the response that belongs to the refusal's error kind."""
+        self.refusal = refusal
         response = refusal.response
         headers = (
             (b"camphorspread-error", refusal.kind.value.encode()),
@@ -230,6 +253,7 @@
 async def refuse_or_abort(exchange: Exchange, refusal: Refusal) -> None:
     """Send a refusal, or reset the connection if a response has begun."""
     if exchange.response_started:
+        exchange.refusal = refusal
         exchange.abort()
     else:
         await exchange.refuse(refusal)
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -6,6 +6,7 @@
 
 from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
+from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
@@ -21,11 +22,13 @@
     path = urlsplit(target).path
     if path == "/v1/lookup":
         await serve_lookup(state, exchange, target)
+        count_lookup(state, exchange, target)
     elif path.startswith(STEER_PREFIX):
         service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
         rest = target.removeprefix(STEER_PREFIX + service) or "/"
         rest = rest if rest.startswith("/") else "/" + rest
-        await steer_request(state, exchange, service, rest.encode())
+        with observe_request(state.observer, exchange, state.catalogue, service, rest):
+            await steer_request(state, exchange, service, rest.encode())
     else:
         await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
@@ -51,6 +54,14 @@
             await refuse(state, exchange, refusal)
 
 
+def count_lookup(state: EntryState, exchange: Exchange, target: str) -> None:
+    """Count a lookup; names that the catalogue doesn't have share one label."""
+    service = parse_qs(urlsplit(target).query).get("service", [""])[0]
+    is_known = state.catalogue is not None and service in state.catalogue.services
+    label = service if is_known else "(unknown)"
+    state.observer.metrics.lookups[(label, exchange.status)] += 1
+
+
 def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
     """Return the JSON form of a lookup response."""
     return {
--- a/camphorspread/process/command/catalogue.py
+++ b/camphorspread/process/command/catalogue.py
@@ -1,50 +1,49 @@
-"""`camphorspread catalogue`: read and change the catalogue."""
-
-import asyncio
-import json
-import sys
-from pathlib import Path
-
-from returns.result import Failure, Success
-
-from camphorspread.connection.access_key import read_access_key
-from camphorspread.connection.link import JsonLink, JsonResponse, LinkError
-from camphorspread.connection.network import TcpNetwork
-from camphorspread.connection.pool import ConnectionPool
-from camphorspread.process.clock import SystemClock
-from camphorspread.process.settings import Settings, read_settings
-
-__all__ = ["apply_change_file"]
-
-
-def apply_change_file(settings_path: Path, change_path: Path) -> int:
-    """Send the change in a JSON file; return the exit code."""
-    match read_settings(settings_path):
-        case Failure(faults):
-            print("\n".join(faults), file=sys.stderr)
-            return 2
-        case Success(settings):
-            pass
-    try:
-        change = json.loads(change_path.read_bytes())
-    except (OSError, ValueError) as exc:
-        print(f"{change_path}: {exc}", file=sys.stderr)
-        return 2
-    response = asyncio.run(send_change(settings, change))
-    if response is None:
-        print("no control process responds", file=sys.stderr)
-        return 1
-    print(json.dumps(response.value, indent=2))
-    return 0 if response.status == 200 else 1
-
-
-async def send_change(settings: Settings, change: object) -> JsonResponse | None:
-    """Send a change to the control processes in turn; return the first response."""
-    key = read_access_key(Path(settings.access_key_file))
-    link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), key)
-    for replica in settings.replicas:
-        try:
-            return await link.call(replica.operators, "POST", "/v1/catalogue/changes", change)
-        except LinkError as exc:
-            print(exc, file=sys.stderr)
-    return None
+"""`camphorspread catalogue list`, `show` and `history`: read the catalogue."""
+
+from camphorspread.process.command.operator import Operator
+from camphorspread.process.command.output import FAILURE, CommandResult, format_table
+
+__all__ = ["list_catalogue", "show_entry", "show_history"]
+
+KINDS = {"service": "services", "region": "regions", "drain": "drains"}
+
+
+async def list_catalogue(operator: Operator) -> CommandResult:
+    """List all entries with owner and version."""
+    catalogue = await operator.ask_control("/v1/catalogue")
+    rows = [
+        (kind, name, item["entry"]["owner"], item["version"])
+        for kind, field in KINDS.items()
+        for name, item in sorted(catalogue[field].items())
+    ]
+    table = format_table(("kind", "name", "owner", "version"), rows)
+    return CommandResult(catalogue, f"catalogue version {catalogue['version']}\n{table}")
+
+
+async def show_entry(operator: Operator, kind: str, name: str) -> CommandResult:
+    """Show one entry with all its fields."""
+    catalogue = await operator.ask_control("/v1/catalogue")
+    item = catalogue[KINDS[kind]].get(name)
+    if item is None:
+        message = f"the catalogue has no {kind} named {name!r}"
+        return CommandResult({"message": message}, message, FAILURE)
+    rows = [("version", item["version"]), *item["entry"].items()]
+    return CommandResult(item, format_table(("field", "value"), rows))
+
+
+async def show_history(operator: Operator, count: int) -> CommandResult:
+    """List the newest accepted changes, the newest last."""
+    value = await operator.ask_control("/v1/catalogue/history")
+    changes = value["changes"][-count:]
+    rows = [
+        (item["version"], item["operator"], item["change_id"], describe_change(item["change"]))
+        for item in changes
+    ]
+    table = format_table(("version", "operator", "change", "what"), rows)
+    return CommandResult({**value, "changes": changes}, table)
+
+
+def describe_change(change: dict) -> str:
+    """Return kind and name of a change."""
+    name = change["entry"]["name"] if "entry" in change else change["name"]
+    return f"{change['type']} {name}"
--- /dev/null
+++ b/camphorspread/process/command/commands.py
@@ -0,0 +1,179 @@
+"""The commands as data: one class for each subcommand."""
+
+from pathlib import Path
+
+import attrs
+
+from camphorspread.process.command.catalogue_change import ChangeOptions
+from camphorspread.process.command.operator import Target
+from camphorspread.process.load import LoadPlan
+
+__all__ = [
+    "CatalogueApply",
+    "CatalogueDrain",
+    "CatalogueHistory",
+    "CatalogueList",
+    "CatalogueShow",
+    "CatalogueUndrain",
+    "CheckCatalogue",
+    "CheckSettings",
+    "Command",
+    "Explain",
+    "Load",
+    "LocalFleet",
+    "Report",
+    "Run",
+    "Status",
+    "Version",
+]
+
+
+@attrs.frozen
+class Run:
+    """Run a process from a settings file."""
+
+    settings: Path
+
+
+@attrs.frozen
+class CheckSettings:
+    """Check settings files."""
+
+    files: tuple[Path, ...]
+
+
+@attrs.frozen
+class CheckCatalogue:
+    """Check a catalogue file."""
+
+    file: Path
+
+
+@attrs.frozen
+class CatalogueList:
+    """List all entries."""
+
+    target: Target
+    as_json: bool
+
+
+@attrs.frozen
+class CatalogueShow:
+    """Show one entry."""
+
+    target: Target
+    as_json: bool
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class CatalogueHistory:
+    """List accepted changes."""
+
+    target: Target
+    as_json: bool
+    count: int
+
+
+@attrs.frozen
+class CatalogueApply:
+    """Send the changes of a file."""
+
+    target: Target
+    as_json: bool
+    options: ChangeOptions
+    file: Path
+
+
+@attrs.frozen
+class CatalogueDrain:
+    """Steer callers away from a VM, availability zone or region."""
+
+    target: Target
+    as_json: bool
+    options: ChangeOptions
+    kind: str
+    name: str
+    owner: str
+
+
+@attrs.frozen
+class CatalogueUndrain:
+    """Let callers use a VM, availability zone or region again."""
+
+    target: Target
+    as_json: bool
+    options: ChangeOptions
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class Status:
+    """Show the status of the fleet."""
+
+    target: Target
+    as_json: bool
+
+
+@attrs.frozen
+class Explain:
+    """Explain routing decisions."""
+
+    target: Target
+    as_json: bool
+    service: str
+    request: str
+
+
+@attrs.frozen
+class Report:
+    """Print the bookkeeper's report."""
+
+    target: Target
+    as_json: bool
+
+
+@attrs.frozen
+class Load:
+    """Send callers' traffic."""
+
+    plan: LoadPlan
+    seed: int
+    output: Path | None
+    as_json: bool
+
+
+@attrs.frozen
+class LocalFleet:
+    """Run a small fleet in one process on loopback."""
+
+    requests: int
+    base_port: int
+
+
+@attrs.frozen
+class Version:
+    """Print the version of the program."""
+
+    as_json: bool
+
+
+Command = (
+    Run
+    | CheckSettings
+    | CheckCatalogue
+    | CatalogueList
+    | CatalogueShow
+    | CatalogueHistory
+    | CatalogueApply
+    | CatalogueDrain
+    | CatalogueUndrain
+    | Status
+    | Explain
+    | Report
+    | Load
+    | LocalFleet
+    | Version
+)
--- /dev/null
+++ b/camphorspread/process/command/dispatch.py
@@ -0,0 +1,88 @@
+"""The choice of what to run for each command."""
+
+from collections.abc import Sequence
+from functools import partial
+
+from returns.result import Failure, Success
+
+from camphorspread.process.command import commands
+from camphorspread.process.command.output import print_faults
+from camphorspread.process.command.parser import parse_command
+
+__all__ = ["run_command"]
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Run the command line.
+
+    Args:
+        arguments: Arguments without the name of the program.
+
+    Returns:
+        Exit code: 0 success, 1 failure, 2 wrong usage or settings, 3 stopped with work cut off.
+    """
+    match parse_command(arguments):
+        case commands.Run(settings=settings):
+            from camphorspread.process.command.run import run_node
+
+            return run_node(settings)
+        case commands.CheckSettings(files=files):
+            from camphorspread.process.command.check_settings import check_settings_files
+
+            return check_settings_files(files)
+        case commands.CheckCatalogue(file=file):
+            from camphorspread.process.command.check_catalogue import check_catalogue_file
+
+            return check_catalogue_file(file)
+        case commands.Load(plan=plan, seed=seed, output=output, as_json=as_json):
+            from camphorspread.process.command.load import send_load
+
+            return send_load(plan, seed, output, as_json)
+        case commands.LocalFleet(requests=requests, base_port=base_port):
+            from camphorspread.process.command.local_fleet import run_local_fleet
+
+            return run_local_fleet(requests, base_port)
+        case commands.Version(as_json=as_json):
+            from camphorspread.process.command.version import show_version
+
+            return show_version(as_json)
+        case command:
+            return run_for_operator(command)
+
+
+def run_for_operator(command: commands.Command) -> int:
+    """Run a command that asks processes of the fleet."""
+    from camphorspread.process.command import catalogue, catalogue_change
+    from camphorspread.process.command.explain import explain
+    from camphorspread.process.command.operator import run_operator_command
+    from camphorspread.process.command.report import show_report
+    from camphorspread.process.command.status import show_status
+
+    match command:
+        case commands.CatalogueList():
+            work = catalogue.list_catalogue
+        case commands.CatalogueShow(kind=kind, name=name):
+            work = partial(catalogue.show_entry, kind=kind, name=name)
+        case commands.CatalogueHistory(count=count):
+            work = partial(catalogue.show_history, count=count)
+        case commands.CatalogueApply(file=file, options=options):
+            match catalogue_change.read_change_file(file, options):
+                case Failure(faults):
+                    return print_faults(faults)
+                case Success(requests):
+                    work = partial(
+                        catalogue_change.apply_changes, requests=requests, options=options
+                    )
+        case commands.CatalogueDrain(kind=kind, name=name, owner=owner, options=options):
+            work = partial(
+                catalogue_change.drain, kind=kind, name=name, owner=owner, options=options
+            )
+        case commands.CatalogueUndrain(kind=kind, name=name, options=options):
+            work = partial(catalogue_change.undrain, kind=kind, name=name, options=options)
+        case commands.Status():
+            work = show_status
+        case commands.Explain(service=service, request=request):
+            work = partial(explain, service=service, request=request)
+        case commands.Report():
+            work = show_report
+    return run_operator_command(command.target, command.as_json, work)
--- /dev/null
+++ b/camphorspread/process/command/operator.py
@@ -0,0 +1,149 @@
+"""How operators' commands reach the processes of a fleet."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from pathlib import Path
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from camphorspread.connection.access_key import read_access_key
+from camphorspread.connection.link import JsonLink, JsonResponse, LinkError
+from camphorspread.connection.network import TcpNetwork
+from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.clock import Clock, SystemClock
+from camphorspread.process.command.output import (
+    FAILURE,
+    CommandResult,
+    print_faults,
+    print_result,
+)
+from camphorspread.process.settings import (
+    FleetSettings,
+    FleetVmSettings,
+    read_fleet,
+    read_settings,
+)
+
+__all__ = ["Operator", "Target", "UnreachableError", "read_target", "run_operator_command"]
+
+CALL_LIMIT = timedelta(seconds=2)
+
+
+class UnreachableError(Exception):
+    """No process that could respond can be reached."""
+
+
+@attrs.frozen
+class Target:
+    """The file that names the fleet; one of the two is given."""
+
+    settings: Path | None = None
+    fleet: Path | None = None
+
+
+@attrs.define(eq=False)
+class Operator:
+    """Asks processes of the fleet and notes the ones that can't be reached.
+
+    Attributes:
+        fleet: Addresses of the fleet.
+        link: Sends messages with the operators' access key.
+        clock: Source of instants.
+        note: Called with one line for each process that is skipped.
+        noted: VMs that a note was written about.
+    """
+
+    fleet: FleetSettings
+    link: JsonLink
+    clock: Clock
+    note: Callable[[str], None]
+    noted: set[str] = attrs.field(factory=set)
+
+    def skip(self, vm: str, cause: object) -> None:
+        """Write a note about a process that is skipped, once for each."""
+        if vm not in self.noted:
+            self.noted.add(vm)
+            self.note(f"{vm} skipped: {cause}")
+
+    async def ask(self, vm: FleetVmSettings, target: str) -> JsonResponse | None:
+        """Return the response of one process, or None with a note."""
+        try:
+            response = await self.link.call(vm.operators, "GET", target, limit=CALL_LIMIT)
+        except LinkError as exc:
+            self.skip(vm.vm, exc)
+            return None
+        if response.status != 200:
+            self.skip(vm.vm, describe_refusal(response))
+            return None
+        return response
+
+    async def ask_all(
+        self, vms: tuple[FleetVmSettings, ...], target: str
+    ) -> dict[str, dict[str, object]]:
+        """Return the responses of all processes that can be reached, by VM."""
+        responses = await asyncio.gather(*(self.ask(vm, target) for vm in vms))
+        return {
+            vm.vm: response.value
+            for vm, response in zip(vms, responses, strict=True)
+            if response is not None
+        }
+
+    async def ask_control(self, target: str) -> dict:
+        """Return the response of the control process with the newest catalogue.
+
+        Raises:
+            UnreachableError: No control process responds.
+        """
+        responses = await self.ask_all(self.fleet.replicas, target)
+        if not responses:
+            raise UnreachableError("no control process responds")
+        return max(responses.values(), key=lambda value: value.get("version", 0))
+
+
+def describe_refusal(response: JsonResponse) -> str:
+    """Return status and message of an error response."""
+    value = response.value if isinstance(response.value, dict) else {}
+    return f"status {response.status} {value.get('message', '')}".rstrip()
+
+
+def read_target(target: Target) -> Result[FleetSettings, tuple[str, ...]]:
+    """Return the addresses that a settings file or a fleet file gives."""
+    if target.fleet is not None:
+        return read_fleet(target.fleet)
+    match read_settings(target.settings):
+        case Success(settings):
+            replicas = tuple(FleetVmSettings(it.vm, it.operators) for it in settings.replicas)
+            entry_vms = tuple(
+                FleetVmSettings(it.vm, it.operators)
+                for it in getattr(settings, "entry_vms", ())
+                if it.operators is not None
+            )
+            return Success(FleetSettings(replicas, entry_vms, settings.access_key_file))
+        case failure:
+            return failure
+
+
+def run_operator_command(
+    target: Target, as_json: bool, work: Callable[[Operator], Awaitable[CommandResult]]
+) -> int:
+    """Run one operator's command; return its exit code."""
+    match read_target(target):
+        case Failure(faults):
+            return print_faults(faults)
+        case Success(fleet):
+            pass
+    try:
+        key = read_access_key(Path(fleet.access_key_file))
+    except OSError as exc:
+        return print_faults((f"{fleet.access_key_file}: {exc.strerror}",))
+    clock = SystemClock()
+    link = JsonLink(ConnectionPool(TcpNetwork(), clock), key)
+    operator = Operator(fleet, link, clock, lambda line: print(line, file=sys.stderr))
+    try:
+        return print_result(asyncio.run(work(operator)), as_json)
+    except UnreachableError as exc:
+        print(exc, file=sys.stderr)
+        return FAILURE
--- /dev/null
+++ b/camphorspread/process/command/output.py
@@ -0,0 +1,63 @@
+"""What a command hands back: exit code, JSON form and text."""
+
+import json
+import sys
+
+import attrs
+
+__all__ = [
+    "FAILURE",
+    "SUCCESS",
+    "WORK_CUT_OFF",
+    "WRONG_USAGE",
+    "CommandResult",
+    "format_table",
+    "print_faults",
+    "print_result",
+]
+
+SUCCESS, FAILURE, WRONG_USAGE, WORK_CUT_OFF = 0, 1, 2, 3
+
+
+@attrs.frozen
+class CommandResult:
+    """What a command found out.
+
+    Attributes:
+        value: JSON form.
+        text: Lines for a person.
+        code: Exit code.
+    """
+
+    value: object
+    text: str
+    code: int = SUCCESS
+
+
+def print_result(result: CommandResult, as_json: bool) -> int:
+    """Print the result and return its exit code."""
+    print(json.dumps(result.value, indent=2) if as_json else result.text)
+    return result.code
+
+
+def print_faults(faults: tuple[str, ...]) -> int:
+    """Print faults of settings or usage to standard error and return the exit code."""
+    print("\n".join(faults), file=sys.stderr)
+    return WRONG_USAGE
+
+
+def format_table(titles: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
+    """Return left-aligned columns under their titles.
+
+    Examples:
+        >>> print(format_table(("vm", "version"), [("sofia-a-1", 4)]))
+        vm         version
+        sofia-a-1  4
+    """
+    cells = [titles, *(tuple(map(str, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = (
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    )
+    return "\n".join(lines)
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -1,101 +1,266 @@
-"""The argument parser and the choice of a subcommand."""
+"""The argument parser: from arguments to a command."""
 
 import argparse
+import getpass
+import ipaddress
+import math
 from collections.abc import Sequence
+from datetime import timedelta
 from pathlib import Path
 
-import attrs
+from camphorspread.connection.network import Address
+from camphorspread.process.command.catalogue_change import ChangeOptions
+from camphorspread.process.command.commands import (
+    CatalogueApply,
+    CatalogueDrain,
+    CatalogueHistory,
+    CatalogueList,
+    CatalogueShow,
+    CatalogueUndrain,
+    CheckCatalogue,
+    CheckSettings,
+    Command,
+    Explain,
+    Load,
+    LocalFleet,
+    Report,
+    Run,
+    Status,
+    Version,
+)
+from camphorspread.process.command.operator import Target
+from camphorspread.process.load import LoadPlan, parse_template
 
-from camphorspread import __version__
+__all__ = ["make_parser", "parse_command"]
 
-__all__ = ["CatalogueApply", "Command", "LocalFleet", "Run", "Version", "run_command"]
+EXIT_CODES = """exit codes:
+  0  success
+  1  failure
+  2  wrong usage, settings or catalogue file
+  3  stopped with work cut off"""
+ENTRY_KINDS = ("service", "region", "drain")
+DRAIN_KINDS = ("vm", "availability_zone", "region")
+MAX_LOAD_COUNT = 1_000_000
+MAX_LOAD_SECONDS = 600
 
 
-@attrs.frozen
-class Run:
-    """Run a node from a settings file."""
+def read_address(text: str) -> Address:
+    """Read `IP:PORT`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        return Address(host, bounded_int(1, 65535)(port))
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: IP:PORT") from exc
 
-    settings: Path
 
+def bounded_int(low: int, high: int):
+    """Return a reader of whole numbers within bounds, both included."""
 
-@attrs.frozen
-class CatalogueApply:
-    """Send a change to the control processes."""
+    def read_number(text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError as exc:
+            raise argparse.ArgumentTypeError(f"{text!r}; allowed: {low} to {high}") from exc
+        if not low <= value <= high:
+            raise argparse.ArgumentTypeError(f"{value}; allowed: {low} to {high}")
+        return value
 
-    settings: Path
-    change: Path
+    return read_number
 
 
-@attrs.frozen
-class LocalFleet:
-    """Run a small fleet in one process on loopback."""
+def bounded_float(high: float):
+    """Return a reader of numbers over 0 up to a bound."""
 
-    requests: int
-    base_port: int
+    def read_number(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError as exc:
+            raise argparse.ArgumentTypeError(f"{text!r}; allowed: a number") from exc
+        if not (math.isfinite(value) and 0 < value <= high):
+            raise argparse.ArgumentTypeError(f"{text}; allowed: over 0, up to {high:g}")
+        return value
 
+    return read_number
 
-@attrs.frozen
-class Version:
-    """Print the version of the program."""
 
-
-Command = Run | CatalogueApply | LocalFleet | Version
+def read_template(text: str):
+    """Read a request template."""
+    try:
+        return parse_template(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(str(exc)) from exc
 
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
-    parser = argparse.ArgumentParser(prog="camphorspread", description="Global traffic steering.")
-    commands = parser.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("run", help="run a node from a settings file")
-    run.add_argument("settings", type=Path)
-    catalogue = commands.add_parser("catalogue", help="read and change the catalogue")
-    actions = catalogue.add_subparsers(dest="action", required=True)
-    apply = actions.add_parser("apply", help="send a change from a JSON file")
-    apply.add_argument("--settings", type=Path, required=True)
-    apply.add_argument("change", type=Path)
+    parser = argparse.ArgumentParser(
+        prog="camphorspread",
+        description="Steers traffic across availability zones and regions.",
+        epilog=EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        allow_abbrev=False,
+    )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    run = commands.add_parser("run", help="run a process from a settings file")
+    run.add_argument("settings", type=Path, help="settings file")
+    check = commands.add_parser("check-settings", help="check settings files")
+    check.add_argument("files", type=Path, nargs="+", help="settings files")
+    check = commands.add_parser("check-catalogue", help="check a catalogue file")
+    check.add_argument("file", type=Path, help="catalogue file")
+    add_catalogue_commands(commands)
+    add_fleet_command(commands, "status", "show versions, leader and the state of all VMs")
+    explain = add_fleet_command(commands, "explain", "explain where lookups and requests went")
+    explain.add_argument("--service", default="", help="name of a service")
+    explain.add_argument("--request", default="", help="trace identifier of a request")
+    add_fleet_command(commands, "report", "print the report for the bookkeeper")
+    add_load_command(commands)
     fleet = commands.add_parser("local-fleet", help="run a small fleet on loopback")
-    fleet.add_argument("--requests", type=int, default=200, help="requests to send (default: 200)")
-    fleet.add_argument("--base-port", type=int, default=17400, help="first port (default: 17400)")
-    commands.add_parser("version", help="print the version")
+    fleet.add_argument(
+        "--requests", type=bounded_int(1, MAX_LOAD_COUNT), default=200, help="default: 200"
+    )
+    fleet.add_argument(
+        "--base-port", type=bounded_int(1024, 65000), default=17400, help="default: 17400"
+    )
+    version = commands.add_parser("version", help="print the version")
+    version.add_argument("--json", action="store_true", help="print JSON")
+    return parser
+
+
+def add_fleet_command(commands, name: str, help_text: str) -> argparse.ArgumentParser:
+    """Add a command that asks processes of the fleet."""
+    parser = commands.add_parser(name, help=help_text, description=help_text)
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument("--settings", type=Path, help="settings file of any process")
+    source.add_argument("--fleet", type=Path, help="fleet file with addresses and access key")
+    parser.add_argument("--json", action="store_true", help="print JSON")
     return parser
 
 
+def add_catalogue_commands(commands) -> None:
+    """Add `catalogue` and its actions."""
+    catalogue = commands.add_parser("catalogue", help="read and change the catalogue")
+    actions = catalogue.add_subparsers(dest="action", required=True, metavar="ACTION")
+    add_fleet_command(actions, "list", "list all entries")
+    show = add_fleet_command(actions, "show", "show one entry")
+    show.add_argument("kind", choices=ENTRY_KINDS)
+    show.add_argument("name", help="name; of a drain KIND/NAME")
+    history = add_fleet_command(actions, "history", "list accepted changes, the newest last")
+    history.add_argument("--count", type=bounded_int(1, 1000), default=20, help="default: 20")
+    apply = add_fleet_command(actions, "apply", "send a change or a whole catalogue file")
+    apply.add_argument("file", type=Path, help="change request, change or catalogue file")
+    apply.add_argument("--expected-version", type=bounded_int(0, 2**53), default=None)
+    drain = add_fleet_command(actions, "drain", "steer callers away")
+    undrain = add_fleet_command(actions, "undrain", "let callers come back")
+    for parser in (drain, undrain):
+        parser.add_argument("kind", choices=DRAIN_KINDS)
+        parser.add_argument("name")
+    drain.add_argument("--owner", default=None, help="owner of the entry; default: the operator")
+    for parser in (apply, drain, undrain):
+        parser.add_argument("--operator", default=None, help="your name; default: the login name")
+        parser.add_argument("--change-id", default=None, help="default: generated")
+        parser.add_argument(
+            "--wait", action="store_true", help="wait until the change is in effect everywhere"
+        )
+        parser.add_argument(
+            "--wait-seconds", type=bounded_float(600), default=10.0, help="default: 10"
+        )
+
+
+def add_load_command(commands) -> None:
+    """Add `load`."""
+    load = commands.add_parser("load", help="send callers' traffic at a fixed rate")
+    load.add_argument("service", help="name of the service")
+    load.add_argument(
+        "--lookup",
+        type=read_address,
+        action="append",
+        required=True,
+        help="callers' listener of an entry VM, IP:PORT; repeat it for more",
+    )
+    load.add_argument(
+        "--request",
+        type=read_template,
+        action="append",
+        help="'WEIGHT METHOD /PATH [BODY_BYTES]'; repeat it for a mix; default: '1 GET /'",
+    )
+    load.add_argument("--rate", type=bounded_float(100_000), default=100.0, help="default: 100")
+    load.add_argument("--count", type=bounded_int(1, MAX_LOAD_COUNT), default=1000)
+    load.add_argument("--seconds", type=bounded_float(MAX_LOAD_SECONDS), default=10.0)
+    load.add_argument("--max-in-flight", type=bounded_int(1, 10_000), default=256)
+    load.add_argument("--seed", type=int, default=1, help="of the order of requests; default: 1")
+    load.add_argument("--output", type=Path, default=None, help="write the results as JSON")
+    load.add_argument("--json", action="store_true", help="print JSON")
+
+
 def parse_command(arguments: Sequence[str]) -> Command:
-    """Return the command that the arguments name."""
-    args = make_parser().parse_args(arguments)
+    """Return the command that the arguments name; wrong usage exits with code 2."""
+    parser = make_parser()
+    args = parser.parse_args(arguments)
     match args.command:
         case "run":
             return Run(args.settings)
+        case "check-settings":
+            return CheckSettings(tuple(args.files))
+        case "check-catalogue":
+            return CheckCatalogue(args.file)
         case "catalogue":
-            return CatalogueApply(args.settings, args.change)
+            return make_catalogue_command(args)
+        case "status":
+            return Status(read_target(args), args.json)
+        case "explain":
+            if not args.service and not args.request:
+                parser.error("explain needs --service, --request or both")
+            return Explain(read_target(args), args.json, args.service, args.request)
+        case "report":
+            return Report(read_target(args), args.json)
+        case "load":
+            return make_load_command(args)
         case "local-fleet":
             return LocalFleet(args.requests, args.base_port)
         case _:
-            return Version()
-
+            return Version(args.json)
 
-def run_command(arguments: Sequence[str]) -> int:
-    """Run the command line.
 
-    Args:
-        arguments: Arguments without the name of the program.
+def read_target(args: argparse.Namespace) -> Target:
+    """Return the file that names the fleet."""
+    return Target(args.settings, args.fleet)
 
-    Returns:
-        Exit code: 0 success, 1 failure, 2 wrong usage or settings.
-    """
-    match parse_command(arguments):
-        case Run(settings=settings):
-            from camphorspread.process.command.run import run_node
 
-            return run_node(settings)
-        case CatalogueApply(settings=settings, change=change):
-            from camphorspread.process.command.catalogue import apply_change_file
+def make_catalogue_command(args: argparse.Namespace) -> Command:
+    """Return the command of a `catalogue` action."""
+    target = read_target(args)
+    match args.action:
+        case "list":
+            return CatalogueList(target, args.json)
+        case "show":
+            return CatalogueShow(target, args.json, args.kind, args.name)
+        case "history":
+            return CatalogueHistory(target, args.json, args.count)
+    wait = timedelta(seconds=args.wait_seconds) if args.wait else None
+    name = args.operator or getpass.getuser()
+    expected = args.expected_version if args.action == "apply" else None
+    options = ChangeOptions(name, args.change_id, expected, wait)
+    match args.action:
+        case "apply":
+            return CatalogueApply(target, args.json, options, args.file)
+        case "drain":
+            owner = args.owner or name
+            return CatalogueDrain(target, args.json, options, args.kind, args.name, owner)
+        case _:
+            return CatalogueUndrain(target, args.json, options, args.kind, args.name)
 
-            return apply_change_file(settings, change)
-        case LocalFleet(requests=requests, base_port=base_port):
-            from camphorspread.process.command.local_fleet import run_local_fleet
 
-            return run_local_fleet(requests, base_port)
-        case Version():
-            print(__version__)
-            return 0
+def make_load_command(args: argparse.Namespace) -> Load:
+    """Return the command of `load`."""
+    templates = tuple(args.request or (parse_template("1 GET /"),))
+    plan = LoadPlan(
+        args.service,
+        tuple(args.lookup),
+        templates,
+        args.rate,
+        args.count,
+        timedelta(seconds=args.seconds),
+        args.max_in_flight,
+    )
+    return Load(plan, args.seed, args.output, args.json)
--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -1,6 +1,7 @@
 """`camphorspread run`: run one node from its settings file."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -13,6 +14,7 @@
 from camphorspread.connection.network import TcpNetwork
 from camphorspread.connection.pool import ConnectionPool
 from camphorspread.process.clock import SystemClock
+from camphorspread.process.command.output import FAILURE, SUCCESS, print_faults
 from camphorspread.process.control_node import run_control_node
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.entry_node import run_entry_node
@@ -27,15 +29,23 @@
     """Run the node that the settings file describes; return the exit code."""
     match read_settings(path):
         case Failure(faults):
-            print("\n".join(faults), file=sys.stderr)
-            return 2
+            return print_faults(faults)
         case Success(settings):
-            asyncio.run(run_until_signal(settings))
-    return 0
+            pass
+    try:
+        asyncio.run(run_until_signal(settings))
+    except OSError as exc:
+        print(f"the process stops: {exc}", file=sys.stderr)
+        return FAILURE
+    return SUCCESS
 
 
 async def run_until_signal(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
+    """Run a node until SIGTERM or SIGINT.
+
+    Raises:
+        OSError: A listener can't be opened.
+    """
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
     access_key = read_access_key(Path(settings.access_key_file))
@@ -50,4 +60,5 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.cancel)
-    await asyncio.gather(node, return_exceptions=True)
+    with contextlib.suppress(asyncio.CancelledError):
+        await node
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.network import Listener
 from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.process.control_operators import describe_acknowledgements, describe_history
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -61,6 +62,8 @@
     """Answer a poll at once if there is a newer version, or after the hold time."""
     message = await exchange.read_json()
     version = message.get("version", -1) if isinstance(message, dict) else -1
+    if isinstance(message, dict):
+        state.records.acknowledge(str(message.get("vm", "")), version)
     if version >= state.catalogue.version:
         try:
             async with asyncio.timeout(HOLD.total_seconds()):
@@ -80,12 +83,30 @@
     match exchange.head.method, exchange.head.target:
         case b"GET", b"/v1/catalogue":
             await exchange.respond_json(200, encode(state.catalogue))
+        case b"GET", b"/v1/catalogue/history":
+            value = describe_history(state.records, state.catalogue.version)
+            await exchange.respond_json(200, value)
+        case b"GET", b"/v1/acknowledgements":
+            await exchange.respond_json(200, describe_acknowledgements(state.records))
+        case b"GET", b"/v1/status":
+            await exchange.respond_json(200, describe_status(state))
         case b"POST", b"/v1/catalogue/changes":
             await serve_change(state, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
 
+def describe_status(state: ControlState) -> dict[str, object]:
+    """Return the status of this control process."""
+    return {
+        "vm": state.settings.place.vm,
+        "role": "control",
+        "version": state.catalogue.version,
+        "is_leader": state.view.is_leader,
+        "leader": state.view.leader,
+    }
+
+
 async def serve_change(state: ControlState, exchange: Exchange) -> None:
     """Accept or refuse a change."""
     decoded = decode_change_request(await exchange.read_json())
@@ -99,6 +120,7 @@
             await respond_error(state, exchange, error)
             return
     state.catalogue = apply_change(state.catalogue, decoded.unwrap().change)
+    state.records.accept(state.catalogue.version, decoded.unwrap())
     state.log.write(Event.CHANGE_ACCEPTED, version=state.catalogue.version)
     state.changed.set()
     state.changed = asyncio.Event()
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
+from camphorspread.process.control_operators import ControlRecords
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
@@ -31,6 +32,7 @@
         catalogue: The newest accepted catalogue.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
+        records: Acknowledgements and accepted changes since the start.
     """
 
     settings: ControlSettings
@@ -43,3 +45,6 @@
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
+    records: ControlRecords = attrs.field(
+        default=attrs.Factory(lambda self: ControlRecords(self.clock), takes_self=True)
+    )
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -14,6 +14,7 @@
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -29,7 +30,7 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers.
+        listeners: Its open listeners: callers, backend servers, operators.
         tasks: Its periodic tasks.
     """
 
@@ -52,6 +53,7 @@
     listeners = (
         await listen(state, state.settings.callers, handle_caller),
         await listen(state, state.settings.backend_servers, handle_backend_server),
+        await listen(state, state.settings.operators, handle_entry_operator),
     )
     tasks = (
         asyncio.create_task(poll_catalogue(state)),
@@ -80,7 +82,10 @@
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
     server = HttpServer(
-        lambda exchange: handler(state, exchange), on_refused=log_refusal, on_failed=log_failure
+        lambda exchange: handler(state, exchange),
+        state.settings.limits.connection_limits(),
+        on_refused=log_refusal,
+        on_failed=log_failure,
     )
     return await state.network.listen(address, server.serve)
 
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -12,6 +12,7 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.observer import Observer, make_observer
 from camphorspread.process.settings import EntrySettings
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
@@ -35,6 +36,7 @@
         link: Messages to other processes.
         catalogue: The catalogue in force, or None before the first poll.
         fleet: Known entry VMs.
+        observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
         incarnation: Differs after each start of the process.
         started: Instant of the start.
@@ -51,6 +53,7 @@
     pool: ConnectionPool
     link: JsonLink
     fleet: FleetView
+    observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
     incarnation: str = ""
@@ -76,7 +79,9 @@
     }
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet)
-    state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    observer = make_observer(settings, clock, incarnation)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, observer)
+    state.incarnation = incarnation
     state.started = clock.monotonic()
     return state
--- a/camphorspread/process/local_fleet.py
+++ b/camphorspread/process/local_fleet.py
@@ -73,6 +73,7 @@
                 place.region,
                 self.address(number, CALLERS_PORT),
                 self.address(number, PEERS_PORT),
+                self.address(number, OPERATORS_PORT),
             )
             for number, place in enumerate(PLACES)
         )
--- /dev/null
+++ b/camphorspread/process/schema.py
@@ -0,0 +1,103 @@
+"""Checks a JSON value against attrs classes and reports all faults, each with its path."""
+
+import types
+import typing
+from collections.abc import Iterator
+
+import attrs
+
+__all__ = ["Fault", "find_faults", "show"]
+
+SHOWN_CHARACTERS = 60
+ALLOWED_TEXTS = {str: "a text", int: "a whole number", float: "a number", bool: "true or false"}
+
+
+@attrs.frozen
+class Fault:
+    """One fault of a file.
+
+    Attributes:
+        path: Path of the field, such as `settings.callers.port`.
+        value: The value given, in short form.
+        allowed: What is allowed there.
+    """
+
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return one line for an operator."""
+        return f"{self.path} is {self.value}; allowed: {self.allowed}"
+
+
+def show(value: object) -> str:
+    """Return the short form of a value."""
+    text = repr(value)
+    return text if len(text) <= SHOWN_CHARACTERS else text[: SHOWN_CHARACTERS - 3] + "..."
+
+
+def find_faults(value: object, kind: object, path: str) -> Iterator[Fault]:
+    """Yield every place where a JSON value doesn't have the form of a class.
+
+    Args:
+        value: The decoded JSON.
+        kind: An attrs class, `str`, `int`, `float`, `bool`, `tuple[X, ...]`, `dict[str, X]` or
+            `X | None`.
+        path: Path of the value.
+    """
+    origin, arguments = typing.get_origin(kind), typing.get_args(kind)
+    if origin is types.UnionType:
+        if value is not None:
+            yield from find_faults(value, arguments[0], path)
+    elif origin is tuple:
+        yield from find_list_faults(value, arguments[0], path)
+    elif origin is dict:
+        yield from find_mapping_faults(value, arguments[1], path)
+    elif attrs.has(kind):
+        yield from find_object_faults(value, kind, path)
+    elif not has_type(value, kind):
+        yield Fault(path, show(value), ALLOWED_TEXTS[kind])
+
+
+def has_type(value: object, kind: type) -> bool:
+    """Return True if a value has a plain type; a whole number is a number, a truth value isn't."""
+    if kind is bool:
+        return isinstance(value, bool)
+    accepted = (int, float) if kind is float else (kind,)
+    return isinstance(value, accepted) and not isinstance(value, bool)
+
+
+def find_list_faults(value: object, kind: object, path: str) -> Iterator[Fault]:
+    """Yield the faults of a list."""
+    if not isinstance(value, list):
+        yield Fault(path, show(value), "a list")
+        return
+    for position, item in enumerate(value):
+        yield from find_faults(item, kind, f"{path}[{position}]")
+
+
+def find_mapping_faults(value: object, kind: object, path: str) -> Iterator[Fault]:
+    """Yield the faults of an object with free names."""
+    if not isinstance(value, dict):
+        yield Fault(path, show(value), "an object")
+        return
+    for name, item in value.items():
+        yield from find_faults(item, kind, f"{path}.{name}")
+
+
+def find_object_faults(value: object, kind: type, path: str) -> Iterator[Fault]:
+    """Yield the faults of an object with fixed names."""
+    if not isinstance(value, dict):
+        yield Fault(path, show(value), "an object")
+        return
+    fields = {field.name: field for field in attrs.fields(attrs.resolve_types(kind))}
+    for name in value:
+        if name not in fields:
+            allowed = "no such field; known are " + ", ".join(sorted(fields))
+            yield Fault(f"{path}.{name}", show(value[name]), allowed)
+    for name, field in fields.items():
+        if name in value:
+            yield from find_faults(value[name], field.type, f"{path}.{name}")
+        elif field.default is attrs.NOTHING:
+            yield Fault(f"{path}.{name}", "missing", "a value")
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -7,7 +7,7 @@
 import attrs
 
 from camphorspread.connection.link import JsonLink, LinkError
-from camphorspread.connection.messages import ResponseHead
+from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.connection.network import Address, Listener, Network
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import encode_announcement
@@ -32,6 +32,7 @@
         busy: Requests that run now.
         most_busy: Most requests that ran at once.
         served: Method, path and once key of each request, in order.
+        heads: Head of each request, in order.
     """
 
     announcement: Announcement
@@ -41,10 +42,12 @@
     busy: int = 0
     most_busy: int = 0
     served: list[str] = attrs.field(factory=list)
+    heads: list[RequestHead] = attrs.field(factory=list)
     sequence: int = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request with its size."""
+        self.heads.append(exchange.head)
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
         try:
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -11,6 +11,7 @@
 from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.observer import observe_attempt, trace_headers
 from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import make_forward_head
@@ -88,7 +89,14 @@
         try:
             conn = await connect(state, endpoint)
             if conn is not None:
-                await send(state, req, endpoint, conn)
+                announced = endpoint.announcement
+                with observe_attempt(
+                    state.observer,
+                    req.exchange,
+                    announced.availability_zone,
+                    endpoint=announced.endpoint,
+                ):
+                    await send(state, req, endpoint, conn)
                 return
         finally:
             endpoint.in_use -= 1
@@ -112,7 +120,8 @@
     """Relay the request to the endpoint and answer the caller if the relay couldn't."""
     address = str(endpoint.announcement.address).encode()
     now = state.clock.monotonic()
-    head = make_forward_head(req.exchange.head, req.target, address, req.deadline, now)
+    extra = trace_headers(state.observer, req.exchange)
+    head = make_forward_head(req.exchange.head, req.target, address, req.deadline, now, extra)
     result = await relay(req.exchange, conn, head, req.entry.body_limit_bytes)
     if conn.is_reusable:
         state.pool.release(conn)
--- /dev/null
+++ b/features/process/commands.feature
@@ -0,0 +1,61 @@
+Feature: Operators' commands
+  Guards against commands that end with a traceback or an undocumented exit code, that stop at the
+  first process that can't be reached, or that apply a change twice when a response is lost.
+
+  @fixture.settings_folder
+  Scenario Outline: A wrong command is refused: <arguments>
+    When the operator runs "<arguments>"
+    Then the command ends with code <code> and the message "<message>"
+
+    Examples:
+      | arguments                                                     | code | message                                    |
+      | steer                                                         | 2    | invalid choice: 'steer'                    |
+      | run                                                           | 2    | the following arguments are required       |
+      | run FOLDER/absent.json                                        | 2    | No such file or directory                  |
+      | run FOLDER/not.json                                           | 2    | no valid JSON                              |
+      | run FOLDER/list.json                                          | 2    | holds [1]; allowed: an object              |
+      | status                                                        | 2    | one of the arguments --settings --fleet    |
+      | status --settings FOLDER/entry.json --fleet FOLDER/list.json  | 2    | not allowed with argument                  |
+      | status --fleet FOLDER/list.json                               | 2    | allowed: an object                         |
+      | explain --settings FOLDER/entry.json                          | 2    | explain needs --service, --request or both |
+      | catalogue                                                     | 2    | the following arguments are required       |
+      | catalogue show --settings FOLDER/entry.json vm a              | 2    | invalid choice: 'vm'                       |
+      | catalogue drain --settings FOLDER/entry.json rack a           | 2    | invalid choice: 'rack'                     |
+      | catalogue apply --settings FOLDER/entry.json FOLDER/not.json  | 2    | no valid JSON                              |
+      | catalogue apply --settings FOLDER/entry.json FOLDER/list.json | 2    | allowed: an object                         |
+      | catalogue list --settings FOLDER/control.json                 | 1    | no control process responds                |
+      | report --settings FOLDER/entry.json                           | 1    | no entry VM responds                       |
+      | check-catalogue FOLDER/entry.json                             | 2    | fields regions and services                |
+      | load status-svc                                               | 2    | the following arguments are required       |
+      | load status-svc --lookup localhost:1                          | 2    | allowed: IP:PORT                           |
+      | load status-svc --lookup 127.0.0.1:1 --rate 0                 | 2    | allowed: over 0                            |
+      | load status-svc --lookup 127.0.0.1:1 --request get            | 2    | allowed: 'WEIGHT METHOD                    |
+      | local-fleet --requests 0                                      | 2    | allowed: 1 to                              |
+      | version --short                                               | 2    | unrecognized arguments                     |
+
+  @fixture.session
+  Scenario: An operator drains a VM, sees the effect and takes the drain back
+    Given the operator adds the entries "status-svc" and "filing-svc"
+    And 1.0 seconds pass
+    When the operator's command drains the VM "sofia-a-1" and waits
+    Then the operator's command ended with code 0 and text "version 3 is in effect everywhere"
+    When the operator's command explains "status-svc"
+    Then no target of the explanation is "sofia-a-1"
+    When the operator's command shows the history
+    Then the operator's command ended with code 0 and text "PutDrain sofia-a-1"
+    When the operator's command takes the drain of "sofia-a-1" back
+    Then the operator's command ended with code 0 and text "accepted as version 4"
+    When the operator's command asks for the status
+    Then the operator's command ended with code 0 and text "plovdiv-a-1  entry"
+
+  @fixture.virtual_loop
+  Scenario: A lost response and a change of leader apply the change once
+    Given three control processes of which the first is down and the third leads
+    And the leader loses its first response
+    When the operator sends a change
+    Then the leader received the change 2 times with one change identifier
+    And the first control process was skipped with a note
+
+  Scenario: A VM that lags is told from one that is isolated
+    When acknowledgements of version 7 are merged
+    Then the lagging VM is "b" and the isolated VMs are "c" and "d"
