--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -1,6 +1,7 @@
 """The server side of HTTP/1.1 connections."""
 
 import asyncio
+import contextlib
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -259,6 +260,17 @@
         await exchange.refuse(refusal)
 
 
+def read_end_of_request(state: h11.Connection) -> None:
+    """Read the end of a request without a body, so that its connection can carry the next one.
+
+    A handler that needs no body doesn't read it. Without this step the connection would be closed
+    although the response didn't say so, and the next request on it would be lost.
+    """
+    if state.their_state is h11.SEND_BODY and not state.they_are_waiting_for_100_continue:
+        with contextlib.suppress(h11.RemoteProtocolError):
+            state.next_event()
+
+
 @attrs.define(eq=False)
 class HttpServer:
     """Serves exchanges on streams, one after the other on each connection.
@@ -309,6 +321,7 @@
             await self._handle(exchange)
             if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
                 return
+            read_end_of_request(state)
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
             state.start_next_cycle()
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -5,10 +5,11 @@
 from returns.result import Failure, Success
 
 from camphorspread.connection.server import Exchange
+from camphorspread.process.client_blocks import find_site, get_block
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
+from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "handle_caller"]
@@ -22,12 +23,12 @@
     path = urlsplit(target).path
     if path == "/v1/lookup":
         await serve_lookup(state, exchange, target)
-        count_lookup(state, exchange, target)
     elif path.startswith(STEER_PREFIX):
         service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
         rest = target.removeprefix(STEER_PREFIX + service) or "/"
         rest = rest if rest.startswith("/") else "/" + rest
-        with observe_request(state.observer, exchange, state.catalogue, service, rest):
+        zone = find_place(state, exchange.peer.host).availability_zone
+        with observe_request(state.observer, exchange, state.catalogue, service, rest, zone):
             await steer_request(state, exchange, service, rest.encode())
     else:
         await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
@@ -45,23 +46,32 @@
         message = "this VM has no catalogue yet"
         await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message))
         return
-    own = state.fleet.own
-    place = Place(own.availability_zone, own.region)
-    match resolve_lookup(state.catalogue, state.fleet, service, place):
+    address = query.get("address", [exchange.peer.host])[0]
+    lookup = LookupQuery(service, find_place(state, address), get_block(address))
+    match resolve_lookup(state.catalogue, state.fleet, lookup, state.shift_plan):
         case Success(response):
             await exchange.respond_json(200, encode_lookup_response(response))
         case Failure(refusal):
             await refuse(state, exchange, refusal)
+    count_lookup(state, exchange, service)
 
 
-def count_lookup(state: EntryState, exchange: Exchange, target: str) -> None:
+def count_lookup(state: EntryState, exchange: Exchange, service: str) -> None:
     """Count a lookup; names that the catalogue doesn't have share one label."""
-    service = parse_qs(urlsplit(target).query).get("service", [""])[0]
     is_known = state.catalogue is not None and service in state.catalogue.services
     label = service if is_known else "(unknown)"
     state.observer.metrics.lookups[(label, exchange.status)] += 1
 
 
+def find_place(state: EntryState, address: str) -> Place:
+    """Return the place of a caller, this VM's own if no block holds the address."""
+    site = find_site(state.blocks, address)
+    if site is None:
+        own = state.fleet.own
+        return Place(own.availability_zone, own.region)
+    return state.sites[site]
+
+
 def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
     """Return the JSON form of a lookup response."""
     return {
--- a/camphorspread/process/observer.py
+++ b/camphorspread/process/observer.py
@@ -60,6 +60,7 @@
         service: Label of the service.
         kind: Kind of the request.
         span: Span of the request, from its head to the end of its response.
+        caller_zone: Availability zone nearest to the caller.
         attempt: Span of the attempt in flight.
         endpoint: The last endpoint tried.
         chosen_vm: The VM that the last attempt was sent to, if it wasn't an endpoint.
@@ -70,6 +71,7 @@
     service: str
     kind: RequestKind
     span: trace.Span
+    caller_zone: str
     attempt: trace.Span | None = None
     endpoint: str = ""
     chosen_vm: str = ""
@@ -124,7 +126,12 @@
 
 @contextlib.contextmanager
 def observe_request(
-    observer: Observer, exchange: Exchange, catalogue: Catalogue | None, service: str, target: str
+    observer: Observer,
+    exchange: Exchange,
+    catalogue: Catalogue | None,
+    service: str,
+    target: str,
+    caller_zone: str,
 ) -> Iterator[None]:
     """Observe a steered request from its head to the end of its response.
 
@@ -134,6 +141,7 @@
         catalogue: The catalogue in effect.
         service: Name of the service.
         target: Path and query below the service.
+        caller_zone: Availability zone nearest to the caller.
     """
     entry = catalogue.find_service(service) if catalogue else None
     # Names that the catalogue doesn't have share one label, which bounds the number of labels.
@@ -146,7 +154,7 @@
         start_time=to_nanoseconds(observer.clock.wall()),
         attributes={"service": label, "kind": kind.value},
     )
-    observed = observer.requests[exchange] = ObservedRequest(label, kind, span)
+    observed = observer.requests[exchange] = ObservedRequest(label, kind, span, caller_zone)
     observer.metrics.start_request(label)
     try:
         yield
@@ -195,7 +203,7 @@
             method=exchange.head.method.decode("ascii", "replace"),
             kind=observed.kind.value,
             caller=exchange.peer.host,
-            caller_availability_zone=observer.own_zone,
+            caller_availability_zone=observed.caller_zone,
             chosen_vm=observed.chosen_vm,
             endpoint=observed.endpoint,
             attempts=observed.attempts,
--- a/camphorspread/process/operator_listener.py
+++ b/camphorspread/process/operator_listener.py
@@ -14,10 +14,12 @@
 from camphorspread.process.metrics import format_metrics
 from camphorspread.process.report import make_report
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.lookup import Place, resolve_lookup
+from camphorspread.request.lookup import LookupQuery, Place, resolve_lookup
 
 __all__ = ["handle_entry_operator"]
 
+# The order within a region depends on the caller's block; operators see that of this block.
+OWN_BLOCK = "operators"
 METRICS_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -95,7 +97,8 @@
     if service and not request_id and state.catalogue is not None:
         own = state.fleet.own
         place = Place(own.availability_zone, own.region)
-        match resolve_lookup(state.catalogue, state.fleet, service, place):
+        query = LookupQuery(service, place, OWN_BLOCK)
+        match resolve_lookup(state.catalogue, state.fleet, query, state.shift_plan):
             case Success(response):
                 lookup = encode_lookup_response(response)
             case Failure(refusal):
--- a/camphorspread/process/settings.py
+++ b/camphorspread/process/settings.py
@@ -69,6 +69,7 @@
         region: Its region.
         callers: Where it listens for callers.
         peers: Where it listens for the project's own processes.
+        backend_servers: Where it listens for backend servers, needed to name it as an owner.
         operators: Where it listens for operators; commands skip the VM if it is missing.
     """
 
@@ -77,6 +78,7 @@
     region: str
     callers: Address
     peers: Address
+    backend_servers: Address | None = None
     operators: Address | None = None
 
 
--- a/camphorspread/process/settings_check.py
+++ b/camphorspread/process/settings_check.py
@@ -119,8 +119,9 @@
         path = f"settings.entry_vms[{position}]"
         yield from check_address(item.callers, f"{path}.callers")
         yield from check_address(item.peers, f"{path}.peers")
-        if item.operators is not None:
-            yield from check_address(item.operators, f"{path}.operators")
+        for name in ("backend_servers", "operators"):
+            if getattr(item, name) is not None:
+                yield from check_address(getattr(item, name), f"{path}.{name}")
     own = next((item for item in settings.entry_vms if item.vm == place.vm), None)
     if own is None:
         names = ", ".join(item.vm for item in settings.entry_vms)
@@ -132,7 +133,7 @@
         if given != listed:
             allowed = f"{listed!r}, as in settings.entry_vms"
             yield Fault(f"settings.place.{name}", show(given), allowed)
-    for name in ("callers", "peers", "operators"):
+    for name in ("callers", "backend_servers", "peers", "operators"):
         listed, given = getattr(own, name), getattr(settings, name)
         if listed is not None and given != listed:
             yield Fault(f"settings.{name}", str(given), f"{listed}, as in settings.entry_vms")
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -3,94 +3,22 @@
 import json
 from pathlib import Path
 
-import attrs
+from camphorspread.process.deployments import LE_GOFF, VODNA_VRAZKA
+from camphorspread.version.codec import encode
 
 FOLDER = Path(__file__).parent
 CALLERS_PORT, BACKENDS_PORT, PEERS_PORT, OPERATORS_PORT = 17000, 17001, 17002, 17003
 CONTROL_PEERS_PORT, CONTROL_OPERATORS_PORT = 17004, 17005
-ZONES = ("a", "b")
-LINK_BYTES_PER_SECOND = 500_000_000
-
-
-@attrs.frozen
-class Deployment:
-    """One example.
-
-    Attributes:
-        name: Name of its folder.
-        network: First three numbers of its IP numbers.
-        regions: Names of its regions.
-        zone_delay_ms: One-way delay between availability zones of a region.
-        region_delay_ms: One-way delay between regions.
-        owner: Owner of the regions.
-        services: Fields of the service entries; `slots` is endpoints times slots.
-    """
-
-    name: str
-    network: str
-    regions: tuple[str, ...]
-    zone_delay_ms: float
-    region_delay_ms: float
-    owner: str
-    services: tuple[dict, ...]
-
-
-def service(name, owner, service_class, slots, promised_ms, rules=()):
-    """Return a service entry; a region may serve two thirds of all slots of the service."""
-    return {
-        "name": name,
-        "owner": owner,
-        "service_class": service_class,
-        "shift_cap_per_second": slots,
-        "region_limit": slots * 2 // 3,
-        "never_repeated": list(rules),
-        "promised_ms": promised_ms,
-    }
-
-
-VODNA_VRAZKA = Deployment(
-    "vodna-vrazka",
-    "127.1.0",
-    ("sofia", "plovdiv", "varna"),
-    1.5,
-    55,
-    "network operations",
-    (
-        service("status-svc", "customer portal", "interactive", 16 * 6, 300),
-        service(
-            "filing-svc",
-            "filing office",
-            "critical",
-            12 * 5,
-            1000,
-            ("POST /applications", "POST /fees", "POST /appointments"),
-        ),
-        service("docs-svc", "plans archive", "upload", 12 * 3, 5000),
-        service("gis-svc", "network maps", "deferrable", 12 * 3, 1000),
-    ),
-)
-LE_GOFF = Deployment(
-    "le-goff",
-    "127.2.0",
-    ("bretagne", "ile-de-france", "londres"),
-    1,
-    20,
-    "operations",
-    (
-        service("vitrine", "shop", "interactive", 18 * 6, 500),
-        service("commandes", "wholesale", "critical", 12 * 4, 1000, ("POST /orders",)),
-        service("croquis", "design studio", "upload", 12 * 3, 5000),
-        service("nuancier", "design studio", "deferrable", 12 * 3, 1000),
-    ),
-)
+NETWORKS = {VODNA_VRAZKA.name: "127.1.0", LE_GOFF.name: "127.2.0"}
+REGION_OWNERS = {VODNA_VRAZKA.name: "network operations", LE_GOFF.name: "operations"}
 
 
 def list_vms(deployment):
-    """Return (vm, availability zone, region, host); the first availability zone has two VMs."""
-    zones = [(f"{region}-{zone}", region) for region in deployment.regions for zone in ZONES]
-    places = [(f"{zones[0][0]}-2", *zones[0])]
-    places = [(f"{zone}-1", zone, region) for zone, region in zones] + places
-    return [(*item, f"{deployment.network}.{n}") for n, item in enumerate(places, start=1)]
+    """Return (vm, availability zone, region, host) of each VM."""
+    return [
+        (place.vm, place.availability_zone, place.region, f"{NETWORKS[deployment.name]}.{number}")
+        for number, place in enumerate(deployment.places, start=1)
+    ]
 
 
 def address(host, port):
@@ -124,6 +52,7 @@
             "region": region,
             "callers": address(host, CALLERS_PORT),
             "peers": address(host, PEERS_PORT),
+            "backend_servers": address(host, BACKENDS_PORT),
             "operators": address(host, OPERATORS_PORT),
         }
         for vm, zone, region, host in vms
@@ -173,30 +102,11 @@
 
 
 def make_catalogue(deployment):
-    """Return the entries of regions and services."""
-    vms = list_vms(deployment)
-    limit = sum(item["region_limit"] for item in deployment.services)
-    regions = []
-    for region in deployment.regions:
-        zones = [f"{region}-{zone}" for zone in ZONES]
-        delays = {
-            other: deployment.zone_delay_ms if other == region else deployment.region_delay_ms
-            for other in deployment.regions
-        }
-        regions.append(
-            {
-                "name": region,
-                "owner": deployment.owner,
-                "limit": limit,
-                "availability_zones": [
-                    {"name": zone, "vms": sorted(item[0] for item in vms if item[1] == zone)}
-                    for zone in zones
-                ],
-                "delays_ms": delays,
-                "link_bytes_per_second": LINK_BYTES_PER_SECOND,
-            }
-        )
-    return {"regions": regions, "services": list(deployment.services)}
+    """Return the entries of regions and services, with the delays within each region."""
+    regions = [encode(entry) for entry in deployment.region_entries(REGION_OWNERS[deployment.name])]
+    for region in regions:
+        region["delays_ms"][region["name"]] = deployment.availability_zone_delay_ms
+    return {"regions": regions, "services": [encode(plan.entry) for plan in deployment.services]}
 
 
 if __name__ == "__main__":
--- a/features/process/settings.feature
+++ b/features/process/settings.feature
@@ -43,7 +43,7 @@
 
   @fixture.settings_folder
   Scenario: All faults are reported at once
-    Given the settings file "entry" with backend_servers.port set to 0
+    Given the settings file "entry" with trace_sampling set to -1
     And the settings file "entry" with data_folder set to "absent"
     And the settings file "entry" with place.region set to "varna"
     When the settings file "entry" is checked
