--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -8,9 +8,10 @@
 
 from camphorspread.process.clock import Clock
 
-__all__ = ["Event", "EventLog", "make_event_log"]
+__all__ = ["Event", "EventLog", "find_level", "make_event_log"]
 
 
+@enum.unique
 class Event(enum.Enum):
     """Log events; the number is stable and listed in `docs/events.md`."""
 
@@ -35,6 +36,26 @@
     CHANGE_REFUSED = 403
 
 
+# Events that an operator should look into soon, and events that show a fault.
+WARNINGS = frozenset(
+    {
+        Event.RESPONSE_CUT,
+        Event.CONNECTION_REFUSED,
+        Event.ENDPOINT_EXPIRED,
+        Event.ANNOUNCEMENT_REFUSED,
+        Event.CATALOGUE_POLL_FAILED,
+    }
+)
+ERRORS = frozenset({Event.HANDLER_FAILED})
+
+
+def find_level(event: Event) -> str:
+    """Return the level of an event: `info`, `warning` or `error`."""
+    if event in ERRORS:
+        return "error"
+    return "warning" if event in WARNINGS else "info"
+
+
 class EventLog:
     """Writes numbered events.
 
@@ -49,7 +70,8 @@
 
     def write(self, event: Event, **fields: Any) -> None:
         """Write one event with its fields."""
-        self.logger.msg(event.name.lower(), number=event.value, **fields)
+        level = find_level(event)
+        self.logger.msg(event.name.lower(), level=level, number=event.value, **fields)
 
 
 def make_event_log(vm: str, clock: Clock, output: TextIO | None = None) -> EventLog:
--- /dev/null
+++ b/features/process/shape.feature
@@ -0,0 +1,30 @@
+Feature: The source tree keeps the shape that the design page sets down
+  Guards against threads, executors and further processes in the program, against files synced by
+  entry processes, and against log events that the operators' page doesn't list.
+
+  Scenario: The program starts no thread, executor or process
+    When the source tree is searched
+    Then no module imports one of these
+      | module             |
+      | threading          |
+      | _thread            |
+      | concurrent.futures |
+      | multiprocessing    |
+      | subprocess         |
+      | queue              |
+      | socketserver       |
+    And no module uses one of these names
+      | name                     |
+      | run_in_executor          |
+      | to_thread                |
+      | create_subprocess_exec   |
+      | create_subprocess_shell  |
+      | fork                     |
+      | popen                    |
+      | posix_spawn              |
+      | BatchSpanProcessor       |
+      | ThreadPoolExecutor       |
+    And only modules of control processes sync files
+
+  Scenario: The catalogue of log events lists exactly the events of the code
+    Then "docs/events.md" lists each event of the code with its number, fields and what to do
