Check that a fleet which traces requests starts no thread

The scenario with the built file samples /proc every 10 ms and didn't see the thread pool that the tracing library uses when it detects its environment; a counter of starts does.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,11 +2,13 @@
 
 from behave.fixture import use_fixture_by_tag
 
+from features.fixtures.audit import start_audit
 from features.fixtures.command_line import settings_folder
 from features.fixtures.session import session
 from features.fixtures.virtual_time import virtual_loop
 
 FIXTURES = {
+    "fixture.audit": start_audit,
     "fixture.session": session,
     "fixture.settings_folder": settings_folder,
     "fixture.virtual_loop": virtual_loop,
--- a/features/process/shape.feature
+++ b/features/process/shape.feature
@@ -26,5 +26,13 @@
       | ThreadPoolExecutor       |
     And only modules of control processes sync files
 
+  @fixture.audit @fixture.session
+  Scenario: A local fleet that serves and traces requests starts no thread and no process
+    Given the operator adds the entries "status-svc" and "filing-svc"
+    And 1.0 seconds pass
+    When a traced caller sends GET "/s/status-svc/applications/17"
+    Then a span was written
+    And neither a thread nor a process was started
+
   Scenario: The catalogue of log events lists exactly the events of the code
     Then "docs/events.md" lists each event of the code with its number, fields and what to do
--- a/features/steps/shape_steps.py
+++ b/features/steps/shape_steps.py
@@ -117,3 +117,13 @@
         if missing and event.value in listed:
             faults.append(f"{page}: event {event.value} lacks the fields {sorted(missing)}")
     assert not faults, "\n".join(faults)
+
+
+@then("a span was written")
+def step_check_span(context):
+    assert context.spans
+
+
+@then("neither a thread nor a process was started")
+def step_check_starts(context):
+    assert not context.starts, context.starts
