--- a/camphorspread/process/command/catalogue.py
+++ b/camphorspread/process/command/catalogue.py
@@ -1,6 +1,6 @@
 """`camphorspread catalogue list`, `show` and `history`: read the catalogue."""
 
-from camphorspread.process.command.operator import Operator
+from camphorspread.process.command.operator import Operator, UnreachableError
 from camphorspread.process.command.output import FAILURE, CommandResult, format_table
 
 __all__ = ["list_catalogue", "show_entry", "show_history"]
@@ -32,18 +32,30 @@
 
 
 async def show_history(operator: Operator, count: int) -> CommandResult:
-    """List the newest accepted changes, the newest last."""
-    value = await operator.ask_control("/v1/catalogue/history")
-    changes = value["changes"][-count:]
+    """List the newest accepted changes, the newest first."""
+    responses = await operator.ask_all(operator.fleet.replicas, "/v1/catalogue/history")
+    if not responses:
+        raise UnreachableError("no control process responds")
+    # A replica that is behind lists fewer changes.
+    newest = max(responses.values(), key=lambda items: items[0]["version"] if items else 0)
+    changes = newest[:count]
     rows = [
-        (item["version"], item["operator"], item["change_id"], describe_change(item["change"]))
+        (
+            item["version"],
+            item["time"],
+            item["operator"],
+            item["change_id"],
+            describe_change(item.get("change")),
+        )
         for item in changes
     ]
-    table = format_table(("version", "operator", "change", "what"), rows)
-    return CommandResult({**value, "changes": changes}, table)
+    table = format_table(("version", "time", "operator", "change", "what"), rows)
+    return CommandResult(changes, table)
 
 
-def describe_change(change: dict) -> str:
-    """Return kind and name of a change."""
+def describe_change(change: dict | None) -> str:
+    """Return kind and name of a change; not every control process keeps its content."""
+    if change is None:
+        return "-"
     name = change["entry"]["name"] if "entry" in change else change["name"]
     return f"{change['type']} {name}"
--- a/camphorspread/process/command/catalogue_change.py
+++ b/camphorspread/process/command/catalogue_change.py
@@ -14,17 +14,19 @@
 from camphorspread.process.command.operator import Operator, UnreachableError
 from camphorspread.process.command.output import FAILURE, CommandResult
 from camphorspread.process.command.wait import wait_until_in_effect
+from camphorspread.process.settings import FleetSettings
 from camphorspread.version.catalogue import DrainEntry, DrainKind
 from camphorspread.version.changes import Change, PutDrain, RemoveDrain, entry_version
 from camphorspread.version.codec import decode_catalogue, decode_change_request, encode
 
 __all__ = ["ChangeOptions", "apply_changes", "drain", "read_change_file", "send_change", "undrain"]
 
-SEND_LIMIT = timedelta(seconds=2)
+# A replica answers within 5 s, forwarding to the leader included.
+SEND_LIMIT = timedelta(seconds=5)
 RESEND_INTERVAL = timedelta(milliseconds=300)
 # An election takes up to 2.4 s; the rounds cover it with the time limits of single calls.
 ROUNDS = 12
-RETRIED_ERRORS = frozenset({"not_leader", "no_quorum"})
+RETRIED_ERRORS = frozenset({"not_leader", "no_quorum", "disk_full"})
 
 
 @attrs.frozen
@@ -131,7 +133,7 @@
             error = response.value.get("error") if isinstance(response.value, dict) else None
             if error not in RETRIED_ERRORS:
                 return response
-            move_to_front(order, find_leader(response.value), attempt + 1)
+            move_to_front(order, find_leader(response.value, operator.fleet), attempt + 1)
         if (attempt + 1) % len(order) == 0:
             await asyncio.sleep(RESEND_INTERVAL.total_seconds())
     raise UnreachableError(
@@ -140,9 +142,10 @@
     )
 
 
-def find_leader(value: dict) -> str | None:
-    """Return the VM of the leader that a replica names."""
-    return value.get("leader") or value.get("limit")
+def find_leader(value: dict, fleet: FleetSettings) -> str | None:
+    """Return the VM of the leader whose operators' listener a replica names."""
+    address = value.get("value")
+    return next((item.vm for item in fleet.replicas if str(item.operators) == address), None)
 
 
 def move_to_front(order: list[str], leader: str | None, next_attempt: int) -> None:
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -145,7 +145,7 @@
     show = add_fleet_command(actions, "show", "show one entry")
     show.add_argument("kind", choices=ENTRY_KINDS)
     show.add_argument("name", help="name; of a drain KIND/NAME")
-    history = add_fleet_command(actions, "history", "list accepted changes, the newest last")
+    history = add_fleet_command(actions, "history", "list accepted changes, the newest first")
     history.add_argument("--count", type=bounded_int(1, 1000), default=20, help="default: 20")
     apply = add_fleet_command(actions, "apply", "send a change or a whole catalogue file")
     apply.add_argument("file", type=Path, help="change request, change or catalogue file")
--- a/camphorspread/process/command/status.py
+++ b/camphorspread/process/command/status.py
@@ -24,7 +24,7 @@
         entry: Status of entry processes by VM.
         entry_vms: Names of all entry VMs; one without status is unreachable.
     """
-    leaders = [vm for vm, value in sorted(control.items()) if value["is_leader"]]
+    leaders = [vm for vm, value in sorted(control.items()) if value["role"] == "leader"]
     newest = max((value["version"] for value in control.values()), default=None)
     lagging = [
         vm
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -8,7 +8,7 @@
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.network import Listener
 from camphorspread.connection.server import Exchange, HttpServer
-from camphorspread.process.control_operators import describe_acknowledgements, describe_history
+from camphorspread.process.control_records import describe_acknowledgements, describe_history
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -84,8 +84,7 @@
         case b"GET", b"/v1/catalogue":
             await exchange.respond_json(200, encode(state.catalogue))
         case b"GET", b"/v1/catalogue/history":
-            value = describe_history(state.records, state.catalogue.version)
-            await exchange.respond_json(200, value)
+            await exchange.respond_json(200, describe_history(state.records))
         case b"GET", b"/v1/acknowledgements":
             await exchange.respond_json(200, describe_acknowledgements(state.records))
         case b"GET", b"/v1/status":
@@ -100,9 +99,8 @@
     """Return the status of this control process."""
     return {
         "vm": state.settings.place.vm,
-        "role": "control",
+        "role": "leader" if state.view.is_leader else "follower",
         "version": state.catalogue.version,
-        "is_leader": state.view.is_leader,
         "leader": state.view.leader,
     }
 
--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_records.py
@@ -1,4 +1,4 @@
-"""What a control process tells operators: status, history and acknowledgements."""
+"""What a control process has seen since its start: accepted changes and acknowledgements."""
 
 from collections import deque
 from datetime import timedelta
@@ -36,8 +36,8 @@
 
     def accept(self, version: int, request: ChangeRequest) -> None:
         """Record an accepted change."""
-        at = self.clock.wall().isoformat(timespec="milliseconds")
-        self.changes.append({"version": version, "at": at, **encode(request)})
+        time = self.clock.wall().isoformat(timespec="milliseconds")
+        self.changes.append({"version": version, "time": time, **encode(request)})
 
 
 def describe_acknowledgements(records: ControlRecords) -> dict[str, object]:
@@ -56,6 +56,6 @@
     }
 
 
-def describe_history(records: ControlRecords, version: int) -> dict[str, object]:
-    """Return the newest accepted changes, the newest last."""
-    return {"version": version, "changes": list(records.changes)}
+def describe_history(records: ControlRecords) -> list[dict[str, object]]:
+    """Return the newest accepted changes, the newest first."""
+    return list(reversed(records.changes))
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -8,7 +8,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
-from camphorspread.process.control_operators import ControlRecords
+from camphorspread.process.control_records import ControlRecords
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
--- a/camphorspread/process/observer.py
+++ b/camphorspread/process/observer.py
@@ -61,6 +61,7 @@
         kind: Kind of the request.
         span: Span of the request, from its head to the end of its response.
         caller_zone: Availability zone nearest to the caller.
+        is_passed: True if another entry VM passed the request here.
         attempt: Span of the attempt in flight.
         endpoint: The last endpoint tried.
         chosen_vm: The VM that the last attempt was sent to, if it wasn't an endpoint.
@@ -72,6 +73,7 @@
     kind: RequestKind
     span: trace.Span
     caller_zone: str
+    is_passed: bool = False
     attempt: trace.Span | None = None
     endpoint: str = ""
     chosen_vm: str = ""
@@ -132,9 +134,13 @@
     service: str,
     target: str,
     caller_zone: str,
+    is_passed: bool = False,
 ) -> Iterator[None]:
     """Observe a steered request from its head to the end of its response.
 
+    A request that another entry VM passed here gets a span and a decision record, but isn't
+    counted again.
+
     Args:
         observer: Keeps what was observed.
         exchange: The caller's exchange.
@@ -142,6 +148,7 @@
         service: Name of the service.
         target: Path and query below the service.
         caller_zone: Availability zone nearest to the caller.
+        is_passed: True if another entry VM passed the request here.
     """
     entry = catalogue.find_service(service) if catalogue else None
     # Names that the catalogue doesn't have share one label, which bounds the number of labels.
@@ -149,13 +156,16 @@
     kind = classify_request(entry, exchange, target) if entry else RequestKind.OTHER
     start = observer.clock.monotonic()
     span = observer.tracer.start_span(
-        "request",
+        "passed_request" if is_passed else "request",
         context=read_parent(exchange.head.headers),
         start_time=to_nanoseconds(observer.clock.wall()),
         attributes={"service": label, "kind": kind.value},
     )
-    observed = observer.requests[exchange] = ObservedRequest(label, kind, span, caller_zone)
-    observer.metrics.start_request(label)
+    observed = observer.requests[exchange] = ObservedRequest(
+        label, kind, span, caller_zone, is_passed
+    )
+    if not is_passed:
+        observer.metrics.start_request(label)
     try:
         yield
     finally:
@@ -179,18 +189,19 @@
         error = "response_incomplete"
     reason = (refusal.reason if refusal else observed.reason).value
     is_complete = exchange.is_complete and refusal is None
-    served = ServedRequest(
-        observed.service,
-        observed.kind,
-        time_spent,
-        promised,
-        is_complete,
-        error,
-        reason,
-        exchange.received_bytes,
-        exchange.sent_bytes,
-    )
-    record_request(observer.metrics, served)
+    if not observed.is_passed:
+        served = ServedRequest(
+            observed.service,
+            observed.kind,
+            time_spent,
+            promised,
+            is_complete,
+            error,
+            reason,
+            exchange.received_bytes,
+            exchange.sent_bytes,
+        )
+        record_request(observer.metrics, served)
     observed.span.set_attributes(
         {"reason": reason, "error": error, "status": exchange.status, "complete": is_complete}
     )
--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -50,11 +50,12 @@
 
   @fixture.virtual_loop
   Scenario: A lost response and a change of leader apply the change once
-    Given three control processes of which the first is down and the third leads
+    Given three control processes of which the first follows, the second is down and the third leads
     And the leader loses its first response
     When the operator sends a change
-    Then the leader received the change 2 times with one change identifier
-    And the first control process was skipped with a note
+    Then the first control process was asked first and the leader that it named second
+    And the leader received the change 2 times with one change identifier
+    And the second control process was skipped with a note
 
   Scenario: A VM that lags is told from one that is isolated
     When acknowledgements of version 7 are merged
