--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -105,6 +105,7 @@
 
     async def lead(exchange):
         context.received.append(await exchange.read_json())
+        context.asked += [note.split()[0] for note in context.notes if "b" not in context.asked]
         context.asked.append("c")
         if context.lost_responses:
             context.lost_responses -= 1
