--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -12,7 +12,7 @@
 from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
-__all__ = ["encode_lookup_response", "handle_caller"]
+__all__ = ["encode_lookup_response", "find_place", "handle_caller"]
 
 STEER_PREFIX = "/s/"
 
--- a/camphorspread/process/command/commands.py
+++ b/camphorspread/process/command/commands.py
@@ -125,6 +125,7 @@
     as_json: bool
     service: str
     request: str
+    caller: str
 
 
 @attrs.frozen
--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -81,8 +81,8 @@
             work = partial(catalogue_change.undrain, kind=kind, name=name, options=options)
         case commands.Status():
             work = show_status
-        case commands.Explain(service=service, request=request):
-            work = partial(explain, service=service, request=request)
+        case commands.Explain(service=service, request=request, caller=caller):
+            work = partial(explain, service=service, request=request, caller=caller)
         case commands.Report():
             work = show_report
     return run_operator_command(command.target, command.as_json, work)
--- a/camphorspread/process/command/explain.py
+++ b/camphorspread/process/command/explain.py
@@ -8,15 +8,18 @@
 __all__ = ["explain"]
 
 
-async def explain(operator: Operator, service: str, request: str) -> CommandResult:
+async def explain(
+    operator: Operator, service: str, request: str, caller: str = ""
+) -> CommandResult:
     """Ask all entry VMs for their decisions about a service or one request.
 
     Args:
         operator: Reaches the fleet.
         service: Name of a service; empty for all.
         request: Identifier of a request, which is its trace identifier; empty for all.
+        caller: IP number of a caller; empty for all.
     """
-    query = urlencode({"service": service, "request": request})
+    query = urlencode({"service": service, "request": request, "address": caller})
     responses = await operator.ask_all(operator.fleet.entry_vms, f"/v1/explain?{query}")
     lines = []
     for vm, value in sorted(responses.items()):
@@ -29,11 +32,12 @@
 
 
 def describe_lookup(vm: str, lookup: dict) -> list[str]:
-    """Return one line for each target that a caller near the VM gets."""
+    """Return one line for each target of the lookup response."""
     if "error" in lookup:
         return [f"{vm}: lookups of {lookup['service']} are refused: {lookup['message']}"]
     return [
-        f"{vm}: lookups of {lookup['service']} name {item['vm']} because of {item['reason']}"
+        f"{vm}: lookups of {lookup['service']} from {lookup['caller_availability_zone']} name "
+        f"{item['vm']} because of {item['reason']}"
         for item in lookup["targets"]
     ]
 
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -54,6 +54,15 @@
         raise argparse.ArgumentTypeError(f"{text!r}; allowed: IP:PORT") from exc
 
 
+def read_ip_number(text: str) -> str:
+    """Read an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: an IP number") from exc
+    return text
+
+
 def bounded_int(low: int, high: int):
     """Return a reader of whole numbers within bounds, both included."""
 
@@ -113,6 +122,7 @@
     explain = add_fleet_command(commands, "explain", "explain where lookups and requests went")
     explain.add_argument("--service", default="", help="name of a service")
     explain.add_argument("--request", default="", help="trace identifier of a request")
+    explain.add_argument("--caller", type=read_ip_number, help="IP number of a caller")
     add_fleet_command(commands, "report", "print the report for the bookkeeper")
     add_load_command(commands)
     fleet = commands.add_parser("local-fleet", help="run a small fleet on loopback")
@@ -209,9 +219,9 @@
         case "status":
             return Status(read_target(args), args.json)
         case "explain":
-            if not args.service and not args.request:
-                parser.error("explain needs --service, --request or both")
-            return Explain(read_target(args), args.json, args.service, args.request)
+            if not (args.service or args.request or args.caller):
+                parser.error("explain needs --service, --request or --caller")
+            return Explain(read_target(args), args.json, args.service, args.request, args.caller)
         case "report":
             return Report(read_target(args), args.json)
         case "load":
--- a/camphorspread/process/decisions.py
+++ b/camphorspread/process/decisions.py
@@ -60,18 +60,25 @@
         self.records.append(record)
 
     def find(
-        self, service: str = "", request_id: str = "", count: int = SHOWN_RECORDS
+        self,
+        service: str = "",
+        request_id: str = "",
+        caller: str = "",
+        count: int = SHOWN_RECORDS,
     ) -> list[DecisionRecord]:
         """Return the newest matching records, the newest last.
 
         Args:
             service: Name of a service; empty for all.
             request_id: Identifier of a request; empty for all.
+            caller: IP number of a caller; empty for all.
             count: How many records at most.
         """
         found = [
             record
             for record in self.records
-            if service in ("", record.service) and request_id in ("", record.request_id)
+            if service in ("", record.service)
+            and request_id in ("", record.request_id)
+            and caller in ("", record.caller)
         ]
         return found[-count:]
--- a/camphorspread/process/operator_listener.py
+++ b/camphorspread/process/operator_listener.py
@@ -1,5 +1,6 @@
 """The operators' listener of an entry process: status, explain, report and metrics."""
 
+import ipaddress
 from datetime import timedelta
 from urllib.parse import parse_qs, urlsplit
 
@@ -9,12 +10,14 @@
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.messages import ResponseHead
 from camphorspread.connection.server import Exchange
-from camphorspread.process.caller_listener import encode_lookup_response
+from camphorspread.process.caller_listener import encode_lookup_response, find_place
+from camphorspread.process.client_blocks import get_block
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.metrics import format_metrics
 from camphorspread.process.report import make_report
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupQuery, Place, resolve_lookup
+from camphorspread.version.catalogue import Catalogue
 
 __all__ = ["handle_entry_operator"]
 
@@ -35,8 +38,7 @@
             await exchange.respond_json(200, describe_status(state))
         case b"GET", "/v1/explain":
             query = {name: values[0] for name, values in parse_qs(url.query).items()}
-            value = describe_decisions(state, query.get("service", ""), query.get("request", ""))
-            await exchange.respond_json(200, value)
+            await serve_explanation(state, exchange, query)
         case b"GET", "/v1/report":
             await exchange.respond_json(200, describe_report(state))
         case b"GET", "/metrics":
@@ -90,29 +92,55 @@
     }
 
 
-def describe_decisions(state: EntryState, service: str, request_id: str) -> dict[str, object]:
-    """Return matching decision records and what a lookup near this VM gets."""
-    records = state.observer.decisions.find(service, request_id)
+async def serve_explanation(state: EntryState, exchange: Exchange, query: dict[str, str]) -> None:
+    """Serve `GET /v1/explain?service=&request=&address=`, each of which may be missing."""
+    service, request_id = query.get("service", ""), query.get("request", "")
+    address = query.get("address", "")
+    if address and not is_ip_number(address):
+        message = f"address is {address!r}; allowed: an IP number"
+        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
+        return
+    records = state.observer.decisions.find(service, request_id, address)
     lookup = None
     if service and not request_id and state.catalogue is not None:
-        own = state.fleet.own
-        place = Place(own.availability_zone, own.region)
-        query = LookupQuery(service, place, OWN_BLOCK)
-        match resolve_lookup(state.catalogue, state.fleet, query, state.shift_plan):
-            case Success(response):
-                lookup = encode_lookup_response(response)
-            case Failure(refusal):
-                lookup = {
-                    "service": service,
-                    "error": refusal.kind.value,
-                    "reason": refusal.reason.value,
-                    "message": refusal.message,
-                }
-    return {
+        lookup = describe_lookup(state, state.catalogue, service, address)
+    value = {
         "vm": state.settings.place.vm,
         "lookup": lookup,
         "decisions": [attrs.asdict(record) for record in records],
     }
+    await exchange.respond_json(200, value)
+
+
+def is_ip_number(text: str) -> bool:
+    """Return True if the text is an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def describe_lookup(
+    state: EntryState, catalogue: Catalogue, service: str, address: str
+) -> dict[str, object]:
+    """Return what a lookup gets from a caller with an address, or from one near this VM."""
+    if address:
+        query = LookupQuery(service, find_place(state, address), get_block(address))
+    else:
+        own = state.fleet.own
+        query = LookupQuery(service, Place(own.availability_zone, own.region), OWN_BLOCK)
+    match resolve_lookup(catalogue, state.fleet, query, state.shift_plan):
+        case Success(response):
+            found = encode_lookup_response(response)
+        case Failure(refusal):
+            found = {
+                "service": service,
+                "error": refusal.kind.value,
+                "reason": refusal.reason.value,
+                "message": refusal.message,
+            }
+    return {**found, "caller_availability_zone": query.place.availability_zone}
 
 
 def describe_report(state: EntryState) -> dict[str, object]:
--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -17,7 +17,8 @@
       | status                                                        | 2    | one of the arguments --settings --fleet    |
       | status --settings FOLDER/entry.json --fleet FOLDER/list.json  | 2    | not allowed with argument                  |
       | status --fleet FOLDER/list.json                               | 2    | allowed: an object                         |
-      | explain --settings FOLDER/entry.json                          | 2    | explain needs --service, --request or both |
+      | explain --settings FOLDER/entry.json                          | 2    | explain needs --service, --request or --caller |
+      | explain --settings FOLDER/entry.json --caller here            | 2    | allowed: an IP number |
       | catalogue                                                     | 2    | the following arguments are required       |
       | catalogue show --settings FOLDER/entry.json vm a              | 2    | invalid choice: 'vm'                       |
       | catalogue drain --settings FOLDER/entry.json rack a           | 2    | invalid choice: 'rack'                     |
@@ -41,6 +42,7 @@
     Then the operator's command ended with code 0 and text "version 3 is in effect everywhere"
     When the operator's command explains "status-svc"
     Then no target of the explanation is "sofia-a-1"
+    And the explanation for the caller "198.51.100.7" names the availability zone "sofia-a" at "sofia-a-1"
     When the operator's command shows the history
     Then the operator's command ended with code 0 and text "PutDrain sofia-a-1"
     When the operator's command takes the drain of "sofia-a-1" back
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -92,6 +92,13 @@
         assert vm not in targets, value
 
 
+@then('the explanation for the caller "{caller}" names the availability zone "{zone}" at "{vm}"')
+def step_explain_caller(context, caller, zone, vm):
+    run_on_fleet(context, lambda operator: explain(operator, "status-svc", "", caller))
+    found = context.result.value[vm]["lookup"]["caller_availability_zone"]
+    assert found == zone, context.result.value
+
+
 @given("three control processes of which the first follows, the second is down and the third leads")
 def step_start_controls(context):
     network = MemoryNetwork(lambda _source, _target: 0.001)
