--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -221,7 +221,9 @@
         case "explain":
             if not (args.service or args.request or args.caller):
                 parser.error("explain needs --service, --request or --caller")
-            return Explain(read_target(args), args.json, args.service, args.request, args.caller)
+            return Explain(
+                read_target(args), args.json, args.service, args.request, args.caller or ""
+            )
         case "report":
             return Report(read_target(args), args.json)
         case "load":
--- a/features/process/binary.feature
+++ b/features/process/binary.feature
@@ -8,5 +8,6 @@
     When the built file runs a control process and an entry process
     Then each of them is one process with one thread
     And the entry process runs catalogue version 7 once the built file has applied the example
+    And the built file explains the service "status-svc" and prints the report
     And each of them ends with code 0 after SIGTERM
     And the program was extracted below the working directory only
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -105,6 +105,17 @@
     assert f"version {version} is in effect everywhere" in output, output
 
 
+@then('the built file explains the service "{service}" and prints the report')
+def step_explain(context, service):
+    for command, text in (
+        (["explain", "--service", service], f"lookups of {service} from sofia-a name {VM}"),
+        (["report"], f"{service}, owner "),
+    ):
+        code, output = wait_for_exit(start(context, *command, "--settings", context.paths[1]))
+        assert code == 0, output
+        assert text in output, output
+
+
 @then("each of them ends with code {code:d} after SIGTERM")
 def step_stop_nodes(context, code):
     for node in reversed(context.nodes):
