--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -44,7 +44,7 @@
     Then no target of the explanation is "sofia-a-1"
     And the explanation for the caller "198.51.100.7" names the availability zone "sofia-a" at "sofia-a-1"
     When the operator's command shows the history
-    Then the operator's command ended with code 0 and text "PutDrain sofia-a-1"
+    Then the operator's command ended with code 0 and text "3        2026-01-01T00:00:01"
     When the operator's command takes the drain of "sofia-a-1" back
     Then the operator's command ended with code 0 and text "accepted as version 4"
     When the operator's command asks for the status
