--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -46,18 +46,34 @@
             from camphorspread.process.command.version import show_version
 
             return show_version(as_json)
-        case command:
-            return run_for_operator(command)
+        case commands.Status() | commands.Explain() | commands.Report():
+            return run_fleet_command(command)
+        case _:
+            return run_catalogue_command(command)
 
 
-def run_for_operator(command: commands.Command) -> int:
-    """Run a command that asks processes of the fleet."""
-    from camphorspread.process.command import catalogue, catalogue_change
+def run_fleet_command(command: commands.Status | commands.Explain | commands.Report) -> int:
+    """Run a command that asks all processes of the fleet."""
     from camphorspread.process.command.explain import explain
     from camphorspread.process.command.operator import run_operator_command
     from camphorspread.process.command.report import show_report
     from camphorspread.process.command.status import show_status
 
+    match command:
+        case commands.Status():
+            work = show_status
+        case commands.Explain(service=service, request=request, caller=caller):
+            work = partial(explain, service=service, request=request, caller=caller)
+        case commands.Report():
+            work = show_report
+    return run_operator_command(command.target, command.as_json, work)
+
+
+def run_catalogue_command(command: commands.Command) -> int:
+    """Run a command that reads or changes the catalogue."""
+    from camphorspread.process.command import catalogue, catalogue_change
+    from camphorspread.process.command.operator import run_operator_command
+
     match command:
         case commands.CatalogueList():
             work = catalogue.list_catalogue
@@ -79,10 +95,4 @@
             )
         case commands.CatalogueUndrain(kind=kind, name=name, options=options):
             work = partial(catalogue_change.undrain, kind=kind, name=name, options=options)
-        case commands.Status():
-            work = show_status
-        case commands.Explain(service=service, request=request, caller=caller):
-            work = partial(explain, service=service, request=request, caller=caller)
-        case commands.Report():
-            work = show_report
     return run_operator_command(command.target, command.as_json, work)
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -216,16 +216,8 @@
             return CheckCatalogue(args.file)
         case "catalogue":
             return make_catalogue_command(args)
-        case "status":
-            return Status(read_target(args), args.json)
-        case "explain":
-            if not (args.service or args.request or args.caller):
-                parser.error("explain needs --service, --request or --caller")
-            return Explain(
-                read_target(args), args.json, args.service, args.request, args.caller or ""
-            )
-        case "report":
-            return Report(read_target(args), args.json)
+        case "status" | "explain" | "report":
+            return make_fleet_command(parser, args)
         case "load":
             return make_load_command(args)
         case "local-fleet":
@@ -239,6 +231,19 @@
     return Target(args.settings, args.fleet)
 
 
+def make_fleet_command(parser: argparse.ArgumentParser, args: argparse.Namespace) -> Command:
+    """Return the command that asks all processes of the fleet."""
+    target = read_target(args)
+    match args.command:
+        case "status":
+            return Status(target, args.json)
+        case "report":
+            return Report(target, args.json)
+    if not (args.service or args.request or args.caller):
+        parser.error("explain needs --service, --request or --caller")
+    return Explain(target, args.json, args.service, args.request, args.caller or "")
+
+
 def make_catalogue_command(args: argparse.Namespace) -> Command:
     """Return the command of a `catalogue` action."""
     target = read_target(args)
