--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -46,9 +46,9 @@
             from camphorspread.process.command.version import show_version
 
             return show_version(as_json)
-        case commands.Status() | commands.Explain() | commands.Report():
+        case commands.Status() | commands.Explain() | commands.Report() as command:
             return run_fleet_command(command)
-        case _:
+        case command:
             return run_catalogue_command(command)
 
 
