--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -7,11 +7,12 @@
 from camphorspread.connection.server import Exchange
 from camphorspread.process.client_blocks import find_site, get_block
 from camphorspread.process.entry_state import EntryState
+from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
-__all__ = ["encode_lookup_response", "handle_caller"]
+__all__ = ["encode_lookup_response", "find_place", "handle_caller"]
 
 STEER_PREFIX = "/s/"
 
@@ -26,7 +27,9 @@
         service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
         rest = target.removeprefix(STEER_PREFIX + service) or "/"
         rest = rest if rest.startswith("/") else "/" + rest
-        await steer_request(state, exchange, service, rest.encode())
+        zone = find_place(state, exchange.peer.host).availability_zone
+        with observe_request(state.observer, exchange, state.catalogue, service, rest, zone):
+            await steer_request(state, exchange, service, rest.encode())
     else:
         await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
@@ -50,6 +53,14 @@
             await exchange.respond_json(200, encode_lookup_response(response))
         case Failure(refusal):
             await refuse(state, exchange, refusal)
+    count_lookup(state, exchange, service)
+
+
+def count_lookup(state: EntryState, exchange: Exchange, service: str) -> None:
+    """Count a lookup; names that the catalogue doesn't have share one label."""
+    is_known = state.catalogue is not None and service in state.catalogue.services
+    label = service if is_known else "(unknown)"
+    state.observer.metrics.lookups[(label, exchange.status)] += 1
 
 
 def find_place(state: EntryState, address: str) -> Place:
