--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -1,6 +1,7 @@
 """The server side of HTTP/1.1 connections."""
 
 import asyncio
+import contextlib
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -48,7 +49,17 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a server connection and its response."""
+    """One request on a server connection and its response.
+
+    Attributes:
+        response_started: True once the head of the response may have left.
+        aborted: True once the connection was reset.
+        status: Status of the response; 0 before its head.
+        is_complete: True once the whole response was sent.
+        refusal: The refusal that was sent, or that reset the connection.
+        received_bytes: Body bytes received.
+        sent_bytes: Body bytes sent.
+    """
 
     head: RequestHead
     peer: Address
@@ -58,6 +69,11 @@
     response_started: bool = False
     aborted: bool = False
     is_last: bool = False
+    status: int = 0
+    is_complete: bool = False
+    refusal: Refusal | None = None
+    received_bytes: int = 0
+    sent_bytes: int = 0
 
     @property
     def has_whole_body(self) -> bool:
@@ -79,6 +95,7 @@
             match event:
                 case h11.Data(data=data):
                     if data:
+                        self.received_bytes += len(data)
                         return bytes(data)
                 case h11.EndOfMessage():
                     return b""
@@ -117,16 +134,19 @@
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
         self.response_started = True
+        self.status = head.status
         headers = [*head.headers, *self._closing_headers()]
         await self._send(h11.Response(status_code=head.status, headers=headers))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
         await self._send(h11.Data(data=data))
+        self.sent_bytes += len(data)
 
     async def finish(self) -> None:
         """End the response."""
         await self._send(h11.EndOfMessage())
+        self.is_complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the response can't look complete."""
@@ -139,11 +159,14 @@
         headers = [*head.headers, length, *self._closing_headers()]
         event = h11.Response(status_code=head.status, headers=headers)
         self.response_started = True
+        self.status = head.status
         parts = [self.state.send(event)]
         if body and self.head.method != b"HEAD":
             parts.append(self.state.send(h11.Data(data=body)))
         parts.append(self.state.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
+        self.sent_bytes += len(body)
+        self.is_complete = True
 
     async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
         """Send a whole response as JSON."""
@@ -153,6 +176,7 @@
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send the response that belongs to the refusal's error kind."""
+        self.refusal = refusal
         response = refusal.response
         headers = (
             (b"camphorspread-error", refusal.kind.value.encode()),
@@ -241,11 +265,23 @@
 async def refuse_or_abort(exchange: Exchange, refusal: Refusal) -> None:
     """Send a refusal, or reset the connection if a response has begun."""
     if exchange.response_started:
+        exchange.refusal = refusal
         exchange.abort()
     else:
         await exchange.refuse(refusal)
 
 
+def read_end_of_request(state: h11.Connection) -> None:
+    """Read the end of a request without a body, so that its connection can carry the next one.
+
+    A handler that needs no body doesn't read it. Without this step the connection would be closed
+    although the response didn't say so, and the next request on it would be lost.
+    """
+    if state.their_state is h11.SEND_BODY and not state.they_are_waiting_for_100_continue:
+        with contextlib.suppress(h11.RemoteProtocolError):
+            state.next_event()
+
+
 @attrs.define(eq=False)
 class HttpServer:
     """Serves exchanges on streams, one after the other on each connection.
@@ -298,6 +334,7 @@
             await self._handle(exchange)
             if exchange.aborted or exchange.is_last or state.our_state is h11.MUST_CLOSE:
                 return
+            read_end_of_request(state)
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
             state.start_next_cycle()
--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -1,6 +1,7 @@
 """`camphorspread run`: run one node from its settings file."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -14,6 +15,7 @@
 from camphorspread.connection.network import TcpNetwork
 from camphorspread.connection.pool import ConnectionPool
 from camphorspread.process.clock import SystemClock
+from camphorspread.process.command.output import FAILURE, SUCCESS, print_faults
 from camphorspread.process.control_node import run_control_node
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.entry_node import run_entry_node
@@ -28,14 +30,22 @@
     """Run the node that the settings file describes; return the exit code."""
     match read_settings(path):
         case Failure(faults):
-            print("\n".join(faults), file=sys.stderr)
-            return 2
+            return print_faults(faults)
         case Success(settings):
-            return asyncio.run(run_until_signal(settings))
+            pass
+    try:
+        return asyncio.run(run_until_signal(settings))
+    except OSError as exc:
+        print(f"the process stops: {exc}", file=sys.stderr)
+        return FAILURE
 
 
 async def run_until_signal(settings: Settings) -> int:
-    """Run a node until it has ended after SIGTERM or SIGINT; return the exit code."""
+    """Run a node until it has ended after SIGTERM or SIGINT; return the exit code.
+
+    Raises:
+        OSError: A listener can't be opened.
+    """
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
     access_key = read_access_key(Path(settings.access_key_file))
@@ -48,8 +58,9 @@
             control = ControlState(settings, clock, network, log, rng, link, access_key)
             node = asyncio.create_task(run_control_node(control))
     handle_signals(node.cancel)
-    await asyncio.gather(node, return_exceptions=True)
-    return 0
+    with contextlib.suppress(asyncio.CancelledError):
+        await node
+    return SUCCESS
 
 
 def handle_signals(handle: Callable[[], object]) -> None:
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -15,6 +15,7 @@
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.process.peer_listener import handle_peer
 from camphorspread.request.errors import Refusal
 
@@ -32,7 +33,7 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers, peers.
+        listeners: Its open listeners: callers, backend servers, peers, operators.
         tasks: Its periodic tasks.
         watch: Its drain.
     """
@@ -68,10 +69,12 @@
     callers = make_server(state, handle_caller)
     backend_servers = make_server(state, handle_backend_server)
     peers = make_server(state, handle_peer)
+    operators = make_server(state, handle_entry_operator)
     listeners = (
         await state.network.listen(state.settings.callers, callers.serve),
         await state.network.listen(state.settings.backend_servers, backend_servers.serve),
         await state.network.listen(state.settings.peers, peers.serve),
+        await state.network.listen(state.settings.operators, operators.serve),
     )
     watch = DrainWatch(state, (callers, peers), asyncio.get_running_loop().create_future())
     tasks = (
@@ -118,7 +121,12 @@
         finally:
             state.requests_in_flight -= 1
 
-    return HttpServer(count, on_refused=log_refusal, on_failed=log_failure)
+    return HttpServer(
+        count,
+        state.settings.limits.connection_limits(),
+        on_refused=log_refusal,
+        on_failed=log_failure,
+    )
 
 
 async def expire_periodically(state: EntryState) -> None:
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -15,6 +15,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.ledger import Ending, Ledger
+from camphorspread.process.observer import Observer, make_observer
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.shift import ShiftPlan
 from camphorspread.request.lookup import Place
@@ -41,6 +42,7 @@
         link: Messages to other processes.
         catalogue: The catalogue in force, or None before the first poll.
         fleet: Known entry VMs.
+        observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
         incarnation: Differs after each start of the process.
         started: Instant of the start.
@@ -68,6 +70,7 @@
     link: JsonLink
     fleet: FleetView
     ledger: Ledger
+    observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
     incarnation: str = ""
@@ -118,7 +121,8 @@
     incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     home = HomeIdentity(place.availability_zone, place.vm, incarnation)
     ledger = Ledger(home, started)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, ledger)
+    observer = make_observer(settings, clock, incarnation)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, ledger, observer)
     state.incarnation = incarnation
     state.started = started
     load_client_blocks(state)
--- a/camphorspread/process/local_fleet.py
+++ b/camphorspread/process/local_fleet.py
@@ -74,6 +74,7 @@
                 self.address(number, CALLERS_PORT),
                 self.address(number, PEERS_PORT),
                 self.address(number, BACKENDS_PORT),
+                operators=self.address(number, OPERATORS_PORT),
             )
             for number, place in enumerate(PLACES)
         )
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -7,7 +7,7 @@
 import attrs
 
 from camphorspread.connection.link import JsonLink, LinkError
-from camphorspread.connection.messages import ResponseHead, find_header
+from camphorspread.connection.messages import RequestHead, ResponseHead, find_header
 from camphorspread.connection.network import Address, Listener, Network
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import encode_announcement
@@ -45,6 +45,7 @@
         started: Method, path and once key of each request, in the order of arrival.
         served: Method and path of each request, in the order of their ends.
         choice: The entry VM that it announces to.
+        heads: Head of each request, in order.
     """
 
     announcement: Announcement
@@ -55,6 +56,7 @@
     most_busy: int = 0
     started: list[str] = attrs.field(factory=list)
     served: list[str] = attrs.field(factory=list)
+    heads: list[RequestHead] = attrs.field(factory=list)
     sequence: int = 0
     choice: OwnerChoice = attrs.field(init=False)
 
@@ -64,6 +66,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request with its size."""
+        self.heads.append(exchange.head)
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
         request = f"{exchange.head.method.decode()} {exchange.head.target.decode()}"
