Admit requests at the owner of the endpoints, pass and retry them

The owner grants slots, region shares and shift shares from one queue ordered by class over all services. A waiting request is a future that a release resolves. Other entry VMs pass requests on with Expect: 100-continue, so that a refusal is provably not run.

TCP streams have their own bounded buffers, are reset with the linger option, and show unread bytes, so that a late response on a pooled connection isn't taken for the next one.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -10,7 +10,7 @@
 from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.connection.network import Address, Network, Stream
 
-__all__ = ["ClientConnection", "ResponseBrokenError", "open_connection"]
+__all__ = ["ClientConnection", "NotSentError", "ResponseBrokenError", "open_connection"]
 
 CONNECT_LIMIT = timedelta(seconds=1)
 CONTINUE_STATUS = 100
@@ -20,6 +20,10 @@
     """The response ended early, was reset, was no valid HTTP, or came without a request."""
 
 
+class NotSentError(Exception):
+    """The connection couldn't be used any more before the first byte of the request was sent."""
+
+
 @attrs.define(eq=False)
 class ClientConnection:
     """A connection that carries one request at a time.
@@ -40,33 +44,40 @@
         """Send the head of a request.
 
         Raises:
+            NotSentError: The other end has closed the connection or sent something unasked. A late
+                or crossed response would otherwise be taken for the response to this request.
             ConnectionError: The stream was reset.
         """
+        if not self.is_quiet:
+            raise NotSentError("the connection ended or carried bytes before the request")
         event = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
         data = self.state.send(event)
         self.head_sent.set()
         await self.stream.write(data)
 
     async def send_body(self, data: bytes) -> None:
-        """Send a part of the request body."""
-        encoded = self.state.send(h11.Data(data=data))
-        if encoded:
-            await self.stream.write(encoded)
+        """Send a part of the request body.
+
+        Raises:
+            ConnectionError: The stream was reset, or took no byte within the progress limit.
+        """
+        await self._write(self.state.send(h11.Data(data=data)))
 
     async def finish_request(self) -> None:
         """End the request."""
-        encoded = self.state.send(h11.EndOfMessage())
-        if encoded:
-            await self.stream.write(encoded)
+        await self._write(self.state.send(h11.EndOfMessage()))
 
     async def read_head(self) -> ResponseHead:
         """Return the next response head; status 100 means that the body is wanted.
 
+        The wait isn't limited here, as the request's deadline limits it and a large upload may
+        take longer than the progress limit.
+
         Raises:
             ResponseBrokenError: The connection ended or broke the protocol.
         """
         while True:
-            match await self._next_event():
+            match await self._next_event(has_limit=False):
                 case h11.InformationalResponse(status_code=status, headers=headers):
                     if status == CONTINUE_STATUS:
                         return ResponseHead(status, tuple(headers))
@@ -102,11 +113,16 @@
                 case _:
                     raise ResponseBrokenError("the response was cut short")
 
+    @property
+    def is_quiet(self) -> bool:
+        """True if the stream is open and nothing has arrived that wasn't read."""
+        return not (self.stream.is_ended or self.stream.has_unread or self.state.trailing_data[0])
+
     @property
     def is_reusable(self) -> bool:
         """True if request and response both ended and nothing is left over."""
         done = self.state.our_state is h11.DONE and self.state.their_state is h11.DONE
-        return done and not self.state.trailing_data[0]
+        return done and self.is_quiet
 
     def start_next(self) -> None:
         """Make the connection ready for the next request."""
@@ -122,7 +138,18 @@
         """Reset the connection, which cancels the request at the other end."""
         self.stream.abort()
 
-    async def _next_event(self) -> object:
+    async def _write(self, data: bytes | None) -> None:
+        if not data:
+            return
+        try:
+            async with asyncio.timeout(self.limits.progress.total_seconds()):
+                await self.stream.write(data)
+        except TimeoutError as exc:
+            self.abort()
+            raise ConnectionResetError("the request made no progress") from exc
+
+    async def _next_event(self, has_limit: bool = True) -> object:
+        limit_s = self.limits.progress.total_seconds() if has_limit else None
         while True:
             try:
                 event = self.state.next_event()
@@ -131,7 +158,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                async with asyncio.timeout(self.limits.progress.total_seconds()):
+                async with asyncio.timeout(limit_s):
                     data = await self.stream.read()
             except TimeoutError as exc:
                 raise ResponseBrokenError("the response made no progress") from exc
--- a/camphorspread/connection/network.py
+++ b/camphorspread/connection/network.py
@@ -1,6 +1,8 @@
 """Byte streams between processes: the interface and its TCP implementation."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -8,7 +10,9 @@
 
 __all__ = ["Address", "Listener", "Network", "Stream", "StreamHandler", "TcpNetwork"]
 
-READ_BYTES = 65536
+# Receive buffer, parser and send buffer together hold at most 64 KiB of a relayed direction.
+READ_BYTES = 16384
+WRITE_BYTES = 16384
 
 
 @attrs.frozen(order=True)
@@ -34,6 +38,10 @@
     def is_ended(self) -> bool:
         """True if the other end is known to have closed the stream."""
 
+    @property
+    def has_unread(self) -> bool:
+        """True if bytes have arrived that weren't read."""
+
     async def read(self) -> bytes:
         """Return the next bytes, or `b""` at the end of the stream.
 
@@ -90,40 +98,128 @@
         """
 
 
-@attrs.define(eq=False)
-class TcpStream:
-    """A stream over TCP."""
-
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-    @property
-    def peer(self) -> Address:
-        """Address of the other end."""
-        name = self.writer.get_extra_info("peername") or ("", 0)
-        return Address(name[0], name[1])
+class TcpStream(asyncio.BufferedProtocol):
+    """A stream over TCP that holds at most `READ_BYTES` unread and `WRITE_BYTES` unsent bytes.
+
+    One call of `write` may go over the limit for unsent bytes and then waits for room.
+    """
+
+    def __init__(self, on_open: Callable[["TcpStream"], None] | None = None) -> None:
+        """Keep the function to call once the connection is open."""
+        self.on_open = on_open
+        self.space = memoryview(bytearray(READ_BYTES))
+        self.filled = 0
+        self.is_eof = False
+        self.is_lost = False
+        self.error: Exception | None = None
+        self.is_paused = False
+        self.changed: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open transport."""
+        self.transport: asyncio.Transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BYTES)
+        name = transport.get_extra_info("peername") or ("", 0)
+        self.peer = Address(name[0], name[1])
+        if self.on_open is not None:
+            self.on_open(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the free part of the receive buffer."""
+        return self.space[self.filled :]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes; a full buffer stops the receiving."""
+        self.filled += nbytes
+        if self.filled == READ_BYTES:
+            self.transport.pause_reading()
+        self.wake()
+
+    def eof_received(self) -> bool:
+        """Take the end of the stream; the other direction stays open."""
+        self.is_eof = True
+        self.wake()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the loss of the connection."""
+        self.is_lost = True
+        self.error = exc
+        self.wake()
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self.is_paused = True
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.is_paused = False
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader and the writer."""
+        if self.changed is not None:
+            self.changed.set_result(None)
+            self.changed = None
+
+    async def wait(self) -> None:
+        """Wait for the next change."""
+        if self.changed is None:
+            self.changed = asyncio.get_running_loop().create_future()
+        # The future is shared by reader and writer, so that cancelling one mustn't end the other.
+        await asyncio.shield(self.changed)
 
     @property
     def is_ended(self) -> bool:
         """True if the other end is known to have closed the stream."""
-        return self.reader.at_eof() or self.reader.exception() is not None
+        return self.is_eof or self.is_lost
+
+    @property
+    def has_unread(self) -> bool:
+        """True if bytes have arrived that weren't read."""
+        return self.filled > 0
 
     async def read(self) -> bytes:
         """Return the next bytes, or `b""` at the end of the stream."""
-        return await self.reader.read(READ_BYTES)
+        while not self.filled:
+            if self.error is not None:
+                raise ConnectionResetError("connection reset by peer") from self.error
+            if self.is_ended:
+                return b""
+            await self.wait()
+        data = bytes(self.space[: self.filled])
+        self.filled = 0
+        if len(data) == READ_BYTES and not self.is_lost:
+            self.transport.resume_reading()
+        return data
 
     async def write(self, data: bytes) -> None:
         """Send bytes and wait until the send buffer has room."""
-        self.writer.write(data)
-        await self.writer.drain()
+        self.check_open()
+        self.transport.write(data)
+        while self.is_paused:
+            await self.wait()
+            self.check_open()
+
+    def check_open(self) -> None:
+        """Raise an error if the connection is closed."""
+        if self.is_lost or self.transport.is_closing():
+            raise ConnectionResetError("the connection is closed")
 
     def close(self) -> None:
         """Close both directions after what was written has been sent."""
-        self.writer.close()
+        self.transport.close()
 
     def abort(self) -> None:
-        """Reset the stream."""
-        self.writer.transport.abort()
+        """Reset the stream.
+
+        Without the linger option the kernel sends a clean end, which would make a truncated
+        response to an HTTP/1.0 caller look complete.
+        """
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
 
 
 @attrs.define(eq=False)
@@ -154,23 +250,25 @@
 
 @attrs.define(eq=False)
 class TcpNetwork:
-    """TCP through asyncio streams."""
+    """TCP through asyncio transports."""
 
     async def connect(self, address: Address) -> Stream:
         """Open a TCP connection."""
-        reader, writer = await asyncio.open_connection(address.host, address.port)
-        return TcpStream(reader, writer)
+        loop = asyncio.get_running_loop()
+        _, stream = await loop.create_connection(TcpStream, address.host, address.port)
+        return stream
 
     async def listen(self, address: Address, handler: StreamHandler) -> Listener:
         """Listen on a TCP address."""
         tasks: set[asyncio.Task] = set()
 
-        def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            task = asyncio.create_task(handle_stream(handler, TcpStream(reader, writer)))
+        def accept(stream: TcpStream) -> None:
+            task = asyncio.create_task(handle_stream(handler, stream))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
 
-        server = await asyncio.start_server(accept, address.host, address.port)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: TcpStream(accept), address.host, address.port)
         return TcpListener(server, tasks)
 
 
--- a/camphorspread/connection/pool.py
+++ b/camphorspread/connection/pool.py
@@ -48,7 +48,7 @@
         now = self.clock.monotonic()
         while waiting:
             entry = waiting.pop()
-            if now - entry.since < IDLE_LIMIT and not entry.conn.stream.is_ended:
+            if now - entry.since < IDLE_LIMIT and entry.conn.is_quiet:
                 return entry.conn
             entry.conn.close()
         return await open_connection(self.network, address, self.limits)
@@ -59,6 +59,10 @@
             conn.abort()
             return
         conn.start_next()
+        self.release_unused(conn)
+
+    def release_unused(self, conn: ClientConnection) -> None:
+        """Keep a connection on which no request was sent since it was acquired."""
         waiting = self.idle.setdefault(conn.address, deque())
         if len(waiting) >= self.idle_per_address:
             waiting.popleft().conn.close()
--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -48,7 +48,13 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a server connection and its response."""
+    """One request on a server connection and its response.
+
+    Attributes:
+        response_started: True once a part of the response may have been sent.
+        aborted: True once the connection has been reset or can't carry another request.
+        is_body_read: True once a byte of the request body has been read.
+    """
 
     head: RequestHead
     peer: Address
@@ -57,10 +63,13 @@
     limits: ConnectionLimits
     response_started: bool = False
     aborted: bool = False
+    is_body_read: bool = False
 
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
 
+        A caller that waits for status 100 gets it here, once the body is wanted.
+
         Raises:
             CallerGoneError: The connection ended within the body.
             StalledError: No byte arrived within the progress limit.
@@ -73,6 +82,7 @@
             match event:
                 case h11.Data(data=data):
                     if data:
+                        self.is_body_read = True
                         return bytes(data)
                 case h11.EndOfMessage():
                     return b""
@@ -110,8 +120,9 @@
 
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
+        data = self.state.send(h11.Response(status_code=head.status, headers=list(head.headers)))
         self.response_started = True
-        await self._send(h11.Response(status_code=head.status, headers=list(head.headers)))
+        await self._write(data)
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -130,8 +141,8 @@
         """Send a whole response with a body of known length."""
         length = (b"content-length", b"%d" % len(body))
         event = h11.Response(status_code=head.status, headers=[*head.headers, length])
-        self.response_started = True
         parts = [self.state.send(event)]
+        self.response_started = True
         if body and self.head.method != b"HEAD":
             parts.append(self.state.send(h11.Data(data=body)))
         parts.append(self.state.send(h11.EndOfMessage()))
@@ -145,6 +156,8 @@
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send the response that belongs to the refusal's error kind."""
+        if self.state.our_state is h11.ERROR:
+            self._renew_state()
         response = refusal.response
         headers = (
             (b"camphorspread-error", refusal.kind.value.encode()),
@@ -170,8 +183,18 @@
             except ConnectionError:
                 return
             self.state.receive_data(data)
-            if not data or len(self.state.trailing_data[0]) > self.limits.header_bytes:
+            if not data:
                 return
+            if len(self.state.trailing_data[0]) > self.limits.header_bytes:
+                # Many pipelined requests: the rest stays in the stream, for back-pressure.
+                await asyncio.Event().wait()
+
+    def _renew_state(self) -> None:
+        """Replace the HTTP state after a fault in a response that hasn't left, to send another."""
+        self.aborted = True
+        self.state = h11.Connection(h11.SERVER)
+        self.state.receive_data(self.head.method + b" / HTTP/1.0\r\n\r\n")
+        self.state.next_event()
 
     def _next_event(self) -> object:
         try:
--- a/camphorspread/process/backend_listener.py
+++ b/camphorspread/process/backend_listener.py
@@ -13,6 +13,7 @@
 )
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import ErrorKind, Refusal
 
 __all__ = ["decode_announcement", "encode_announcement", "handle_backend_server"]
@@ -50,6 +51,7 @@
         )
     if announcement.state is EndpointState.LEAVING:
         state.pool.close_address(announcement.address)
+    grant_free_slots(state)
     await exchange.respond_json(
         200,
         {
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -7,12 +7,13 @@
 from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import split_service
 from camphorspread.request.lookup import LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "handle_caller"]
 
-STEER_PREFIX = "/s/"
+STEER_PREFIX = b"/s/"
 
 
 async def handle_caller(state: EntryState, exchange: Exchange) -> None:
@@ -21,11 +22,9 @@
     path = urlsplit(target).path
     if path == "/v1/lookup":
         await serve_lookup(state, exchange, target)
-    elif path.startswith(STEER_PREFIX):
-        service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
-        rest = target.removeprefix(STEER_PREFIX + service) or "/"
-        rest = rest if rest.startswith("/") else "/" + rest
-        await steer_request(state, exchange, service, rest.encode())
+    elif exchange.head.target.startswith(STEER_PREFIX):
+        service, rest = split_service(exchange.head.target, STEER_PREFIX)
+        await steer_request(state, exchange, service, rest)
     else:
         await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
--- a/camphorspread/process/endpoints.py
+++ b/camphorspread/process/endpoints.py
@@ -78,6 +78,10 @@
         """Slots without a request."""
         return max(self.announcement.slots - self.in_use, 0)
 
+    def admitted_slots(self, now: timedelta) -> int:
+        """Return the slots that the ramp-up allows at this instant, at most the announced ones."""
+        return self.announcement.slots if self.lease_end > now else 0
+
 
 @attrs.define(eq=False)
 class Registry:
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -14,6 +14,8 @@
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.pass_handler import handle_peer
+from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -29,7 +31,7 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers.
+        listeners: Its open listeners: callers, backend servers, peers.
         tasks: Its periodic tasks.
     """
 
@@ -52,6 +54,7 @@
     listeners = (
         await listen(state, state.settings.callers, handle_caller),
         await listen(state, state.settings.backend_servers, handle_backend_server),
+        await listen(state, state.settings.peers, handle_peer),
     )
     tasks = (
         asyncio.create_task(poll_catalogue(state)),
@@ -89,7 +92,9 @@
     """Remove endpoints whose lease has ended, until cancelled."""
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL.total_seconds())
-        for endpoint in expire_endpoints(state.registry, state.clock.monotonic()):
+        expired = expire_endpoints(state.registry, state.clock.monotonic())
+        grant_free_slots(state)
+        for endpoint in expired:
             announcement = endpoint.announcement
             state.pool.close_address(announcement.address)
             state.log.write(
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -1,5 +1,6 @@
 """What an entry process holds while it runs."""
 
+import asyncio
 import random
 from datetime import timedelta
 
@@ -13,6 +14,10 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.share_demand import ShareDemand
+from camphorspread.process.slots import SlotTable
+from camphorspread.request.admission import AdmissionQueue
+from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
 
@@ -41,6 +46,12 @@
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
         is_leaving: True once a planned stop has begun.
+        slots: Measurements at the endpoints.
+        share_demand: What this VM used and refused of each share.
+        admission: Requests that wait or run at the endpoints of this VM.
+        waiting: Futures of the waiting requests by ticket.
+        next_ticket: Ticket of the next request.
+        retry_budget: Recent requests and retries.
     """
 
     settings: EntrySettings
@@ -58,6 +69,16 @@
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
     is_leaving: bool = False
+    slots: SlotTable = attrs.field(factory=SlotTable)
+    share_demand: ShareDemand = attrs.field(factory=ShareDemand)
+    admission: AdmissionQueue = attrs.field(init=False)
+    waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    next_ticket: int = 0
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+
+    def __attrs_post_init__(self) -> None:
+        """Let admission share the registry, measurements and demand of the process."""
+        self.admission = AdmissionQueue(self.registry, self.slots, self.share_demand)
 
 
 def make_entry_state(
--- /dev/null
+++ b/camphorspread/process/pass_handler.py
@@ -0,0 +1,36 @@
+"""Requests that other entry VMs pass to this one, which owns the endpoints."""
+
+from returns.result import Failure
+
+from camphorspread.connection.access_key import check_access_key
+from camphorspread.connection.messages import find_header
+from camphorspread.connection.server import Exchange
+from camphorspread.process.entry_state import EntryState
+from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import CALLER_REGION_HEADER, PASS_PREFIX, split_service
+from camphorspread.request.steer import refuse, steer_passed_request
+
+__all__ = ["handle_pass", "handle_peer"]
+
+
+async def handle_peer(state: EntryState, exchange: Exchange) -> None:
+    """Serve one exchange of the peers' listener."""
+    match check_access_key(exchange.head.headers, state.link.access_key):
+        case Failure(refusal):
+            await exchange.refuse(refusal)
+            return
+    if exchange.head.target.startswith(PASS_PREFIX):
+        await handle_pass(state, exchange)
+    else:
+        await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
+
+
+async def handle_pass(state: EntryState, exchange: Exchange) -> None:
+    """Serve a request on `/v1/pass/NAME/PATH`; the access key has been checked."""
+    service, target = split_service(exchange.head.target, PASS_PREFIX)
+    region = find_header(exchange.head.headers, CALLER_REGION_HEADER)
+    if region is None:
+        message = f"{CALLER_REGION_HEADER.decode()} is missing"
+        await refuse(state, exchange, Refusal(ErrorKind.MALFORMED_REQUEST, message))
+        return
+    await steer_passed_request(state, exchange, service, target, region.decode("ascii", "replace"))
--- /dev/null
+++ b/camphorspread/process/region_share.py
@@ -0,0 +1,52 @@
+"""The limits that hold at this VM: its permanent part and the shares that it holds."""
+
+from datetime import timedelta
+
+from camphorspread.process.entry_state import EntryState
+from camphorspread.request.admission import AdmissionLimits
+from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.shares import ShareKey, ShareKind
+
+__all__ = ["find_limits", "permanent_part"]
+
+
+def permanent_part(limit: int, vms: int) -> int:
+    """Return the part of a region's limit that each of its VMs always has.
+
+    Half of the limit is split evenly, so that an isolated VM keeps serving.
+
+    Examples:
+        >>> permanent_part(100, 2)
+        25
+    """
+    return limit // 2 // max(vms, 1)
+
+
+def find_limits(state: EntryState, now: timedelta) -> AdmissionLimits:
+    """Return the limits of the newest catalogue and of the shares held now."""
+    catalogue = state.catalogue or Catalogue()
+    region = state.fleet.own.region
+    entry = catalogue.find_region(region)
+    vms = len(entry.vms) if entry else 0
+    vms = vms or sum(1 for vm in state.fleet.vms.values() if vm.region == region)
+
+    def share(kind: ShareKind, limit: int, service: str = "") -> int:
+        key = ShareKey(kind, region, service)
+        return permanent_part(limit, vms) + state.held_shares.amount(key, now)
+
+    services = [versioned.entry for versioned in catalogue.services.values()]
+    return AdmissionLimits(
+        region=region,
+        region_share=share(ShareKind.REGION_LIMIT, entry.limit) if entry else None,
+        service_shares={
+            item.name: share(ShareKind.SERVICE_REGION_LIMIT, item.region_limit, item.name)
+            for item in services
+        },
+        shift_shares={
+            item.name: state.held_shares.amount(
+                ShareKey(ShareKind.SHIFT_CAP, service=item.name), now
+            )
+            for item in services
+        },
+        queue_lengths={item.name: item.queue_length for item in services},
+    )
--- /dev/null
+++ b/camphorspread/request/admission_shell.py
@@ -0,0 +1,102 @@
+"""Carries out the effects of admission: a waiting request is a future that a release resolves."""
+
+import asyncio
+import contextlib
+
+from returns.result import Failure, Result, Success
+
+from camphorspread.connection.server import Exchange
+from camphorspread.process.endpoints import Endpoint
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.region_share import find_limits
+from camphorspread.request.admission import (
+    AdmissionRequest,
+    Effect,
+    Granted,
+    Refused,
+    admit,
+    expire,
+    grant_waiting,
+    release,
+)
+from camphorspread.request.errors import Refusal
+from camphorspread.request.forwarding import has_body
+
+__all__ = ["CallerLeftError", "admit_request", "grant_free_slots", "release_slot"]
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection while its request waited."""
+
+
+async def admit_request(
+    state: EntryState, exchange: Exchange, req: AdmissionRequest, may_wait: bool
+) -> Result[Endpoint, Refusal]:
+    """Return an endpoint with a slot taken, or a refusal, after waiting if need be.
+
+    Cancelling this coroutine leaves the queue and gives back a slot that was just granted.
+
+    Raises:
+        CallerLeftError: The caller closed its connection.
+    """
+    fut = asyncio.get_running_loop().create_future()
+    state.waiting[req.ticket] = fut
+    now = state.clock.monotonic()
+    carry_out(state, admit(state.admission, find_limits(state, now), req, now, may_wait))
+    try:
+        if not fut.done():
+            await wait_for_slot(exchange, fut)
+    except BaseException:
+        leave_queue(state, req, fut)
+        raise
+    return fut.result()
+
+
+async def wait_for_slot(exchange: Exchange, fut: asyncio.Future) -> None:
+    """Wait for the future, or until the caller of a request without a body is gone."""
+    if has_body(exchange.head.headers):
+        # The body stays unread, for back-pressure; so the end of the stream can't be seen.
+        await asyncio.wait({fut})
+        return
+    await exchange.read_body()
+    gone = asyncio.create_task(exchange.wait_until_gone())
+    try:
+        await asyncio.wait({fut, gone}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
+    if not fut.done():
+        raise CallerLeftError
+
+
+def leave_queue(state: EntryState, req: AdmissionRequest, fut: asyncio.Future) -> None:
+    """Withdraw a request; a slot that it got in the meantime is given back."""
+    state.waiting.pop(req.ticket, None)
+    expire(state.admission, req.ticket)
+    if fut.done() and not fut.cancelled() and isinstance(fut.result(), Success):
+        release_slot(state, fut.result().unwrap())
+
+
+def release_slot(state: EntryState, endpoint: Endpoint) -> None:
+    """Give back a slot to the head of the queue."""
+    now = state.clock.monotonic()
+    carry_out(state, release(state.admission, find_limits(state, now), endpoint, now))
+
+
+def grant_free_slots(state: EntryState) -> None:
+    """Serve the queue after endpoints, slots or shares have changed."""
+    if state.admission.waiting:
+        now = state.clock.monotonic()
+        carry_out(state, grant_waiting(state.admission, find_limits(state, now), now))
+
+
+def carry_out(state: EntryState, effects: list[Effect]) -> None:
+    """Resolve the futures of the requests that got a slot or a refusal."""
+    for effect in effects:
+        fut = state.waiting.pop(effect.ticket)
+        match effect:
+            case Granted(endpoint=endpoint):
+                fut.set_result(Success(endpoint))
+            case Refused(refusal=refusal):
+                fut.set_result(Failure(refusal))
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -4,15 +4,23 @@
 
 import attrs
 
-from camphorspread.connection.client import ClientConnection, ResponseBrokenError
-from camphorspread.connection.messages import RequestHead
-from camphorspread.connection.server import CallerGoneError, Exchange, StalledError
-from camphorspread.request.forwarding import is_framed, make_response_head
+from camphorspread.connection.client import ClientConnection, NotSentError, ResponseBrokenError
+from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.server import (
+    CallerGoneError,
+    Exchange,
+    RefusedError,
+    StalledError,
+)
+from camphorspread.request.errors import Refusal
+from camphorspread.request.forwarding import is_framed, make_response_head, read_refusal
 
 __all__ = [
     "BodyLimitPassed",
     "CallerGone",
     "NoResponse",
+    "NotSent",
+    "OwnerRefused",
     "RelayResult",
     "Relayed",
     "ResponseCut",
@@ -20,6 +28,8 @@
     "relay",
 ]
 
+CONTINUE_STATUS = 100
+
 
 @attrs.frozen
 class Relayed:
@@ -28,6 +38,24 @@
     status: int
 
 
+@attrs.frozen
+class NotSent:
+    """The connection had ended before any byte of the request was sent.
+
+    Attributes:
+        detail: What the connection reported.
+    """
+
+    detail: str
+
+
+@attrs.frozen
+class OwnerRefused:
+    """The entry VM that owns the endpoints refused; the request was not run."""
+
+    refusal: Refusal
+
+
 @attrs.frozen
 class NoResponse:
     """The request was sent, at least in part, and no response began.
@@ -52,7 +80,7 @@
 
 @attrs.frozen
 class CallerGone:
-    """The caller closed its connection, which cancels the request."""
+    """The caller closed its connection or broke the framing, which cancels the request."""
 
 
 @attrs.frozen
@@ -65,7 +93,16 @@
     """The caller's body went over the limit of the catalogue entry."""
 
 
-RelayResult = Relayed | NoResponse | ResponseCut | CallerGone | UploadStalled | BodyLimitPassed
+RelayResult = (
+    Relayed
+    | NotSent
+    | OwnerRefused
+    | NoResponse
+    | ResponseCut
+    | CallerGone
+    | UploadStalled
+    | BodyLimitPassed
+)
 
 
 class BodyLimitError(Exception):
@@ -73,7 +110,11 @@
 
 
 async def relay(
-    exchange: Exchange, conn: ClientConnection, head: RequestHead, body_limit: int
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    body_limit: int,
+    is_pass: bool = False,
 ) -> RelayResult:
     """Send the request on `conn` and stream its response to the caller.
 
@@ -85,12 +126,15 @@
         conn: A connection without a request.
         head: Head to send.
         body_limit: Largest body, in bytes.
+        is_pass: True if the next hop is an entry VM: the body waits until that VM asks for it,
+            and the response may be its refusal.
 
     Returns:
         How it ended.
     """
-    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit))
-    download = asyncio.create_task(send_response(exchange, conn, head))
+    body_wanted = asyncio.Event()
+    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit, body_wanted))
+    download = asyncio.create_task(send_response(exchange, conn, head, is_pass, body_wanted))
     try:
         await asyncio.wait({upload, download}, return_when=asyncio.FIRST_COMPLETED)
         if not download.done():
@@ -120,16 +164,19 @@
             return BodyLimitPassed()
         case ConnectionError():
             return None
-        case None | CallerGoneError():
+        # A refusal would say "not run", but a part of the body may have been sent.
+        case None | CallerGoneError() | RefusedError():
             return CallerGone()
         case exc:
             raise exc
 
 
-async def watch_caller(exchange: Exchange, conn: ClientConnection, body_limit: int) -> None:
+async def watch_caller(
+    exchange: Exchange, conn: ClientConnection, body_limit: int, body_wanted: asyncio.Event
+) -> None:
     """Stream the request body, then wait until the caller is gone."""
     size = 0
-    await conn.head_sent.wait()
+    await body_wanted.wait()
     while data := await exchange.read_body():
         size += len(data)
         if size > body_limit:
@@ -140,18 +187,49 @@
 
 
 async def send_response(
-    exchange: Exchange, conn: ClientConnection, head: RequestHead
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    is_pass: bool,
+    body_wanted: asyncio.Event,
 ) -> RelayResult:
     """Send the request head and stream the response to the caller."""
     try:
-        await conn.send_head(head)
-        response = await conn.read_final_head()
+        response = await exchange_heads(conn, head, body_wanted)
+        refusal = read_refusal(response) if is_pass else None
+        if refusal is not None:
+            while await conn.read_body():
+                pass
+            return OwnerRefused(refusal)
+    except NotSentError as exc:
+        return NotSent(str(exc))
     except (ResponseBrokenError, ConnectionError) as exc:
         return NoResponse(str(exc))
     if not is_framed(head.method, response):
         return NoResponse("the response has neither a length nor chunks")
+    return await stream_response(exchange, conn, make_response_head(response, is_pass))
+
+
+async def exchange_heads(
+    conn: ClientConnection, head: RequestHead, body_wanted: asyncio.Event
+) -> ResponseHead:
+    """Send the head of the request and return the head of the final response."""
+    await conn.send_head(head)
+    if (b"expect", b"100-continue") not in head.headers:
+        body_wanted.set()
+    while True:
+        response = await conn.read_head()
+        if response.status != CONTINUE_STATUS:
+            return response
+        body_wanted.set()
+
+
+async def stream_response(
+    exchange: Exchange, conn: ClientConnection, head: ResponseHead
+) -> RelayResult:
+    """Stream a response that has begun to the caller."""
     try:
-        await exchange.send_head(make_response_head(response))
+        await exchange.send_head(head)
         while data := await conn.read_body():
             await exchange.send_body(data)
         await exchange.finish()
@@ -163,4 +241,4 @@
     except StalledError:
         exchange.abort()
         return CallerGone()
-    return Relayed(response.status)
+    return Relayed(head.status)
--- a/camphorspread/request/routing.py
+++ b/camphorspread/request/routing.py
@@ -1,45 +1,114 @@
-"""The choice of an endpoint for one request."""
+"""The choice of an endpoint and of another entry VM for one request."""
 
 from datetime import timedelta
 
-from returns.result import Failure, Result, Success
+import attrs
 
-from camphorspread.process.endpoints import Endpoint, Registry
-from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.process.endpoints import Endpoint
+from camphorspread.process.fleet import FleetView, VmRecord, VmState
+from camphorspread.process.slots import SlotTable, count_free_slots, rank_endpoint
 from camphorspread.request.reasons import Reason
+from camphorspread.version.catalogue import Catalogue
 
-__all__ = ["choose_endpoint"]
+__all__ = ["Candidate", "OtherVm", "OwnEndpoints", "choose_endpoint", "order_candidates"]
+
+UNKNOWN_DELAY_MS = 1000.0
+SAME_ZONE_TIER, SAME_REGION_TIER, OTHER_REGION_TIER = 0, 1, 2
+
+
+@attrs.frozen
+class OwnEndpoints:
+    """The endpoints that this VM owns.
+
+    Attributes:
+        may_wait: False if another VM of the region has free slots, so that waiting is no use.
+    """
+
+    may_wait: bool
+
+
+@attrs.frozen
+class OtherVm:
+    """Another entry VM, which owns endpoints of the service."""
+
+    record: VmRecord
+    reason: Reason
+
+
+Candidate = OwnEndpoints | OtherVm
 
 
 def choose_endpoint(
-    registry: Registry, service: str, now: timedelta, excluded: frozenset[str] = frozenset()
-) -> Result[Endpoint, Refusal]:
-    """Return the live endpoint with the smallest share of slots in use.
+    table: SlotTable, live: list[Endpoint], now: timedelta, excluded: frozenset[str] = frozenset()
+) -> Endpoint | None:
+    """Return the best ranked endpoint with a free slot, or None.
 
     Args:
-        registry: Endpoints that this VM owns.
-        service: Name of the service.
+        table: Measurements at the endpoints.
+        live: Live endpoints of the service.
         now: Current instant.
         excluded: Names of endpoints that this request has tried.
-
-    Returns:
-        The endpoint, or a refusal if there is none or all slots are in use.
     """
-    live = registry.list_live(service, now)
-    if not live:
-        message = f"no backend server serves {service}"
-        return Failure(Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.NO_LIVE_ENDPOINT))
-    open_endpoints = [
+    free = [
         endpoint
         for endpoint in live
-        if endpoint.free_slots and endpoint.announcement.endpoint not in excluded
+        if count_free_slots(endpoint, now) and endpoint.announcement.endpoint not in excluded
+    ]
+    if not free:
+        return None
+    return min(free, key=lambda endpoint: rank_endpoint(table, endpoint, now))
+
+
+def order_candidates(
+    catalogue: Catalogue, fleet: FleetView, service: str, has_own: bool, is_passed: bool
+) -> list[Candidate]:
+    """Return who may serve the request, in the order in which they are tried.
+
+    Args:
+        catalogue: The newest catalogue.
+        fleet: Known entry VMs.
+        service: Name of the service.
+        has_own: True if this VM owns a live endpoint of the service.
+        is_passed: True if another entry VM passed the request here; it isn't passed on again.
+
+    Returns:
+        Own endpoints, then VMs of the availability zone, the region and other regions. Within one
+        of these, VMs with free slots come first and then the nearer ones.
+    """
+    if is_passed:
+        return [OwnEndpoints(may_wait=True)]
+    others = [
+        record
+        for record in fleet.vms.values()
+        if record.vm != fleet.own_vm
+        and record.state is VmState.ALIVE
+        and record.total_slots.get(service, 0)
     ]
-    if not open_endpoints:
-        message = f"all slots of {service} are in use"
-        return Failure(Refusal(ErrorKind.OVERLOADED, message, Reason.SLOTS_FULL))
-    return Success(min(open_endpoints, key=rank_endpoint))
+    others.sort(key=lambda record: rank_vm(catalogue, fleet.own, record, service))
+    own_region = fleet.own.region
+    has_free = any(vm.region == own_region and vm.free_slots.get(service, 0) for vm in others)
+    passes = [OtherVm(record, find_reason(fleet.own, record)) for record in others]
+    if not has_own and others:
+        return list(passes)
+    return [OwnEndpoints(may_wait=not has_free), *passes]
+
+
+def rank_vm(
+    catalogue: Catalogue, own: VmRecord, record: VmRecord, service: str
+) -> tuple[int, bool, float, int, str]:
+    """Return the sort key of a VM: the place first, then free slots and delay."""
+    free = record.free_slots.get(service, 0)
+    if record.availability_zone == own.availability_zone:
+        return SAME_ZONE_TIER, not free, 0.0, -free, record.vm
+    if record.region == own.region:
+        return SAME_REGION_TIER, not free, 0.0, -free, record.vm
+    region = catalogue.find_region(own.region)
+    delay = region.delays_ms.get(record.region, UNKNOWN_DELAY_MS) if region else UNKNOWN_DELAY_MS
+    return OTHER_REGION_TIER, not free, delay, -free, record.vm
 
 
-def rank_endpoint(endpoint: Endpoint) -> float:
-    """Return the share of slots that would be in use after one more request."""
-    return (endpoint.in_use + 1) / endpoint.announcement.slots
+def find_reason(own: VmRecord, record: VmRecord) -> Reason:
+    """Return why a request goes to this VM."""
+    if record.availability_zone == own.availability_zone:
+        return Reason.SAME_AVAILABILITY_ZONE
+    return Reason.SAME_REGION if record.region == own.region else Reason.OTHER_REGION
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -1,54 +1,40 @@
-"""Serves one steered request: from the choice of an endpoint to the end of its response."""
+"""Serves one steered request: from the choice of a candidate to the end of its response."""
 
-from datetime import timedelta
+import asyncio
 
 import attrs
 from returns.result import Failure, Success
 
-from camphorspread.connection.client import ClientConnection
 from camphorspread.connection.messages import find_header
 from camphorspread.connection.server import Exchange, refuse_or_abort
-from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
-from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline
-from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.forwarding import make_forward_head
+from camphorspread.request.attempt import (
+    Attempts,
+    Ending,
+    Failed,
+    SteeredRequest,
+    attempt_candidate,
+)
+from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline, time_left
+from camphorspread.request.errors import ErrorKind, Outcome, Refusal
+from camphorspread.request.reasons import Reason
 from camphorspread.request.relay import (
     BodyLimitPassed,
     CallerGone,
-    NoResponse,
     Relayed,
-    RelayResult,
     ResponseCut,
     UploadStalled,
-    relay,
 )
-from camphorspread.request.routing import choose_endpoint
+from camphorspread.request.retry import decide_retry, record_request
+from camphorspread.request.routing import Candidate, OtherVm, OwnEndpoints, order_candidates
 from camphorspread.version.catalogue import ServiceEntry
 
-__all__ = ["steer_request"]
-
-
-@attrs.frozen
-class SteeredRequest:
-    """A request with everything that its decisions need.
-
-    Attributes:
-        exchange: The caller's exchange.
-        entry: Catalogue entry of the service.
-        target: Path and query at the backend server.
-        deadline: Instant by which it must be answered.
-    """
-
-    exchange: Exchange
-    entry: ServiceEntry
-    target: bytes
-    deadline: timedelta
+__all__ = ["refuse", "steer_passed_request", "steer_request"]
 
 
 async def steer_request(state: EntryState, exchange: Exchange, service: str, target: bytes) -> None:
-    """Serve a request on `/s/SERVICE/PATH`.
+    """Serve a caller's request on `/s/SERVICE/PATH`.
 
     Args:
         state: State of the entry process.
@@ -56,14 +42,37 @@
         service: Name of the service.
         target: Path and query at the backend server.
     """
-    catalogue = state.catalogue
-    if catalogue is None:
-        await exchange.refuse(Refusal(ErrorKind.NOT_READY, "this VM has no catalogue yet"))
+    await start(state, exchange, service, target, state.fleet.own.region, is_passed=False)
+
+
+async def steer_passed_request(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, caller_region: str
+) -> None:
+    """Serve a request that another entry VM passed here, with this VM's endpoints only."""
+    await start(state, exchange, service, target, caller_region, is_passed=True)
+
+
+async def start(
+    state: EntryState,
+    exchange: Exchange,
+    service: str,
+    target: bytes,
+    caller_region: str,
+    is_passed: bool,
+) -> None:
+    """Check a request and serve it until its deadline."""
+    if state.catalogue is None:
+        message = "this VM has no catalogue yet"
+        await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message))
         return
-    entry = catalogue.find_service(service)
+    entry = state.catalogue.find_service(service)
     if entry is None:
-        message = f"the catalogue has no service {service!r}"
-        await refuse(state, exchange, Refusal(ErrorKind.UNKNOWN_SERVICE, message))
+        await refuse(state, exchange, refuse_unknown(service))
+        return
+    length = find_header(exchange.head.headers, b"content-length")
+    if length is not None and int(length) > entry.body_limit_bytes:
+        message = f"the body is over {entry.body_limit_bytes} bytes"
+        await refuse(state, exchange, Refusal(ErrorKind.BODY_TOO_LARGE, message))
         return
     now = state.clock.monotonic()
     header = find_header(exchange.head.headers, DEADLINE_HEADER)
@@ -71,64 +80,142 @@
         case Failure(refusal):
             await refuse(state, exchange, refusal)
         case Success(deadline):
-            await serve(state, SteeredRequest(exchange, entry, target, deadline))
+            req = SteeredRequest(exchange, service, target, deadline, caller_region, is_passed)
+            await serve(state, req)
+
+
+def refuse_unknown(service: str) -> Refusal:
+    """Return the refusal for a service that the catalogue doesn't have."""
+    return Refusal(ErrorKind.UNKNOWN_SERVICE, f"the catalogue has no service {service!r}")
 
 
 async def serve(state: EntryState, req: SteeredRequest) -> None:
-    """Try endpoints until one of them takes the request."""
-    excluded: frozenset[str] = frozenset()
-    while True:
-        now = state.clock.monotonic()
-        match choose_endpoint(state.registry, req.entry.name, now, excluded):
-            case Failure(refusal):
-                await refuse(state, req.exchange, refusal)
-                return
-            case Success(endpoint):
-                endpoint.in_use += 1
-        try:
-            conn = await connect(state, endpoint)
-            if conn is not None:
-                await send(state, req, endpoint, conn)
-                return
-        finally:
-            endpoint.in_use -= 1
-        excluded |= {endpoint.announcement.endpoint}
-
-
-async def connect(state: EntryState, endpoint: Endpoint) -> ClientConnection | None:
-    """Return a connection to the endpoint, or None if it can't be reached."""
+    """Try candidates until one of them serves the request or the deadline passes."""
+    now = state.clock.monotonic()
+    record_request(state.retry_budget, now)
+    attempts = Attempts()
     try:
-        return await state.pool.acquire(endpoint.announcement.address)
-    except OSError as exc:
-        state.log.write(
-            Event.REQUEST_RETRIED, endpoint=endpoint.announcement.endpoint, cause=str(exc)
-        )
+        async with asyncio.timeout(time_left(req.deadline, now).total_seconds()):
+            ending = await try_candidates(state, req, attempts)
+    except TimeoutError:
+        ending = Failed(refuse_late(attempts), may_have_run=attempts.may_have_run)
+    await finish(state, req, ending)
+
+
+def refuse_late(attempts: Attempts) -> Refusal:
+    """Return the refusal of a request whose deadline has passed."""
+    if attempts.may_have_run:
+        message = "no response came before the deadline"
+        return Refusal(ErrorKind.DEADLINE_EXCEEDED, message, Reason.DEADLINE)
+    if attempts.is_waiting:
+        message = "the deadline passed while the request waited for a slot"
+        return Refusal(ErrorKind.DEADLINE_PASSED_IN_QUEUE, message, Reason.DEADLINE)
+    message = "the deadline passed before the request could be sent"
+    return Refusal(ErrorKind.DEADLINE_TOO_SHORT, message, Reason.DEADLINE)
+
+
+async def try_candidates(state: EntryState, req: SteeredRequest, attempts: Attempts) -> Ending:
+    """Try one candidate after the other, as far as retries are allowed."""
+    while True:
+        entry = state.catalogue.find_service(req.service)
+        if entry is None:
+            return give_up(attempts, Failed(refuse_unknown(req.service)))
+        candidate = next_candidate(state, req, attempts)
+        if candidate is None:
+            return give_up(attempts, Failed(refuse_no_candidate(req.service)))
+        ending = await attempt_candidate(state, req, attempts, entry, candidate)
+        if not isinstance(ending, Failed):
+            return ending
+        if attempts.failed is None or ending.may_have_run or not attempts.failed.may_have_run:
+            attempts.failed = ending if prefers(ending, attempts.failed) else attempts.failed
+        refusal = check_next(state, req, attempts, ending)
+        if refusal is not None:
+            return give_up(attempts, attrs.evolve(ending, refusal=refusal))
+
+
+def prefers(new: Failed, known: Failed | None) -> bool:
+    """Return True if the caller should hear of the new failure rather than the known one."""
+    if known is None or new.may_have_run:
+        return True
+    return known.refusal.kind is ErrorKind.NO_BACKEND_SERVER
+
+
+def next_candidate(state: EntryState, req: SteeredRequest, attempts: Attempts) -> Candidate | None:
+    """Return the first candidate that hasn't refused this request, or None."""
+    has_own = bool(state.registry.list_live(req.service, state.clock.monotonic()))
+    for candidate in order_candidates(
+        state.catalogue, state.fleet, req.service, has_own, req.is_passed
+    ):
+        match candidate:
+            case OwnEndpoints() if not attempts.has_own_refused:
+                return candidate
+            case OtherVm(record=record) if record.vm not in attempts.vms:
+                return candidate
+    return None
+
+
+def check_next(
+    state: EntryState, req: SteeredRequest, attempts: Attempts, ending: Failed
+) -> Refusal | None:
+    """Return None if another candidate may be tried, else the refusal with the reason."""
+    if ending.is_final:
+        return ending.refusal
+    if not attempts.is_sent:
+        # Nothing has left this VM yet, so that the next candidate is a first attempt.
         return None
+    if next_candidate(state, req, attempts) is None:
+        return ending.refusal
+    # The class and the rules may have changed while the attempt ran.
+    entry: ServiceEntry | None = state.catalogue.find_service(req.service)
+    if entry is None:
+        return ending.refusal
+    now = state.clock.monotonic()
+    decision = decide_retry(
+        ending.as_attempt_failure(req.exchange.is_body_read),
+        entry,
+        req.method,
+        req.path,
+        now < state.catalogue_lease_end,
+        state.retry_budget,
+        now,
+    )
+    match decision:
+        case Failure(refusal):
+            return refusal
+    state.log.write(Event.REQUEST_RETRIED, service=req.service, cause=ending.refusal.kind.value)
+    return None
 
 
-async def send(
-    state: EntryState, req: SteeredRequest, endpoint: Endpoint, conn: ClientConnection
-) -> None:
-    """Relay the request to the endpoint and answer the caller if the relay couldn't."""
-    address = str(endpoint.announcement.address).encode()
-    now = state.clock.monotonic()
-    head = make_forward_head(req.exchange.head, req.target, address, req.deadline, now)
-    result = await relay(req.exchange, conn, head, req.entry.body_limit_bytes)
-    if conn.is_reusable:
-        state.pool.release(conn)
-    await finish(state, req, result)
+def give_up(attempts: Attempts, ending: Failed) -> Failed:
+    """Return the failure that the caller hears of.
+
+    If any attempt may have run, it is that attempt's, as the outcome is then unknown.
+    """
+    known = attempts.failed
+    if known is None or known.refusal.kind is ending.refusal.kind:
+        return ending
+    if not attempts.may_have_run and prefers(ending, known):
+        return ending
+    return attrs.evolve(known, refusal=attrs.evolve(known.refusal, reason=ending.refusal.reason))
 
 
-async def finish(state: EntryState, req: SteeredRequest, result: RelayResult) -> None:
-    """Log how the relay ended and send the error response where one is owed."""
-    service = req.entry.name
-    match result:
+def refuse_no_candidate(service: str) -> Refusal:
+    """Return the refusal for a service that no reachable VM has endpoints of."""
+    message = f"no backend server serves {service}"
+    return Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.NO_LIVE_ENDPOINT)
+
+
+async def finish(state: EntryState, req: SteeredRequest, ending: Ending) -> None:
+    """Log how the request ended and send the error response where one is owed."""
+    service = req.service
+    match ending:
         case Relayed(status=status):
             state.log.write(Event.REQUEST_SERVED, service=service, status=status)
-        case NoResponse(detail=detail):
-            message = "the backend server gave no response"
-            state.log.write(Event.RESPONSE_CUT, service=service, cause=detail)
-            await refuse(state, req.exchange, Refusal(ErrorKind.BACKEND_FAILED, message))
+        case Failed(refusal=refusal, may_have_run=may_have_run):
+            if may_have_run and refusal.response.outcome is Outcome.NOT_RUN:
+                message = "an attempt may have run before this refusal: " + refusal.message
+                refusal = Refusal(ErrorKind.BACKEND_FAILED, message, refusal.reason)
+            await refuse(state, req.exchange, refusal)
         case ResponseCut(detail=detail):
             state.log.write(Event.RESPONSE_CUT, service=service, cause=detail)
         case CallerGone():
@@ -138,7 +225,7 @@
             message = "the body made no progress"
             await refuse(state, req.exchange, Refusal(ErrorKind.UPLOAD_STALLED, message))
         case BodyLimitPassed():
-            message = f"the body is over {req.entry.body_limit_bytes} bytes"
+            message = "the body is over the limit of the catalogue entry"
             await refuse(state, req.exchange, Refusal(ErrorKind.BODY_LIMIT_PASSED, message))
 
 
--- /dev/null
+++ b/camphorspread/request/window.py
@@ -0,0 +1,67 @@
+"""Counts of recent events in buckets of fixed width."""
+
+from collections import deque
+from datetime import timedelta
+
+import attrs
+
+__all__ = ["SlidingWindow", "count_recent", "record_event", "try_take"]
+
+SHIFT_BUCKET = timedelta(milliseconds=100)
+SHIFT_BUCKETS = 10
+
+
+@attrs.define
+class Bucket:
+    """Events of one bucket, numbered from the origin of the clock."""
+
+    number: int
+    count: int
+
+
+@attrs.define(eq=False)
+class SlidingWindow:
+    """Events of the current bucket and of the whole buckets before it.
+
+    The current bucket comes on top of the whole ones, so that no interval of `width * buckets`
+    holds an event that isn't counted.
+
+    Attributes:
+        width: Width of a bucket.
+        buckets: Number of whole buckets before the current one.
+    """
+
+    width: timedelta = SHIFT_BUCKET
+    buckets: int = SHIFT_BUCKETS
+    recent: deque[Bucket] = attrs.field(factory=deque)
+
+
+def count_recent(window: SlidingWindow, now: timedelta) -> int:
+    """Return the number of events that may lie within the last `width * buckets`."""
+    oldest = now // window.width - window.buckets
+    while window.recent and window.recent[0].number < oldest:
+        window.recent.popleft()
+    return sum(bucket.count for bucket in window.recent)
+
+
+def record_event(window: SlidingWindow, now: timedelta) -> None:
+    """Count one event."""
+    number = now // window.width
+    if window.recent and window.recent[-1].number == number:
+        window.recent[-1].count += 1
+    else:
+        window.recent.append(Bucket(number, 1))
+
+
+def try_take(window: SlidingWindow, now: timedelta, share: int) -> bool:
+    """Count one event if the share allows it.
+
+    Examples:
+        >>> window = SlidingWindow()
+        >>> [try_take(window, timedelta(0), 2) for _ in range(3)]
+        [True, True, False]
+    """
+    if count_recent(window, now) >= share:
+        return False
+    record_event(window, now)
+    return True
