Test admission, passing and retries

A request that has tried each endpoint of this VM no longer counts a retry in the budget before it learns that none is left.

--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -142,12 +142,15 @@
 
 def next_candidate(state: EntryState, req: SteeredRequest, attempts: Attempts) -> Candidate | None:
     """Return the first candidate that hasn't refused this request, or None."""
-    has_own = bool(state.registry.list_live(req.service, state.clock.monotonic()))
+    live = state.registry.list_live(req.service, state.clock.monotonic())
+    has_own = any(endpoint.announcement.endpoint not in attempts.endpoints for endpoint in live)
     for candidate in order_candidates(
         state.catalogue, state.fleet, req.service, has_own, req.is_passed
     ):
         match candidate:
-            case OwnEndpoints() if not attempts.has_own_refused:
+            case OwnEndpoints() if not attempts.has_own_refused and (
+                has_own or not attempts.endpoints
+            ):
                 return candidate
             case OtherVm(record=record) if record.vm not in attempts.vms:
                 return candidate
--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,204 @@
+"""Steps of admission decisions, without any connection."""
+
+import random
+from datetime import timedelta
+
+from behave import given, then, when
+
+from camphorspread.connection.network import Address
+from camphorspread.process.endpoints import Announcement, LoadReport, Registry, record_announcement
+from camphorspread.process.share_demand import ShareDemand
+from camphorspread.process.slots import SlotTable, record_result
+from camphorspread.request.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    AdmissionRequest,
+    Granted,
+    admit,
+    expire,
+    release,
+)
+from camphorspread.request.routing import choose_endpoint
+from camphorspread.request.window import SlidingWindow, try_take
+from camphorspread.version.catalogue import ServiceClass
+
+NOW = timedelta(seconds=10)
+SECOND = timedelta(seconds=1)
+SERVICE_CLASSES = {"high": ServiceClass.CRITICAL, "low": ServiceClass.DEFERRABLE}
+
+
+def announce(registry, service, name, slots, sequence=1, busy=0):
+    report = LoadReport(sequence, busy)
+    announcement = Announcement(
+        service, name, "sofia-a", Address("127.0.0.2", 7460), slots, report=report
+    )
+    return record_announcement(registry, announcement, NOW)
+
+
+def make_owner(context, services, slots, **limits):
+    registry = Registry()
+    context.endpoints = [announce(registry, service, service, slots) for service in services]
+    # Long leases: time moves in these scenarios, renewals don't.
+    for endpoint in context.endpoints:
+        endpoint.lease_end = timedelta(days=1)
+    context.queue = AdmissionQueue(registry, SlotTable(), ShareDemand())
+    context.limits = AdmissionLimits(**limits)
+    context.effects = []
+    context.tickets = 0
+
+
+def ask(context, service, service_class, deadline=NOW + 10 * SECOND, is_shifted=False, now=NOW):
+    context.tickets += 1
+    req = AdmissionRequest(context.tickets, service, service_class, deadline, is_shifted)
+    effects = admit(context.queue, context.limits, req, now)
+    context.effects += effects
+    return effects
+
+
+@given("an owner with {slots:d} slot and a queue of {length:d}")
+def step_owner(context, slots, length):
+    make_owner(context, ["plans"], slots, queue_lengths={"plans": length})
+
+
+@given("an owner with {slots:d} slots for each of two services and a region share of {share:d}")
+def step_owner_of_two(context, slots, share):
+    lengths = {"high": 8, "low": 8}
+    make_owner(context, ["high", "low"], slots, region_share=share, queue_lengths=lengths)
+
+
+@given("its requests take {milliseconds:d} ms as measured")
+def step_measured(context, milliseconds):
+    elapsed = timedelta(milliseconds=milliseconds)
+    record_result(context.queue.table, context.endpoints[0], elapsed, False, NOW)
+
+
+@when('requests of the classes "{classes}" ask for a slot')
+def step_ask_by_class(context, classes):
+    for name in classes.split():
+        ask(context, "plans", ServiceClass(name))
+
+
+@when('requests of the services "{services}" ask for a slot')
+def step_ask_by_service(context, services):
+    for name in services.split():
+        ask(context, name, SERVICE_CLASSES[name])
+
+
+@when('requests with the deadlines "{deadlines}" ms ask for a slot')
+def step_ask_by_deadline(context, deadlines):
+    for text in deadlines.split():
+        ask(context, "plans", ServiceClass.UPLOAD, NOW + timedelta(milliseconds=int(text)))
+
+
+def show(effect):
+    if isinstance(effect, Granted):
+        return f"{effect.ticket} granted"
+    reason = effect.refusal.reason.value
+    shown = "queue_full" if reason == "region_share_used" else reason
+    return f"{effect.ticket} {shown}"
+
+
+@then('the admission gave "{expected}" in this order')
+def step_check_effects(context, expected):
+    assert "; ".join(show(effect) for effect in context.effects) == expected, context.effects
+
+
+@then('the released slot goes to requests "{expected}"')
+def step_release(context, expected):
+    endpoints = [item.endpoint for item in context.effects if isinstance(item, Granted)]
+    order = []
+    for _ in expected.split():
+        granted = release(context.queue, context.limits, endpoints.pop(0), NOW)
+        order += [str(item.ticket) for item in granted]
+        endpoints += [item.endpoint for item in granted]
+    assert " ".join(order) == expected, order
+
+
+@then("{steps:d} random steps keep the limits of the owner for each of {seeds:d} seeds")
+def step_random(context, steps, seeds):
+    for seed in range(seeds):
+        check_random_steps(context, random.Random(seed), steps, seed)
+
+
+def check_random_steps(context, rng, steps, seed):
+    """Check slots, shares and that each ticket ends exactly once."""
+    lengths = {"high": 3, "low": 3}
+    limits = {"service_shares": {"low": 3}, "shift_shares": {"high": 4, "low": 4}}
+    make_owner(context, ["high", "low"], 4, region_share=6, queue_lengths=lengths, **limits)
+    running, ended, now = {}, set(), NOW
+    for _ in range(steps):
+        now += timedelta(milliseconds=rng.randrange(30))
+        choice = rng.random()
+        if choice < 0.5:
+            service = rng.choice(("high", "low"))
+            deadline = now + 10 * SECOND
+            is_shifted = rng.random() < 0.4
+            effects = ask(context, service, SERVICE_CLASSES[service], deadline, is_shifted, now)
+        elif choice < 0.9 and running:
+            endpoint = running.pop(rng.choice(sorted(running)))
+            effects = release(context.queue, context.limits, endpoint, now)
+        else:
+            effects = []
+            if context.queue.waiting:
+                ticket = rng.choice(context.queue.waiting).ticket
+                assert expire(context.queue, ticket)
+                ended.add(ticket)
+        for effect in effects:
+            assert effect.ticket not in ended, (seed, effect)
+            ended.add(effect.ticket)
+            if isinstance(effect, Granted):
+                running[effect.ticket] = effect.endpoint
+        in_flight = context.queue.in_flight
+        assert all(item.in_use <= 4 for item in context.endpoints), seed
+        assert sum(item.in_use for item in context.endpoints) == in_flight.total() <= 6, seed
+        assert in_flight["low"] <= 3, seed
+        assert len(context.queue.waiting) <= 6, seed
+    waiting = {item.ticket for item in context.queue.waiting}
+    assert ended | waiting == set(range(1, context.tickets + 1)) and not ended & waiting, seed
+
+
+@then(
+    "random arrivals over {seconds:d} seconds never pass a share of {share:d} in any second"
+    " for {seeds:d} seeds"
+)
+def step_window(context, seconds, share, seeds):
+    for seed in range(seeds):
+        rng, window, now, taken = random.Random(seed), SlidingWindow(), NOW, []
+        while now < NOW + seconds * SECOND:
+            now += timedelta(microseconds=rng.randrange(1, rng.choice((3000, 90_000, 400_000))))
+            if try_take(window, now, share):
+                taken.append(now)
+        busiest = max(
+            sum(1 for other in taken[index:] if other - start < SECOND)
+            for index, start in enumerate(taken)
+        )
+        # At least the share minus what the current bucket costs must get through.
+        assert busiest <= share, (seed, busiest)
+        assert len(taken) > share * seconds // 3, (seed, len(taken))
+
+
+@given('two idle endpoints of which "a" reports {busy:d} of {slots:d} slots busy')
+def step_reports(context, busy, slots):
+    context.registry, context.measurements = Registry(), SlotTable()
+    context.reported = (slots, busy)
+    context.first = announce(context.registry, "plans", "a", slots, 1, busy)
+    announce(context.registry, "plans", "b", slots).in_use = 1
+
+
+@when('"a" has sent the same report {count:d} more times')
+def step_same_report(context, count):
+    slots, busy = context.reported
+    for sequence in range(2, count + 2):
+        announce(context.registry, "plans", "a", slots, sequence, busy)
+
+
+@when('"a" has just failed')
+def step_failed(context):
+    record_result(context.measurements, context.first, SECOND, True, NOW)
+
+
+@then('the endpoint "{name}" is chosen')
+def step_chosen(context, name):
+    live = context.registry.list_live("plans", NOW)
+    chosen = choose_endpoint(context.measurements, live, NOW)
+    assert chosen.announcement.endpoint == name, chosen
