--- /dev/null
+++ b/features/connection/relay.feature
@@ -0,0 +1,86 @@
+Feature: Relay of requests and responses
+  Guards against truncated or foreign responses that look complete, against uploads that fill the
+  memory or hold the slots of others, and against work that goes on after its caller has gone.
+
+  @fixture.session
+  Scenario Outline: A truncated response is visible to the caller
+    Given a backend server that sends "<response>" and then <end> the connection
+    When a caller of HTTP/<version> requests it
+    Then the caller got <seen> and no complete response
+
+    Examples:
+      | response                                                  | end    | version | seen        |
+      | HTTP/1.1 200 OK;content-length: 10;;12345                 | closes | 1.1     | a reset     |
+      | HTTP/1.1 200 OK;content-length: 10;;12345                 | resets | 1.0     | a reset     |
+      | HTTP/1.1 200 OK;transfer-encoding: chunked;;5;12345;      | closes | 1.1     | a reset     |
+      | HTTP/1.1 200 OK;transfer-encoding: chunked;;5;12345;      | closes | 1.0     | a reset     |
+      | HTTP/1.1 200 OK;;12345                                    | closes | 1.1     | status 502  |
+      | HTTP/1.1 200 OK;content-le                                | closes | 1.1     | status 502  |
+
+  @fixture.session
+  Scenario Outline: A late or crossed response never reaches another request
+    Given a backend server whose connections give <fault>
+    When a caller sends 6 requests one after the other with 100 ms each
+    Then each response that the caller got carries the path of its own request
+    And at least <served> requests were served on <connections> connections or more
+
+    Examples:
+      | fault                     | served | connections |
+      | each second response late | 3      | 3           |
+      | each response twice       | 5      | 5           |
+
+  @fixture.session
+  Scenario: A stalled upload ends by the progress limit and holds nobody else
+    Given a stub backend server with 2 slots
+    When an upload of 100000 bytes stalls after 20000 bytes while 20 other requests are sent
+    Then the other requests got status 200 within 100 ms each
+    And the stalled upload got status 408 and "unknown", and no slot is in use
+
+  @fixture.session
+  Scenario: A backend server that stops reading ends the upload by the progress limit
+    Given a backend server that reads only the head
+    When a caller uploads 1000000 bytes to it
+    Then the caller got status 502 after 10 seconds and no slot is in use
+
+  @fixture.session
+  Scenario: A large upload to a slow backend server is held back
+    Given a backend server that reads 16384 bytes each 5 ms
+    When a caller uploads 4000000 bytes to it
+    # Two stream buffers of 65536 bytes in memory and a part in hand on each side of the relay.
+    Then never more than 163840 bytes were between the caller and the backend server
+    And the backend server got 4000000 bytes
+
+  @fixture.session
+  Scenario Outline: The end of a request reaches the backend server
+    Given a stub backend server with 2 slots
+    And its requests take 5000 ms
+    When a caller of entry VM <vm> <action>
+    Then the backend server runs no request 300 ms later and no slot is in use
+
+    Examples:
+      | vm | action                                       |
+      | 0  | closes its connection after 200 ms           |
+      | 1  | closes its connection after 200 ms           |
+      | 0  | sends a deadline of 200 ms and gets unknown  |
+      | 1  | sends a deadline of 200 ms and gets unknown  |
+
+  @fixture.session
+  Scenario: Pipelined requests are answered in order
+    Given a stub backend server with 2 slots
+    When a caller sends 40 requests of 1000 bytes each without waiting
+    Then it got 40 responses of status 200 on one connection
+
+  @fixture.virtual_loop
+  Scenario Outline: A fault in a handler gets an internal response and the process goes on
+    Given a server whose handler <fault>
+    When a caller sends a request and then another one
+    Then both got status 500 with "internal" and "unknown" and 2 faults were reported
+
+    Examples:
+      | fault                                |
+      | raises an unexpected exception       |
+      | sends a head that isn't valid HTTP   |
+      | ends a response that hasn't begun    |
+
+  Scenario: A reset over TCP isn't a clean end
+    Then a reset TCP stream raises an error at the other end, and at most 16384 bytes are unread
