--- a/camphorspread/connection/messages.py
+++ b/camphorspread/connection/messages.py
@@ -2,7 +2,14 @@
 
 import attrs
 
-__all__ = ["Headers", "RequestHead", "ResponseHead", "find_header", "without_headers"]
+__all__ = [
+    "Headers",
+    "RequestHead",
+    "ResponseHead",
+    "find_header",
+    "has_body",
+    "without_headers",
+]
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -32,6 +39,12 @@
     return None
 
 
+def has_body(headers: Headers) -> bool:
+    """Return True if the headers announce a request body."""
+    length = find_header(headers, b"content-length")
+    return find_header(headers, b"transfer-encoding") is not None or length not in (None, b"0")
+
+
 def without_headers(headers: Headers, names: frozenset[bytes]) -> Headers:
     """Return the headers whose names aren't in `names`."""
     return tuple(item for item in headers if item[0] not in names)
--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -10,7 +10,7 @@
 import h11
 
 from camphorspread.connection.limits import ConnectionLimits
-from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.messages import RequestHead, ResponseHead, has_body
 from camphorspread.connection.network import Address, Stream
 from camphorspread.request.errors import ErrorKind, Refusal
 
@@ -46,6 +46,9 @@
         self.refusal = refusal
 
 
+ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
 @attrs.define(eq=False)
 class Exchange:
     """One request on a server connection and its response.
@@ -75,6 +78,8 @@
             StalledError: No byte arrived within the progress limit.
             RefusedError: The body breaks the framing.
         """
+        if self.state.their_state in ENDED_STATES:
+            return b""
         while True:
             if self.state.they_are_waiting_for_100_continue:
                 await self.send_continue()
@@ -139,8 +144,11 @@
 
     async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send a whole response with a body of known length."""
-        length = (b"content-length", b"%d" % len(body))
-        event = h11.Response(status_code=head.status, headers=[*head.headers, length])
+        headers = [*head.headers, (b"content-length", b"%d" % len(body))]
+        if self.state.their_state not in ENDED_STATES:
+            # The rest of the request body stays unread, so that no request can follow it.
+            headers.append((b"connection", b"close"))
+        event = h11.Response(status_code=head.status, headers=headers)
         parts = [self.state.send(event)]
         self.response_started = True
         if body and self.head.method != b"HEAD":
@@ -304,6 +312,9 @@
                 return
             if head is None:
                 return
+            if not has_body(head.headers):
+                # Takes the end of the request, which needs no further byte.
+                state.next_event()
             exchange = Exchange(head, stream.peer, stream, state, self.limits)
             await self._handle(exchange)
             if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
--- a/camphorspread/process/region_share.py
+++ b/camphorspread/process/region_share.py
@@ -22,8 +22,14 @@
     return limit // 2 // max(vms, 1)
 
 
-def find_limits(state: EntryState, now: timedelta) -> AdmissionLimits:
-    """Return the limits of the newest catalogue and of the shares held now."""
+def find_limits(state: EntryState, now: timedelta, service: str = "") -> AdmissionLimits:
+    """Return the limits of the newest catalogue and of the shares held now.
+
+    Args:
+        state: State of the entry process.
+        now: Current instant.
+        service: A service that is needed besides those with waiting requests.
+    """
     catalogue = state.catalogue or Catalogue()
     region = state.fleet.own.region
     entry = catalogue.find_region(region)
@@ -34,7 +40,8 @@
         key = ShareKey(kind, region, service)
         return permanent_part(limit, vms) + state.held_shares.amount(key, now)
 
-    services = [versioned.entry for versioned in catalogue.services.values()]
+    names = {service, *(req.service for req in state.admission.waiting)}
+    services = [item for name in sorted(names) if (item := catalogue.find_service(name))]
     return AdmissionLimits(
         region=region,
         region_share=share(ShareKind.REGION_LIMIT, entry.limit) if entry else None,
--- a/camphorspread/request/admission_shell.py
+++ b/camphorspread/request/admission_shell.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
+from camphorspread.connection.messages import has_body
 from camphorspread.connection.server import Exchange
 from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.entry_state import EntryState
@@ -20,7 +21,6 @@
     release,
 )
 from camphorspread.request.errors import Refusal
-from camphorspread.request.forwarding import has_body
 
 __all__ = ["CallerLeftError", "admit_request", "grant_free_slots", "release_slot"]
 
@@ -42,7 +42,9 @@
     fut = asyncio.get_running_loop().create_future()
     state.waiting[req.ticket] = fut
     now = state.clock.monotonic()
-    carry_out(state, admit(state.admission, find_limits(state, now), req, now, may_wait))
+    carry_out(
+        state, admit(state.admission, find_limits(state, now, req.service), req, now, may_wait)
+    )
     try:
         if not fut.done():
             await wait_for_slot(exchange, fut)
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -7,7 +7,7 @@
 
 from camphorspread.connection.access_key import ACCESS_KEY_HEADER
 from camphorspread.connection.client import ClientConnection
-from camphorspread.connection.messages import Headers, RequestHead
+from camphorspread.connection.messages import Headers, RequestHead, has_body
 from camphorspread.connection.network import Address
 from camphorspread.connection.server import Exchange
 from camphorspread.process.endpoints import Endpoint, EndpointState
@@ -21,7 +21,6 @@
 from camphorspread.request.forwarding import (
     CALLER_REGION_HEADER,
     PASS_PREFIX,
-    has_body,
     make_forward_head,
 )
 from camphorspread.request.reasons import Reason
--- a/camphorspread/request/forwarding.py
+++ b/camphorspread/request/forwarding.py
@@ -20,7 +20,6 @@
     "OUTCOME_HEADER",
     "PASS_PREFIX",
     "REASON_HEADER",
-    "has_body",
     "is_framed",
     "make_forward_head",
     "make_response_head",
@@ -54,12 +53,6 @@
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
-def has_body(headers: Headers) -> bool:
-    """Return True if the headers announce a request body."""
-    length = find_header(headers, b"content-length")
-    return find_header(headers, b"transfer-encoding") is not None or length not in (None, b"0")
-
-
 def is_framed(method: bytes, head: ResponseHead) -> bool:
     """Return True if the end of the response can be told from a broken connection.
 
