--- a/features/connection/relay.feature
+++ b/features/connection/relay.feature
@@ -82,5 +82,9 @@
       | sends a head that isn't valid HTTP   |
       | ends a response that hasn't begun    |
 
+  @fixture.virtual_loop
+  Scenario: A connection outlives responses whose handler reads no body
+    Then a server answers 3 requests without a body on one connection, and closes it when a body stays unread
+
   Scenario: A reset over TCP isn't a clean end
     Then a reset TCP stream raises an error at the other end, and at most 16384 bytes are unread
