--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -9,14 +9,17 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.client_blocks import BlockTable, build_table, parse_block
 from camphorspread.process.clock import Clock
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.share_demand import ShareDemand
+from camphorspread.process.shift import ShiftPlan
 from camphorspread.process.slots import SlotTable
 from camphorspread.request.admission import AdmissionQueue
+from camphorspread.request.lookup import Place
 from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares
@@ -52,6 +55,9 @@
         waiting: Futures of the waiting requests by ticket.
         next_ticket: Ticket of the next request.
         retry_budget: Recent requests and retries.
+        blocks: Blocks of client addresses and their site numbers.
+        sites: Places by site number.
+        shift_plan: Shifts between regions that are under way.
     """
 
     settings: EntrySettings
@@ -75,6 +81,9 @@
     waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
     next_ticket: int = 0
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+    blocks: BlockTable = attrs.field(factory=BlockTable)
+    sites: list[Place] = attrs.field(factory=list)
+    shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
 
     def __attrs_post_init__(self) -> None:
         """Let admission share the registry, measurements and demand of the process."""
@@ -100,4 +109,17 @@
     state = EntryState(settings, clock, network, log, rng, pool, link, fleet)
     state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     state.started = clock.monotonic()
+    load_client_blocks(state)
     return state
+
+
+def load_client_blocks(state: EntryState) -> None:
+    """Fill the table of client blocks from the settings."""
+    numbers: dict[Place, int] = {}
+    pairs = []
+    for item in state.settings.client_blocks:
+        place = Place(item.availability_zone, item.region)
+        number = numbers.setdefault(place, len(numbers))
+        pairs.append((parse_block(item.block).unwrap(), number))
+    state.blocks = build_table(pairs)
+    state.sites = list(numbers)
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -33,7 +33,9 @@
 __all__ = ["refuse", "steer_passed_request", "steer_request"]
 
 
-async def steer_request(state: EntryState, exchange: Exchange, service: str, target: bytes) -> None:
+async def steer_request(
+    state: EntryState, exchange: Exchange, service: str, target: bytes, caller_region: str
+) -> None:
     """Serve a caller's request on `/s/SERVICE/PATH`.
 
     Args:
@@ -41,8 +43,9 @@
         exchange: The caller's exchange.
         service: Name of the service.
         target: Path and query at the backend server.
+        caller_region: Region of the caller.
     """
-    await start(state, exchange, service, target, state.fleet.own.region, is_passed=False)
+    await start(state, exchange, service, target, caller_region, is_passed=False)
 
 
 async def steer_passed_request(
