--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -15,6 +15,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.pass_handler import handle_peer
+from camphorspread.process.slots import forget_endpoint
 from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
 
@@ -97,6 +98,7 @@
         for endpoint in expired:
             announcement = endpoint.announcement
             state.pool.close_address(announcement.address)
+            forget_endpoint(state.slots, announcement.service, announcement.endpoint)
             state.log.write(
                 Event.ENDPOINT_EXPIRED,
                 service=announcement.service,
--- a/camphorspread/process/slots.py
+++ b/camphorspread/process/slots.py
@@ -11,6 +11,7 @@
     "SlotTable",
     "count_free_slots",
     "find_health",
+    "forget_endpoint",
     "rank_endpoint",
     "record_result",
     "service_time",
@@ -65,6 +66,11 @@
     return health
 
 
+def forget_endpoint(table: SlotTable, service: str, endpoint: str) -> None:
+    """Drop the measurements of an endpoint that has gone."""
+    table.services.get(service, {}).pop(endpoint, None)
+
+
 def count_free_slots(endpoint: Endpoint, now: timedelta) -> int:
     """Return the slots that may be taken now, never more than were announced."""
     allowed = min(endpoint.admitted_slots(now), endpoint.announcement.slots)
--- a/features/request/steering.feature
+++ b/features/request/steering.feature
@@ -43,6 +43,21 @@
       | POST   | with a  | 1     | refused               |
       | GET    | without | 1     | catalogue_lease_ended |
 
+  @fixture.session
+  Scenario: A refused retry doesn't turn an unknown outcome into "not run"
+    Given endpoints of "gis-svc" that break the connection after the request, with a catalogue lease
+    And entry VM 1 is believed to have slots of "gis-svc" but has none
+    When a caller sends GET "/s/gis-svc/maps/1" there
+    Then the request was sent 1 times
+    And the caller got "backend_failed", "unknown" and the reason "no_live_endpoint"
+
+  @fixture.session
+  Scenario: A request whose wait in the queue passes its deadline leaves the queue
+    Given the owner has the endpoint "gis-1" with 1 slots and a queue of 8 for "gis-svc"
+    When a caller with 30 ms left waits behind a request of 500 ms for "gis-svc"
+    Then the caller got "deadline_passed_in_queue", "not_run" and the reason "deadline"
+    And the queue is empty and only the first request was run
+
   @fixture.session
   Scenario: A passed upload sends no body byte before it is admitted
     Given the owner refuses uploads for "gis-svc" as its only slot is in use
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -4,10 +4,12 @@
 import json
 from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 
 from camphorspread.connection.messages import ResponseHead, find_header
 from camphorspread.connection.server import HttpServer
+from camphorspread.process.fleet import FleetView
 from camphorspread.version.catalogue import ServiceClass, ServiceEntry
 from features.fixtures.owner import (
     add_backend,
@@ -152,6 +154,40 @@
     state.catalogue_lease_end = timedelta(days=1) if lease == "with a" else timedelta(0)
 
 
+@given('entry VM {number:d} is believed to have slots of "{service}" but has none')
+def step_false_belief(context, number, service):
+    # One own endpoint less, so that the one retry that a quiet VM has goes to the other VM.
+    state = owner_state(context)
+    state.registry.services[service]["2"].lease_end = timedelta(0)
+    context.announcements.cancel()
+    vm = context.fleet.entries[number].state.fleet.own_vm
+    vms = dict(state.fleet.vms)
+    vms[vm] = attrs.evolve(vms[vm], free_slots={service: 4}, total_slots={service: 4})
+    state.fleet = FleetView(state.fleet.own_vm, vms)
+
+
+@when('a caller with {left:d} ms left waits behind a request of {time:d} ms for "{service}"')
+def step_wait_behind(context, left, time, service):
+    context.backend.service_time = timedelta(milliseconds=time)
+
+    async def send_both():
+        first = asyncio.create_task(send_from(context, 0, "GET", f"/s/{service}/first"))
+        await asyncio.sleep(0.02)
+        header = (b"camphorspread-deadline-ms", b"%d" % left)
+        result = await send_from(context, 0, "GET", f"/s/{service}/second", header)
+        assert (await first).head.status == 200
+        return result
+
+    context.result = run(context, send_both())
+
+
+@then("the queue is empty and only the first request was run")
+def step_queue_empty(context):
+    state = owner_state(context)
+    assert not state.admission.waiting and not state.waiting
+    assert context.backend.served == ["GET /first"], context.backend.served
+
+
 @when('a caller sends {method} "{target}" there')
 def step_send_there(context, method, target):
     context.result = run(context, send_from(context, 0, method, target))
