--- a/camphorspread/connection/network.py
+++ b/camphorspread/connection/network.py
@@ -98,9 +98,16 @@
         """
 
 
+def wake(waiter: asyncio.Future | None) -> None:
+    """Let a waiting reader or writer look at the stream again."""
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
+
+
 class TcpStream(asyncio.BufferedProtocol):
     """A stream over TCP that holds at most `READ_BYTES` unread and `WRITE_BYTES` unsent bytes.
 
+    One task may read and one may write at a time, as on all streams here.
     One call of `write` may go over the limit for unsent bytes and then waits for room.
     """
 
@@ -113,7 +120,8 @@
         self.is_lost = False
         self.error: Exception | None = None
         self.is_paused = False
-        self.changed: asyncio.Future | None = None
+        self.reader: asyncio.Future | None = None
+        self.writer: asyncio.Future | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the open transport."""
@@ -133,19 +141,20 @@
         self.filled += nbytes
         if self.filled == READ_BYTES:
             self.transport.pause_reading()
-        self.wake()
+        wake(self.reader)
 
     def eof_received(self) -> bool:
         """Take the end of the stream; the other direction stays open."""
         self.is_eof = True
-        self.wake()
+        wake(self.reader)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Take the loss of the connection."""
         self.is_lost = True
         self.error = exc
-        self.wake()
+        wake(self.reader)
+        wake(self.writer)
 
     def pause_writing(self) -> None:
         """Make writers wait."""
@@ -154,20 +163,7 @@
     def resume_writing(self) -> None:
         """Let writers go on."""
         self.is_paused = False
-        self.wake()
-
-    def wake(self) -> None:
-        """Wake the reader and the writer."""
-        if self.changed is not None:
-            self.changed.set_result(None)
-            self.changed = None
-
-    async def wait(self) -> None:
-        """Wait for the next change."""
-        if self.changed is None:
-            self.changed = asyncio.get_running_loop().create_future()
-        # The future is shared by reader and writer, so that cancelling one mustn't end the other.
-        await asyncio.shield(self.changed)
+        wake(self.writer)
 
     @property
     def is_ended(self) -> bool:
@@ -186,7 +182,8 @@
                 raise ConnectionResetError("connection reset by peer") from self.error
             if self.is_ended:
                 return b""
-            await self.wait()
+            self.reader = asyncio.get_running_loop().create_future()
+            await self.reader
         data = bytes(self.space[: self.filled])
         self.filled = 0
         if len(data) == READ_BYTES and not self.is_lost:
@@ -198,7 +195,8 @@
         self.check_open()
         self.transport.write(data)
         while self.is_paused:
-            await self.wait()
+            self.writer = asyncio.get_running_loop().create_future()
+            await self.writer
             self.check_open()
 
     def check_open(self) -> None:
--- a/camphorspread/request/admission_shell.py
+++ b/camphorspread/request/admission_shell.py
@@ -11,6 +11,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.region_share import find_limits
 from camphorspread.request.admission import (
+    AdmissionLimits,
     AdmissionRequest,
     Effect,
     Granted,
@@ -83,7 +84,9 @@
 def release_slot(state: EntryState, endpoint: Endpoint) -> None:
     """Give back a slot to the head of the queue."""
     now = state.clock.monotonic()
-    carry_out(state, release(state.admission, find_limits(state, now), endpoint, now))
+    # Without a queue no limit is looked at; finding them costs more than the release itself.
+    limits = find_limits(state, now) if state.admission.waiting else AdmissionLimits()
+    carry_out(state, release(state.admission, limits, endpoint, now))
 
 
 def grant_free_slots(state: EntryState) -> None:
