--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -56,7 +56,11 @@
     Attributes:
         response_started: True once a part of the response may have been sent.
         aborted: True once the connection has been reset or can't carry another request.
-        is_body_read: True once a byte of the request body has been read.
+        status: Status of the response; 0 before its head.
+        is_complete: True once the whole response was sent.
+        refusal: The refusal that was sent, or that reset the connection.
+        received_bytes: Body bytes received.
+        sent_bytes: Body bytes sent.
     """
 
     head: RequestHead
@@ -66,7 +70,11 @@
     limits: ConnectionLimits
     response_started: bool = False
     aborted: bool = False
-    is_body_read: bool = False
+    status: int = 0
+    is_complete: bool = False
+    refusal: Refusal | None = None
+    received_bytes: int = 0
+    sent_bytes: int = 0
 
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
@@ -87,7 +95,7 @@
             match event:
                 case h11.Data(data=data):
                     if data:
-                        self.is_body_read = True
+                        self.received_bytes += len(data)
                         return bytes(data)
                 case h11.EndOfMessage():
                     return b""
@@ -127,15 +135,18 @@
         """Send the head of the response."""
         data = self.state.send(h11.Response(status_code=head.status, headers=list(head.headers)))
         self.response_started = True
+        self.status = head.status
         await self._write(data)
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
         await self._send(h11.Data(data=data))
+        self.sent_bytes += len(data)
 
     async def finish(self) -> None:
         """End the response."""
         await self._send(h11.EndOfMessage())
+        self.is_complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the response can't look complete."""
@@ -151,10 +162,13 @@
         event = h11.Response(status_code=head.status, headers=headers)
         parts = [self.state.send(event)]
         self.response_started = True
+        self.status = head.status
         if body and self.head.method != b"HEAD":
             parts.append(self.state.send(h11.Data(data=body)))
         parts.append(self.state.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
+        self.sent_bytes += len(body)
+        self.is_complete = True
 
     async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
         """Send a whole response as JSON."""
@@ -164,6 +178,7 @@
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send the response that belongs to the refusal's error kind."""
+        self.refusal = refusal
         if self.state.our_state is h11.ERROR:
             self._renew_state()
         response = refusal.response
@@ -261,6 +276,7 @@
 async def refuse_or_abort(exchange: Exchange, refusal: Refusal) -> None:
     """Send a refusal, or reset the connection if a response has begun."""
     if exchange.response_started:
+        exchange.refusal = refusal
         exchange.abort()
     else:
         await exchange.refuse(refusal)
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -14,6 +14,7 @@
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.process.pass_handler import handle_peer
 from camphorspread.process.slots import forget_endpoint
 from camphorspread.request.admission_shell import grant_free_slots
@@ -32,7 +33,7 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers, peers.
+        listeners: Its open listeners: callers, backend servers, peers, operators.
         tasks: Its periodic tasks.
     """
 
@@ -56,6 +57,7 @@
         await listen(state, state.settings.callers, handle_caller),
         await listen(state, state.settings.backend_servers, handle_backend_server),
         await listen(state, state.settings.peers, handle_peer),
+        await listen(state, state.settings.operators, handle_entry_operator),
     )
     tasks = (
         asyncio.create_task(poll_catalogue(state)),
@@ -84,7 +86,10 @@
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
     server = HttpServer(
-        lambda exchange: handler(state, exchange), on_refused=log_refusal, on_failed=log_failure
+        lambda exchange: handler(state, exchange),
+        state.settings.limits.connection_limits(),
+        on_refused=log_refusal,
+        on_failed=log_failure,
     )
     return await state.network.listen(address, server.serve)
 
--- a/camphorspread/process/pass_handler.py
+++ b/camphorspread/process/pass_handler.py
@@ -6,6 +6,7 @@
 from camphorspread.connection.messages import find_header
 from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
+from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import CALLER_REGION_HEADER, PASS_PREFIX, split_service
 from camphorspread.request.steer import refuse, steer_passed_request
@@ -33,4 +34,9 @@
         message = f"{CALLER_REGION_HEADER.decode()} is missing"
         await refuse(state, exchange, Refusal(ErrorKind.MALFORMED_REQUEST, message))
         return
-    await steer_passed_request(state, exchange, service, target, region.decode("ascii", "replace"))
+    shown = target.decode("ascii", "replace")
+    with observe_request(
+        state.observer, exchange, state.catalogue, service, shown, "", is_passed=True
+    ):
+        caller_region = region.decode("ascii", "replace")
+        await steer_passed_request(state, exchange, service, target, caller_region)
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -14,6 +14,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import VmRecord
+from camphorspread.process.observer import observe_attempt, trace_headers
 from camphorspread.process.slots import record_result
 from camphorspread.request.admission import AdmissionRequest
 from camphorspread.request.admission_shell import CallerLeftError, admit_request, release_slot
@@ -135,7 +136,7 @@
             state.log.write(
                 Event.REQUEST_PASSED, service=req.service, to=record.vm, reason=reason.value
             )
-            return await attempt_pass(state, req, attempts, entry, record)
+            return await attempt_pass(state, req, attempts, entry, record, reason)
 
 
 async def attempt_own(
@@ -211,8 +212,16 @@
         state.pool.release_unused(conn)
         message = "the backend server is leaving"
         return Failed(Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.LEAVING))
-    head = make_head(state, req, address, req.target)
-    return await send(state, req, attempts, entry, conn, head, is_pass=False)
+    announced = endpoint.announcement
+    with observe_attempt(
+        state.observer,
+        req.exchange,
+        announced.availability_zone,
+        endpoint=announced.endpoint,
+        reason=Reason.RETRIED if attempts.failed else Reason.SAME_AVAILABILITY_ZONE,
+    ):
+        head = make_head(state, req, address, req.target)
+        return await send(state, req, attempts, entry, conn, head, is_pass=False)
 
 
 def is_sendable(endpoint: Endpoint, now: timedelta) -> bool:
@@ -226,6 +235,7 @@
     attempts: Attempts,
     entry: ServiceEntry,
     record: VmRecord,
+    reason: Reason,
 ) -> Ending:
     """Pass the request to another entry VM, which admits or refuses it."""
     attempts.is_sent = True
@@ -239,8 +249,11 @@
     if has_body(req.exchange.head.headers):
         extra += ((b"expect", b"100-continue"),)
     target = PASS_PREFIX + req.service.encode() + req.target
-    head = make_head(state, req, record.peers, target, extra)
-    return await send(state, req, attempts, entry, conn, head, is_pass=True)
+    with observe_attempt(
+        state.observer, req.exchange, record.availability_zone, vm=record.vm, reason=reason
+    ):
+        head = make_head(state, req, record.peers, target, extra)
+        return await send(state, req, attempts, entry, conn, head, is_pass=True)
 
 
 def make_head(
@@ -253,6 +266,7 @@
     """Return the head for the next hop with the time that is left now."""
     now = state.clock.monotonic()
     host = str(address).encode()
+    extra += trace_headers(state.observer, req.exchange)
     return make_forward_head(req.exchange.head, target, host, req.deadline, now, extra)
 
 
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -177,7 +177,7 @@
         return ending.refusal
     now = state.clock.monotonic()
     decision = decide_retry(
-        ending.as_attempt_failure(req.exchange.is_body_read),
+        ending.as_attempt_failure(req.exchange.received_bytes > 0),
         entry,
         req.method,
         req.path,
