--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -33,15 +33,14 @@
         case Success(settings):
             pass
     try:
-        asyncio.run(run_until_signal(settings))
+        return asyncio.run(run_until_signal(settings))
     except OSError as exc:
         print(f"the process stops: {exc}", file=sys.stderr)
         return FAILURE
-    return SUCCESS
 
 
-async def run_until_signal(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT.
+async def run_until_signal(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code.
 
     Raises:
         OSError: A listener can't be opened.
@@ -62,3 +61,4 @@
         loop.add_signal_handler(signal_number, node.cancel)
     with contextlib.suppress(asyncio.CancelledError):
         await node
+    return SUCCESS
--- a/features/process/binary.feature
+++ b/features/process/binary.feature
@@ -9,5 +9,6 @@
     Then each of them is one process with one thread
     And the entry process runs catalogue version 7 once the built file has applied the example
     And the built file explains the service "status-svc" and prints the report
+    And a second process at the same addresses ends with code 1 and no traceback
     And each of them ends with code 0 after SIGTERM
     And the program was extracted below the working directory only
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -116,6 +116,14 @@
         assert text in output, output
 
 
+@then("a second process at the same addresses ends with code {code:d} and no traceback")
+def step_start_twice(context, code):
+    ended, output = wait_for_exit(start(context, "run", context.paths[1]))
+    assert ended == code, output
+    assert "the process stops" in output, output
+    assert "Traceback" not in output, output
+
+
 @then("each of them ends with code {code:d} after SIGTERM")
 def step_stop_nodes(context, code):
     for node in reversed(context.nodes):
