--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -1,7 +1,6 @@
 """The server side of HTTP/1.1 connections."""
 
 import asyncio
-import contextlib
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -11,7 +10,7 @@
 import h11
 
 from camphorspread.connection.limits import ConnectionLimits
-from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.messages import RequestHead, ResponseHead, has_body
 from camphorspread.connection.network import Address, Stream
 from camphorspread.request.errors import ErrorKind, Refusal
 
@@ -47,13 +46,16 @@
         self.refusal = refusal
 
 
+ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
 @attrs.define(eq=False)
 class Exchange:
     """One request on a server connection and its response.
 
     Attributes:
-        response_started: True once the head of the response may have left.
-        aborted: True once the connection was reset.
+        response_started: True once a part of the response may have been sent.
+        aborted: True once the connection has been reset or can't carry another request.
         status: Status of the response; 0 before its head.
         is_complete: True once the whole response was sent.
         refusal: The refusal that was sent, or that reset the connection.
@@ -77,11 +79,15 @@
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
 
+        A caller that waits for status 100 gets it here, once the body is wanted.
+
         Raises:
             CallerGoneError: The connection ended within the body.
             StalledError: No byte arrived within the progress limit.
             RefusedError: The body breaks the framing.
         """
+        if self.state.their_state in ENDED_STATES:
+            return b""
         while True:
             if self.state.they_are_waiting_for_100_continue:
                 await self.send_continue()
@@ -127,9 +133,10 @@
 
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
+        data = self.state.send(h11.Response(status_code=head.status, headers=list(head.headers)))
         self.response_started = True
         self.status = head.status
-        await self._send(h11.Response(status_code=head.status, headers=list(head.headers)))
+        await self._write(data)
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -148,11 +155,14 @@
 
     async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send a whole response with a body of known length."""
-        length = (b"content-length", b"%d" % len(body))
-        event = h11.Response(status_code=head.status, headers=[*head.headers, length])
+        headers = [*head.headers, (b"content-length", b"%d" % len(body))]
+        if self.state.their_state not in ENDED_STATES:
+            # The rest of the request body stays unread, so that no request can follow it.
+            headers.append((b"connection", b"close"))
+        event = h11.Response(status_code=head.status, headers=headers)
+        parts = [self.state.send(event)]
         self.response_started = True
         self.status = head.status
-        parts = [self.state.send(event)]
         if body and self.head.method != b"HEAD":
             parts.append(self.state.send(h11.Data(data=body)))
         parts.append(self.state.send(h11.EndOfMessage()))
@@ -169,6 +179,8 @@
     async def refuse(self, refusal: Refusal) -> None:
         """Send the response that belongs to the refusal's error kind."""
         self.refusal = refusal
+        if self.state.our_state is h11.ERROR:
+            self._renew_state()
         response = refusal.response
         headers = (
             (b"camphorspread-error", refusal.kind.value.encode()),
@@ -194,8 +206,18 @@
             except ConnectionError:
                 return
             self.state.receive_data(data)
-            if not data or len(self.state.trailing_data[0]) > self.limits.header_bytes:
+            if not data:
                 return
+            if len(self.state.trailing_data[0]) > self.limits.header_bytes:
+                # Many pipelined requests: the rest stays in the stream, for back-pressure.
+                await asyncio.Event().wait()
+
+    def _renew_state(self) -> None:
+        """Replace the HTTP state after a fault in a response that hasn't left, to send another."""
+        self.aborted = True
+        self.state = h11.Connection(h11.SERVER)
+        self.state.receive_data(self.head.method + b" / HTTP/1.0\r\n\r\n")
+        self.state.next_event()
 
     def _next_event(self) -> object:
         try:
@@ -260,17 +282,6 @@
         await exchange.refuse(refusal)
 
 
-def read_end_of_request(state: h11.Connection) -> None:
-    """Read the end of a request without a body, so that its connection can carry the next one.
-
-    A handler that needs no body doesn't read it. Without this step the connection would be closed
-    although the response didn't say so, and the next request on it would be lost.
-    """
-    if state.their_state is h11.SEND_BODY and not state.they_are_waiting_for_100_continue:
-        with contextlib.suppress(h11.RemoteProtocolError):
-            state.next_event()
-
-
 @attrs.define(eq=False)
 class HttpServer:
     """Serves exchanges on streams, one after the other on each connection.
@@ -317,11 +328,13 @@
                 return
             if head is None:
                 return
+            if not has_body(head.headers):
+                # Takes the end of the request, which needs no further byte.
+                state.next_event()
             exchange = Exchange(head, stream.peer, stream, state, self.limits)
             await self._handle(exchange)
             if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
                 return
-            read_end_of_request(state)
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
             state.start_next_cycle()
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -15,6 +15,9 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.operator_listener import handle_entry_operator
+from camphorspread.process.pass_handler import handle_peer
+from camphorspread.process.slots import forget_endpoint
+from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -30,7 +33,7 @@
 
     Attributes:
         state: State of the process.
-        listeners: Its open listeners: callers, backend servers, operators.
+        listeners: Its open listeners: callers, backend servers, peers, operators.
         tasks: Its periodic tasks.
     """
 
@@ -53,6 +56,7 @@
     listeners = (
         await listen(state, state.settings.callers, handle_caller),
         await listen(state, state.settings.backend_servers, handle_backend_server),
+        await listen(state, state.settings.peers, handle_peer),
         await listen(state, state.settings.operators, handle_entry_operator),
     )
     tasks = (
@@ -94,9 +98,12 @@
     """Remove endpoints whose lease has ended, until cancelled."""
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL.total_seconds())
-        for endpoint in expire_endpoints(state.registry, state.clock.monotonic()):
+        expired = expire_endpoints(state.registry, state.clock.monotonic())
+        grant_free_slots(state)
+        for endpoint in expired:
             announcement = endpoint.announcement
             state.pool.close_address(announcement.address)
+            forget_endpoint(state.slots, announcement.service, announcement.endpoint)
             state.log.write(
                 Event.ENDPOINT_EXPIRED,
                 service=announcement.service,
