--- a/camphorspread/process/command/catalogue.py
+++ b/camphorspread/process/command/catalogue.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+from datetime import timedelta
 from pathlib import Path
 
 from returns.result import Failure, Success
@@ -16,6 +17,8 @@
 
 __all__ = ["apply_change_file"]
 
+CHANGE_LIMIT = timedelta(seconds=5)
+
 
 def apply_change_file(settings_path: Path, change_path: Path) -> int:
     """Send the change in a JSON file; return the exit code."""
@@ -44,7 +47,9 @@
     link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), key)
     for replica in settings.replicas:
         try:
-            return await link.call(replica.operators, "POST", "/v1/catalogue/changes", change)
+            return await link.call(
+                replica.operators, "POST", "/v1/catalogue/changes", change, CHANGE_LIMIT
+            )
         except LinkError as exc:
             print(exc, file=sys.stderr)
     return None
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -3,30 +3,34 @@
 import asyncio
 from datetime import timedelta
 
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.network import Listener
 from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.process.control_operators import serve_operator
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.replica_shell import ReplicaShell, start_replica
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.version.changes import ChangeError, apply_change, check_change
-from camphorspread.version.codec import decode_change_request, encode
+from camphorspread.version.codec import encode
+from camphorspread.version.replica_codec import encode_replica_value
 
 __all__ = ["run_control_node", "start_control_node"]
 
 HOLD = timedelta(milliseconds=500)
 
 
-async def start_control_node(state: ControlState) -> tuple[Listener, ...]:
+async def start_control_node(state: ControlState, shell: ReplicaShell) -> tuple[Listener, ...]:
     """Open the listeners of a control process."""
 
     def log_failure(exc: Exception) -> None:
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
-    peers = HttpServer(lambda exchange: handle_peer(state, exchange), on_failed=log_failure)
-    operators = HttpServer(lambda exchange: handle_operator(state, exchange), on_failed=log_failure)
+    peers = HttpServer(lambda exchange: handle_peer(state, shell, exchange), on_failed=log_failure)
+    operators = HttpServer(
+        lambda exchange: handle_operator(state, shell, exchange), on_failed=log_failure
+    )
     return (
         await state.network.listen(state.settings.peers, peers.serve),
         await state.network.listen(state.settings.operators, operators.serve),
@@ -35,16 +39,19 @@
 
 async def run_control_node(state: ControlState) -> None:
     """Run a control process until cancelled."""
-    listeners = await start_control_node(state)
     state.log.write(Event.PROCESS_STARTED, role="control")
+    shell = start_replica(state)
+    listeners: tuple[Listener, ...] = ()
     try:
+        listeners = await start_control_node(state, shell)
         await asyncio.Event().wait()
     finally:
         for listener in listeners:
             await listener.end()
+        await shell.stop()
 
 
-async def handle_peer(state: ControlState, exchange: Exchange) -> None:
+async def handle_peer(state: ControlState, shell: ReplicaShell, exchange: Exchange) -> None:
     """Serve one exchange of the peers' listener."""
     match check_access_key(exchange.head.headers, state.access_key):
         case Failure(refusal):
@@ -53,10 +60,23 @@
     match exchange.head.method, exchange.head.target:
         case b"POST", b"/v1/catalogue/poll":
             await serve_poll(state, exchange)
+        case b"POST", b"/v1/replica/message":
+            await serve_message(shell, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
 
+async def serve_message(shell: ReplicaShell, exchange: Exchange) -> None:
+    """Take a message of another replica; the response holds the messages that answer it."""
+    try:
+        replies = shell.receive(await exchange.read_json())
+    except ValueError as exc:
+        refusal = Refusal(ErrorKind.MALFORMED_REQUEST, f"the body is no replica message: {exc}")
+        await exchange.refuse(refusal)
+        return
+    await exchange.respond_json(200, [encode_replica_value(reply) for reply in replies])
+
+
 async def serve_poll(state: ControlState, exchange: Exchange) -> None:
     """Answer a poll at once if there is a newer version, or after the hold time."""
     message = await exchange.read_json()
@@ -71,42 +91,10 @@
     await exchange.respond_json(200, {"catalogue": encode(state.catalogue)})
 
 
-async def handle_operator(state: ControlState, exchange: Exchange) -> None:
+async def handle_operator(state: ControlState, shell: ReplicaShell, exchange: Exchange) -> None:
     """Serve one exchange of the operators' listener."""
     match check_access_key(exchange.head.headers, state.access_key):
         case Failure(refusal):
             await exchange.refuse(refusal)
             return
-    match exchange.head.method, exchange.head.target:
-        case b"GET", b"/v1/catalogue":
-            await exchange.respond_json(200, encode(state.catalogue))
-        case b"POST", b"/v1/catalogue/changes":
-            await serve_change(state, exchange)
-        case _:
-            await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
-
-
-async def serve_change(state: ControlState, exchange: Exchange) -> None:
-    """Accept or refuse a change."""
-    decoded = decode_change_request(await exchange.read_json())
-    match decoded:
-        case Success(request):
-            checked = check_change(state.catalogue, request)
-        case failure:
-            checked = failure
-    match checked:
-        case Failure(error):
-            await respond_error(state, exchange, error)
-            return
-    state.catalogue = apply_change(state.catalogue, decoded.unwrap().change)
-    state.log.write(Event.CHANGE_ACCEPTED, version=state.catalogue.version)
-    state.changed.set()
-    state.changed = asyncio.Event()
-    await exchange.respond_json(200, {"version": state.catalogue.version})
-
-
-async def respond_error(state: ControlState, exchange: Exchange, error: ChangeError) -> None:
-    """Tell the operator why a change isn't accepted."""
-    state.log.write(Event.CHANGE_REFUSED, kind=error.kind.value, field=error.field)
-    value = {"error": error.kind.value, "message": error.message, **encode(error)}
-    await exchange.respond_json(409, value)
+    await serve_operator(state, shell, exchange)
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -13,7 +13,14 @@
     ChangeRequest,
 )
 
-__all__ = ["CONVERTER", "decode_catalogue", "decode_change_request", "encode"]
+__all__ = [
+    "CONVERTER",
+    "decode_catalogue",
+    "decode_change_request",
+    "describe_fault",
+    "encode",
+    "make_catalogue_converter",
+]
 
 
 def make_catalogue_converter() -> cattrs.Converter:
--- /dev/null
+++ b/camphorspread/version/replica.py
@@ -0,0 +1,261 @@
+"""The state machine of one replica of the catalogue."""
+
+from datetime import timedelta
+
+import attrs
+from returns.result import Failure
+
+from camphorspread.version.changes import (
+    ChangeError,
+    ChangeErrorKind,
+    ChangeRequest,
+    apply_change,
+    check_change,
+)
+from camphorspread.version.election import (
+    LEADER_LEASE,
+    answer_vote,
+    count_vote,
+    query_identities,
+    start_pre_vote,
+    step_down_if_alone,
+    take_identity,
+)
+from camphorspread.version.membership_change import propose_membership
+from camphorspread.version.replica_events import (
+    AnswerChange,
+    ChangeProposed,
+    Effect,
+    Event,
+    LogSynced,
+    MembershipProposed,
+    Received,
+    Send,
+    SnapshotInstalled,
+    SnapshotStored,
+    StorageFailed,
+    Wake,
+)
+from camphorspread.version.replica_messages import (
+    AppendRequest,
+    AppendResponse,
+    ChangeEntry,
+    IdentityQuery,
+    IdentityReply,
+    LogEntry,
+    Member,
+    Message,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from camphorspread.version.replica_state import Follower, Leader, MemoryLog, ReplicaState
+from camphorspread.version.replica_view import ReplicaView
+from camphorspread.version.replication import (
+    ELECTION_WAIT,
+    append_as_leader,
+    follow,
+    quorum_contact,
+    send_all,
+    stop_leading,
+    take_entries,
+    take_progress,
+    take_synced,
+)
+from camphorspread.version.snapshot import (
+    install_snapshot,
+    load_snapshot,
+    record_snapshot,
+    take_chunk,
+    take_chunk_progress,
+)
+
+__all__ = ["Stored", "apply_event", "make_replica", "make_view", "next_wake"]
+
+
+@attrs.frozen
+class Stored:
+    """What the data folder holds at the start of a process.
+
+    Attributes:
+        identity: Random identity of the folder.
+        term: Newest stored term.
+        vote: Vote in that term.
+        snapshot: Newest snapshot, None before the first one.
+        snapshot_data: The encoded snapshot.
+        base_index: Entry before the first one in the log's file.
+        base_term: Term of that entry.
+        entries: Entries in the log's file.
+    """
+
+    identity: str
+    term: int = 0
+    vote: str | None = None
+    snapshot: Snapshot | None = None
+    snapshot_data: bytes = b""
+    base_index: int = 0
+    base_term: int = 0
+    entries: tuple[LogEntry, ...] = ()
+
+
+def make_replica(
+    own: Member, initial: tuple[Member, ...], stored: Stored, jitter: float, now: timedelta
+) -> ReplicaState:
+    """Return the state of a replica at the start of its process.
+
+    Args:
+        own: Its record with the identity of its data folder.
+        initial: Replicas that the settings list.
+        stored: What the data folder holds.
+        jitter: Random number from 0 to 1.
+        now: The present instant.
+    """
+    state = ReplicaState(own, initial, now, stored.term, stored.vote, jitter=jitter)
+    state.log = MemoryLog(stored.base_index, stored.base_term, list(stored.entries))
+    if stored.snapshot is not None:
+        load_snapshot(state, stored.snapshot, stored.snapshot_data)
+        if state.log.term_at(stored.snapshot.index) != stored.snapshot.term:
+            # The process ended between storing a received snapshot and replacing the log.
+            state.log = MemoryLog(stored.snapshot.index, stored.snapshot.term)
+    state.synced_index = state.log.last_index
+    state.members = state.find_members()
+    state.leader_heard = state.quorum_heard = now
+    state.election_due = now + ELECTION_WAIT * (1 + jitter)
+    state.identities_due = now + ELECTION_WAIT
+    if state.voters == (state.own_id,) or len(initial) == 1:
+        # Nobody else can have led, so there is nothing to wait for.
+        state.election_due = state.identities_due = now
+    return state
+
+
+def apply_event(state: ReplicaState, event: Event, now: timedelta) -> list[Effect]:
+    """Update the state and return what the shell has to do, in this order.
+
+    Args:
+        state: State of the replica, which is updated.
+        event: What happened.
+        now: The present instant on this replica's clock.
+
+    Returns:
+        The effects. If one fails, the shell drops those after it and reports `StorageFailed`.
+    """
+    match event:
+        case Wake(jitter=jitter):
+            state.jitter = jitter
+            return wake(state, now)
+        case Received(source=source, message=message):
+            return receive(state, source, message, now)
+        case LogSynced(sequence=sequence):
+            return take_synced(state, sequence, now)
+        case ChangeProposed(request=request, time=time):
+            return propose_change(state, request, time, now)
+        case MembershipProposed(change=change):
+            return propose_membership(state, change, now)
+        case SnapshotStored(snapshot=snapshot, data=data):
+            return record_snapshot(state, snapshot, data)
+        case SnapshotInstalled(snapshot=snapshot, data=data, source=source, sent_at=sent_at):
+            return install_snapshot(state, snapshot, data, source, sent_at)
+        case StorageFailed(cause=cause):
+            return stop_storing(state, cause)
+
+
+def wake(state: ReplicaState, now: timedelta) -> list[Effect]:
+    """Do what has become due."""
+    if isinstance(state.role, Leader):
+        effects = step_down_if_alone(state, state.role, now)
+        if isinstance(state.role, Leader) and now >= state.role.heartbeat_due:
+            effects += send_all(state, now)
+        return effects
+    if state.is_blank:
+        return query_identities(state, now) if now >= state.identities_due else []
+    return start_pre_vote(state, now) if now >= state.election_due else []
+
+
+def next_wake(state: ReplicaState, now: timedelta) -> timedelta:
+    """Return when the next `Wake` is due."""
+    match state.role:
+        case Leader() as leader:
+            lease_end = quorum_contact(state, leader, now) + LEADER_LEASE
+            return min(leader.heartbeat_due, lease_end)
+        case _:
+            return state.identities_due if state.is_blank else state.election_due
+
+
+def receive(state: ReplicaState, source: str, message: Message, now: timedelta) -> list[Effect]:
+    """Handle a message of another replica."""
+    match message:
+        case IdentityQuery():
+            reply = IdentityReply(state.own.vm, state.own.identity, state.is_blank)
+            return [Send(source, reply)]
+        case IdentityReply():
+            return take_identity(state, message, now)
+        case VoteRequest():
+            return answer_vote(state, source, message, now)
+        case VoteResponse():
+            return count_vote(state, source, message, now)
+        case AppendRequest():
+            return take_entries(state, source, message, now)
+        case AppendResponse():
+            return take_progress(state, source, message, now)
+        case SnapshotChunk(term=term):
+            if term < state.term:
+                return [Send(source, AppendResponse(state.term, False, 0, message.sent_at))]
+            effects = follow(state, source, term, now)
+            state.last_sent_at = max(state.last_sent_at, message.sent_at)
+            return effects + take_chunk(state, source, message)
+        case SnapshotResponse():
+            return take_chunk_progress(state, source, message, now)
+
+
+def propose_change(
+    state: ReplicaState, request: ChangeRequest, time: str, now: timedelta
+) -> list[Effect]:
+    """Append a change with its outcome, or answer at once if that is known."""
+    known = state.committed.outcomes.get(request.change_id)
+    if known is not None:
+        return [AnswerChange(request.change_id, known)]
+    if state.storage_fault:
+        error = ChangeError(ChangeErrorKind.DISK_FULL, limit=state.storage_fault)
+        return [AnswerChange(request.change_id, error)]
+    leader = state.role
+    if not isinstance(leader, Leader):
+        error = ChangeError(ChangeErrorKind.NOT_LEADER, limit="ask the leader")
+        return [AnswerChange(request.change_id, error)]
+    if request.change_id in leader.pending_changes:
+        return []
+    checked = check_change(leader.catalogue, request)
+    refusal = checked.failure() if isinstance(checked, Failure) else None
+    if refusal is None:
+        leader.catalogue = apply_change(leader.catalogue, request.change)
+    leader.pending_changes.add(request.change_id)
+    _, effects = append_as_leader(state, ChangeEntry(request, time, refusal), now)
+    return effects
+
+
+def stop_storing(state: ReplicaState, cause: str) -> list[Effect]:
+    """Refuse changes and votes from now on, and go on answering reads."""
+    state.storage_fault = cause
+    state.unsynced.clear()
+    state.log.truncate(max(state.synced_index, state.committed.index) + 1)
+    state.members = state.find_members()
+    return stop_leading(state)
+
+
+def make_view(state: ReplicaState, now: timedelta) -> ReplicaView:
+    """Return what this replica knows about the leader."""
+    heard = state.leader_heard if state.has_heard_leader else None
+    match state.role:
+        case Leader(first_index=first_index) as leader:
+            return ReplicaView(
+                state.own.vm,
+                True,
+                quorum_contact(state, leader, now) + LEADER_LEASE,
+                state.committed.index >= first_index,
+                now,
+            )
+        case Follower(leader=str(name)):
+            return ReplicaView(name.partition("/")[0], leader_heard=heard)
+        case _:
+            return ReplicaView(leader_heard=heard)
--- /dev/null
+++ b/camphorspread/version/replica_storage.py
@@ -0,0 +1,222 @@
+"""Where a replica keeps its state: in a data folder, or in memory without one."""
+
+import fcntl
+import json
+import os
+from pathlib import Path
+from typing import Protocol
+
+import attrs
+
+from camphorspread.version.log_file import (
+    FileCalls,
+    LogDamagedError,
+    LogFile,
+    encode_record,
+    open_log,
+    read_small_file,
+    replace_file,
+    sync_folder,
+    write_small_file,
+)
+from camphorspread.version.replica import Stored
+from camphorspread.version.replica_codec import decode_entry, decode_snapshot, encode_entry
+from camphorspread.version.replica_messages import LogEntry
+
+__all__ = ["FolderStorage", "MemoryStorage", "ReplicaStorage", "open_folder"]
+
+
+class ReplicaStorage(Protocol):
+    """Stores what a replica must not lose; each method may raise `OSError`."""
+
+    def store_vote(self, term: int, vote: str | None) -> None:
+        """Store term and vote, synced."""
+
+    def write(self, entries: tuple[LogEntry, ...]) -> None:
+        """Write entries in place of those from the first one's index on."""
+
+    def sync(self) -> None:
+        """Make all written entries durable."""
+
+    def store_snapshot(self, data: bytes) -> None:
+        """Store an encoded snapshot, synced."""
+
+    def compact(self, base_index: int, base_term: int, entries: tuple[LogEntry, ...]) -> None:
+        """Replace the log, synced."""
+
+    def close(self) -> None:
+        """Release the storage."""
+
+
+@attrs.define(eq=False)
+class MemoryStorage:
+    """Keeps nothing beyond the process, which then starts as a blank replica."""
+
+    def store_vote(self, term: int, vote: str | None) -> None:
+        """Store nothing; the state itself is in memory."""
+
+    def write(self, entries: tuple[LogEntry, ...]) -> None:
+        """Store nothing."""
+
+    def sync(self) -> None:
+        """Store nothing."""
+
+    def store_snapshot(self, data: bytes) -> None:
+        """Store nothing."""
+
+    def compact(self, base_index: int, base_term: int, entries: tuple[LogEntry, ...]) -> None:
+        """Store nothing."""
+
+    def close(self) -> None:
+        """Release nothing."""
+
+
+@attrs.define(eq=False)
+class FolderStorage:
+    """Files `vote`, `snapshot`, `log` and `lock` in a data folder.
+
+    Attributes:
+        folder: The data folder.
+        calls: How files are written and synced.
+        identity: Random identity of the folder.
+        log: The log; its first record names the entry before the first one.
+        base_index: Index of that entry.
+        lock: Descriptor that holds the lock against a second process.
+    """
+
+    folder: Path
+    calls: FileCalls
+    identity: str
+    log: LogFile
+    base_index: int
+    lock: int
+
+    def store_vote(self, term: int, vote: str | None) -> None:
+        """Store term and vote, synced."""
+        write_vote(self.folder, self.identity, term, vote, self.calls)
+
+    def write(self, entries: tuple[LogEntry, ...]) -> None:
+        """Write entries in place of those from the first one's index on."""
+        self.log.truncate(entries[0].index - self.base_index)
+        self.log.append([encode_entry(entry) for entry in entries])
+
+    def sync(self) -> None:
+        """Make all written entries durable."""
+        self.log.sync()
+
+    def store_snapshot(self, data: bytes) -> None:
+        """Store an encoded snapshot, synced."""
+        write_small_file(self.folder / "snapshot", data, self.calls)
+
+    def compact(self, base_index: int, base_term: int, entries: tuple[LogEntry, ...]) -> None:
+        """Replace the log, synced."""
+        records = [encode_base(base_index, base_term)]
+        records += [encode_record(encode_entry(entry)) for entry in entries]
+        replace_file(self.log.path, b"".join(records), self.calls)
+        path = self.log.path
+        self.log.close()
+        self.log, _ = open_log(path, self.calls)
+        self.base_index = base_index
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        self.log.close()
+        os.close(self.lock)
+
+
+def encode_base(base_index: int, base_term: int) -> bytes:
+    """Return the first record of a log."""
+    base = {"base_index": base_index, "base_term": base_term}
+    return encode_record(json.dumps(base).encode())
+
+
+def write_vote(folder: Path, identity: str, term: int, vote: str | None, calls: FileCalls) -> None:
+    """Store the identity of the folder, term and vote."""
+    value = {"identity": identity, "term": term, "vote": vote}
+    write_small_file(folder / "vote", json.dumps(value).encode(), calls)
+
+
+def open_folder(
+    folder: Path, new_identity: str, calls: FileCalls | None = None
+) -> tuple[FolderStorage, Stored]:
+    """Open a data folder, or set up a blank one with a new identity.
+
+    Args:
+        folder: The data folder, which is created if it doesn't exist.
+        new_identity: Random identity for a blank folder.
+        calls: How files are written and synced.
+
+    Raises:
+        LogDamagedError: A file is damaged.
+        OSError: The folder can't be used, or another process uses it.
+    """
+    calls = calls or FileCalls()
+    folder.mkdir(parents=True, exist_ok=True)
+    lock = os.open(folder / "lock", os.O_WRONLY | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        return open_locked_folder(folder, new_identity, calls, lock)
+    except BaseException:
+        os.close(lock)
+        raise
+
+
+def open_locked_folder(
+    folder: Path, new_identity: str, calls: FileCalls, lock: int
+) -> tuple[FolderStorage, Stored]:
+    """Read the files of a data folder."""
+    vote = read_small_file(folder / "vote")
+    log_path = folder / "log"
+    if vote is None:
+        if log_path.exists():
+            raise LogDamagedError(folder / "vote", 0, "the file is missing beside a log")
+        write_vote(folder, new_identity, 0, None, calls)
+        vote = read_small_file(folder / "vote")
+    if not log_path.exists():
+        replace_file(log_path, encode_base(0, 0), calls)
+    sync_folder(folder.parent, calls)
+    stored_vote = json.loads(vote)
+    log, records = open_log(log_path, calls)
+    if not records:
+        raise LogDamagedError(log_path, 0, "the first record is missing")
+    base = json.loads(records[0][1])
+    entries = read_entries(log_path, base["base_index"], records[1:])
+    snapshot_data = read_small_file(folder / "snapshot") or b""
+    snapshot = decode_snapshot(snapshot_data) if snapshot_data else None
+    check_snapshot(folder / "snapshot", snapshot.index if snapshot else 0, base["base_index"])
+    stored = Stored(
+        stored_vote["identity"],
+        stored_vote["term"],
+        stored_vote["vote"],
+        snapshot,
+        snapshot_data,
+        base["base_index"],
+        base["base_term"],
+        entries,
+    )
+    identity = stored_vote["identity"]
+    return FolderStorage(folder, calls, identity, log, base["base_index"], lock), stored
+
+
+def check_snapshot(path: Path, index: int, base_index: int) -> None:
+    """Check that no entry is missing between the snapshot and the log."""
+    if index < base_index:
+        cause = f"it ends at entry {index}, but the log starts after entry {base_index}"
+        raise LogDamagedError(path, 0, cause)
+
+
+def read_entries(
+    path: Path, base_index: int, records: list[tuple[int, bytes]]
+) -> tuple[LogEntry, ...]:
+    """Read log entries and check that none is missing."""
+    entries = []
+    for number, (offset, payload) in enumerate(records, start=1):
+        try:
+            entry = decode_entry(payload)
+        except ValueError as exc:
+            raise LogDamagedError(path, offset, f"the record is no log entry: {exc}") from exc
+        if entry.index != base_index + number:
+            cause = f"entry {entry.index} follows entry {base_index + number - 1}"
+            raise LogDamagedError(path, offset, cause)
+        entries.append(entry)
+    return tuple(entries)
--- /dev/null
+++ b/camphorspread/version/replication.py
@@ -0,0 +1,272 @@
+"""Sending entries to the other replicas, taking them, and committing them."""
+
+from datetime import timedelta
+
+from camphorspread.version.changes import ChangeError, ChangeErrorKind
+from camphorspread.version.replica_events import (
+    AnswerChange,
+    AnswerMembership,
+    CatalogueCommitted,
+    Effect,
+    EncodeSnapshot,
+    Send,
+    StoreVote,
+    SyncLog,
+    WriteEntries,
+)
+from camphorspread.version.replica_messages import (
+    AppendRequest,
+    AppendResponse,
+    ChangeEntry,
+    LogEntry,
+    MembersEntry,
+)
+from camphorspread.version.replica_state import (
+    Follower,
+    Leader,
+    Progress,
+    ReplicaState,
+    quorum,
+)
+from camphorspread.version.snapshot import send_chunk
+
+__all__ = [
+    "adopt_term",
+    "append_as_leader",
+    "follow",
+    "quorum_contact",
+    "send_all",
+    "take_entries",
+    "take_progress",
+    "take_synced",
+]
+
+HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
+# With entries of about 350 bytes a message stays under the limit of 1 MiB for a JSON body.
+ENTRIES_PER_MESSAGE = 500
+ELECTION_WAIT = timedelta(milliseconds=1200)
+
+
+def adopt_term(state: ReplicaState, term: int, vote: str | None = None) -> list[Effect]:
+    """Move to a newer term, or record the vote in the current one."""
+    if term == state.term and vote == state.vote:
+        return []
+    if term > state.term:
+        state.verified_index = 0
+        # Instants of different leaders come from different clocks.
+        state.last_sent_at = timedelta(0)
+    state.term, state.vote = term, vote
+    return [StoreVote(term, vote)]
+
+
+def stop_leading(state: ReplicaState, leader: str | None = None) -> list[Effect]:
+    """Become a follower and answer everyone who waits for a commit."""
+    role, state.role = state.role, Follower(leader)
+    if not isinstance(role, Leader):
+        return []
+    error = ChangeError(
+        ChangeErrorKind.NO_QUORUM, limit="the outcome is unknown, send the same change again"
+    )
+    effects: list[Effect] = [AnswerChange(item, error) for item in sorted(role.pending_changes)]
+    return [*effects, AnswerMembership(error)] if role.pending_members else effects
+
+
+def follow(state: ReplicaState, leader: str, term: int, now: timedelta) -> list[Effect]:
+    """Follow the leader of this term."""
+    effects: list[Effect] = []
+    if term > state.term:
+        effects += adopt_term(state, term)
+    if not isinstance(state.role, Follower) or state.role.leader != leader:
+        effects += stop_leading(state, leader)
+        state.incoming.clear()
+    state.leader_heard = state.quorum_heard = now
+    state.has_heard_leader = True
+    state.election_due = now + ELECTION_WAIT * (1 + state.jitter)
+    return effects
+
+
+def write_entries(state: ReplicaState, entries: tuple[LogEntry, ...]) -> list[Effect]:
+    """Put entries into the log, in place of those from the first one's index on."""
+    first = entries[0].index
+    if first <= state.log.last_index:
+        state.log.truncate(first)
+        state.synced_index = min(state.synced_index, first - 1)
+        for item in state.unsynced:
+            item[1] = min(item[1], first - 1)
+    state.log.entries += entries
+    state.written += 1
+    state.unsynced.append([state.written, state.log.last_index])
+    state.members = state.find_members()
+    return [WriteEntries(entries), SyncLog(state.written)]
+
+
+def take_synced(state: ReplicaState, sequence: int, now: timedelta) -> list[Effect]:
+    """Count entries as durable, and commit or acknowledge them."""
+    while state.unsynced and state.unsynced[0][0] <= sequence:
+        state.synced_index = max(state.synced_index, state.unsynced.popleft()[1])
+    match state.role:
+        case Leader():
+            return advance_commit(state, now)
+        case Follower(leader=str(leader)):
+            index = min(state.verified_index, state.synced_index)
+            return [Send(leader, AppendResponse(state.term, True, index, state.last_sent_at))]
+    return []
+
+
+def append_as_leader(
+    state: ReplicaState, payload: object, now: timedelta
+) -> tuple[int, list[Effect]]:
+    """Append an entry of the leader's own term and send it; return its index as well."""
+    entry = LogEntry(state.log.last_index + 1, state.term, payload)
+    effects = write_entries(state, (entry,))
+    if isinstance(payload, MembersEntry) and isinstance(state.role, Leader):
+        track_members(state, state.role, now)
+    return entry.index, effects + send_all(state, now)
+
+
+def track_members(state: ReplicaState, leader: Leader, now: timedelta) -> None:
+    """Start or stop tracking the progress of replicas after a change of the members."""
+    for member in state.others:
+        leader.progress.setdefault(member, Progress(state.log.last_index + 1, now))
+    for member in set(leader.progress) - set(state.others):
+        del leader.progress[member]
+
+
+def send_all(state: ReplicaState, now: timedelta) -> list[Effect]:
+    """Send every other replica what it lacks, or a heartbeat."""
+    if not isinstance(state.role, Leader):
+        return []
+    state.role.heartbeat_due = now + HEARTBEAT_INTERVAL
+    return [effect for member in state.role.progress for effect in send_to(state, member, now)]
+
+
+def send_to(state: ReplicaState, member: str, now: timedelta) -> list[Effect]:
+    """Send one replica the next entries, the next part of a snapshot, or a heartbeat."""
+    progress = state.role.progress[member]
+    previous = progress.next_index - 1
+    term = state.log.term_at(previous)
+    if term is None or progress.chunk_offset is not None:
+        return send_chunk(state, member, progress, now)
+    entries = state.log.slice(progress.next_index, previous + ENTRIES_PER_MESSAGE)
+    progress.next_index += len(entries)
+    request = AppendRequest(state.term, previous, term, entries, state.committed.index, now)
+    return [Send(member, request)]
+
+
+def take_entries(
+    state: ReplicaState, source: str, request: AppendRequest, now: timedelta
+) -> list[Effect]:
+    """Take entries of a leader, and acknowledge what is synced."""
+    if request.term < state.term:
+        return [Send(source, AppendResponse(state.term, False, 0, request.sent_at))]
+    effects = follow(state, source, request.term, now)
+    state.last_sent_at = max(state.last_sent_at, request.sent_at)
+    if state.storage_fault:
+        response = AppendResponse(state.term, True, state.synced_index, request.sent_at)
+        return [*effects, Send(source, response)]
+    log = state.log
+    known_term = log.term_at(request.previous_index)
+    if request.previous_index >= log.base_index and known_term != request.previous_term:
+        # Committed entries equal the leader's, so it can go on after them.
+        hint = min(log.last_index, request.previous_index - 1)
+        if known_term is not None:
+            hint = state.committed.index
+        return [*effects, Send(source, AppendResponse(state.term, False, hint, request.sent_at))]
+    fresh = tuple(
+        entry
+        for entry in request.entries
+        if entry.index > log.base_index and log.term_at(entry.index) != entry.term
+    )
+    if fresh:
+        effects += write_entries(state, fresh)
+    end = request.previous_index + len(request.entries)
+    state.verified_index = max(state.verified_index, end)
+    effects += commit_to(state, min(request.commit_index, state.verified_index))
+    index = min(state.verified_index, state.synced_index)
+    return [*effects, Send(source, AppendResponse(state.term, True, index, request.sent_at))]
+
+
+def take_progress(
+    state: ReplicaState, source: str, response: AppendResponse, now: timedelta
+) -> list[Effect]:
+    """Take a replica's acknowledgement, as its leader."""
+    if response.term > state.term:
+        return [*adopt_term(state, response.term), *stop_leading(state)]
+    leader = state.role
+    if not isinstance(leader, Leader) or response.term != state.term:
+        return []
+    progress = leader.progress.get(source)
+    if progress is None:
+        return []
+    progress.contact = max(progress.contact, response.sent_at)
+    if response.is_matching:
+        progress.match_index = max(progress.match_index, response.index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.match_index >= state.log.base_index:
+            progress.chunk_offset = None
+    else:
+        progress.next_index = max(
+            min(progress.next_index, response.index + 1), progress.match_index + 1
+        )
+    effects = advance_commit(state, now)
+    if source in leader.progress and progress.next_index <= state.log.last_index:
+        effects += send_to(state, source, now)
+    return effects
+
+
+def quorum_contact(state: ReplicaState, leader: Leader, now: timedelta) -> timedelta:
+    """Return the newest instant since which a majority is known to have heard the leader."""
+    contacts = sorted(
+        (
+            now if member == state.own_id else leader.progress[member].contact
+            for member in state.voters
+        ),
+        reverse=True,
+    )
+    return contacts[quorum(len(contacts)) - 1]
+
+
+def advance_commit(state: ReplicaState, now: timedelta) -> list[Effect]:
+    """Commit what a majority holds, if it ends in an entry of the leader's own term."""
+    leader = state.role
+    matches = sorted(
+        (
+            state.synced_index if member == state.own_id else leader.progress[member].match_index
+            for member in state.voters
+        ),
+        reverse=True,
+    )
+    index = matches[quorum(len(matches)) - 1]
+    if index <= state.committed.index or state.log.term_at(index) != state.term:
+        return []
+    return [*commit_to(state, index), *send_all(state, now)]
+
+
+def commit_to(state: ReplicaState, index: int) -> list[Effect]:
+    """Apply the entries up to `index`."""
+    version = state.committed.catalogue.version
+    effects: list[Effect] = []
+    for entry in state.log.slice(state.committed.index + 1, index):
+        state.committed.apply(entry)
+        effects += answer_committed(state, entry)
+    if state.committed.catalogue.version > version:
+        effects.insert(0, CatalogueCommitted())
+    if state.committed.index - state.snapshot_index >= state.limits.interval:
+        effects.append(EncodeSnapshot(state.committed.make_snapshot()))
+    return effects
+
+
+def answer_committed(state: ReplicaState, entry: LogEntry) -> list[Effect]:
+    """Answer those who wait for this entry."""
+    leader = state.role
+    if not isinstance(leader, Leader):
+        return []
+    match entry.payload:
+        case ChangeEntry(request=request):
+            leader.pending_changes.discard(request.change_id)
+            outcome = state.committed.outcomes[request.change_id]
+            return [AnswerChange(request.change_id, outcome)]
+        case MembersEntry() if entry.index == leader.pending_members:
+            leader.pending_members = 0
+            return [AnswerMembership(None)]
+    return []
--- /dev/null
+++ b/camphorspread/version/snapshot.py
@@ -0,0 +1,133 @@
+"""Snapshots: taking, sending in parts, and installing."""
+
+from datetime import timedelta
+
+from camphorspread.version.replica_events import (
+    CatalogueCommitted,
+    CompactLog,
+    Effect,
+    InstallSnapshot,
+    Send,
+)
+from camphorspread.version.replica_messages import (
+    AppendResponse,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotResponse,
+)
+from camphorspread.version.replica_state import Leader, Progress, ReplicaState, restore
+
+__all__ = [
+    "install_snapshot",
+    "load_snapshot",
+    "record_snapshot",
+    "send_chunk",
+    "take_chunk",
+    "take_chunk_progress",
+]
+
+# A lost part or response is noticed after this time and the part is sent again.
+CHUNK_RETRY = timedelta(milliseconds=600)
+
+
+def send_chunk(
+    state: ReplicaState, member: str, progress: Progress, now: timedelta
+) -> list[Effect]:
+    """Send the next part of the newest snapshot, unless one was sent a moment ago."""
+    if progress.chunk_offset is not None and now - progress.chunk_sent < CHUNK_RETRY:
+        return []
+    offset = progress.chunk_offset or 0
+    progress.chunk_offset = offset
+    progress.chunk_sent = now
+    chunk = SnapshotChunk(
+        state.term,
+        state.snapshot_index,
+        offset,
+        len(state.snapshot_data),
+        state.snapshot_data[offset : offset + state.limits.chunk_bytes],
+        now,
+    )
+    return [Send(member, chunk)]
+
+
+def take_chunk(state: ReplicaState, source: str, chunk: SnapshotChunk) -> list[Effect]:
+    """Take a part of a snapshot; the leader is already followed."""
+    if state.storage_fault:
+        return []
+    if chunk.index <= state.committed.index:
+        state.verified_index = max(state.verified_index, chunk.index)
+        index = min(state.verified_index, state.synced_index)
+        return [Send(source, AppendResponse(state.term, True, index, chunk.sent_at))]
+    if chunk.index != state.incoming_index:
+        state.incoming_index = chunk.index
+        state.incoming.clear()
+    if chunk.offset == len(state.incoming):
+        state.incoming += chunk.data
+    if len(state.incoming) == chunk.total:
+        data = bytes(state.incoming)
+        state.incoming.clear()
+        state.incoming_index = 0
+        return [InstallSnapshot(data, source, chunk.sent_at)]
+    response = SnapshotResponse(state.term, chunk.index, len(state.incoming), chunk.sent_at)
+    return [Send(source, response)]
+
+
+def take_chunk_progress(
+    state: ReplicaState, source: str, response: SnapshotResponse, now: timedelta
+) -> list[Effect]:
+    """Send the part that follows what a replica has received."""
+    leader = state.role
+    if not isinstance(leader, Leader) or response.term != state.term:
+        return []
+    progress = leader.progress.get(source)
+    if progress is None or progress.chunk_offset is None:
+        return []
+    progress.contact = max(progress.contact, response.sent_at)
+    is_current = response.index == state.snapshot_index
+    offset = response.received if is_current else 0
+    if offset == progress.chunk_offset and is_current:
+        return []
+    progress.chunk_offset = offset
+    progress.chunk_sent = now - CHUNK_RETRY
+    return send_chunk(state, source, progress, now)
+
+
+def load_snapshot(state: ReplicaState, snapshot: Snapshot, data: bytes) -> None:
+    """Take over the state that a snapshot holds."""
+    state.committed = restore(snapshot)
+    state.snapshot_index, state.snapshot_term = snapshot.index, snapshot.term
+    state.snapshot_data = data
+
+
+def install_snapshot(
+    state: ReplicaState, snapshot: Snapshot, data: bytes, source: str, sent_at: timedelta
+) -> list[Effect]:
+    """Replace what is committed by a received snapshot, and the log by what follows it."""
+    if snapshot.index <= state.committed.index:
+        return []
+    load_snapshot(state, snapshot, data)
+    log = state.log
+    if log.term_at(snapshot.index) != snapshot.term:
+        log.entries.clear()
+        log.base_index, log.base_term = snapshot.index, snapshot.term
+    effects = [CatalogueCommitted(), *compact_log(state, snapshot.index)]
+    state.verified_index = max(state.verified_index, snapshot.index)
+    index = min(state.verified_index, state.synced_index)
+    return [*effects, Send(source, AppendResponse(state.term, True, index, sent_at))]
+
+
+def record_snapshot(state: ReplicaState, snapshot: Snapshot, data: bytes) -> list[Effect]:
+    """Drop the entries that a stored snapshot covers, but for the newest ones."""
+    state.snapshot_index, state.snapshot_term = snapshot.index, snapshot.term
+    state.snapshot_data = data
+    return compact_log(state, max(snapshot.index - state.limits.retained, state.log.base_index))
+
+
+def compact_log(state: ReplicaState, index: int) -> list[Effect]:
+    """Drop the entries up to `index`; writing the rest anew makes all of them durable."""
+    state.log.compact(index)
+    state.members = state.find_members()
+    state.unsynced.clear()
+    state.synced_index = state.log.last_index
+    entries = tuple(state.log.entries)
+    return [CompactLog(state.log.base_index, state.log.base_term, entries)]
--- /dev/null
+++ b/features/steps/replica_steps.py
@@ -0,0 +1,281 @@
+"""Steps of the replicated catalogue on replicas in memory."""
+
+from behave import step as any_step
+from behave import then, when
+
+from camphorspread.version.changes import ChangeErrorKind
+from camphorspread.version.replica_events import StorageFailed
+from camphorspread.version.replica_messages import (
+    AddLearner,
+    PromoteLearner,
+    RemoveMember,
+    SnapshotChunk,
+)
+from camphorspread.version.replica_state import Leader
+from features.fixtures.replica_chaos import run_chaos
+from features.fixtures.replica_group import change, replica_group
+
+
+def state_of(context, vm):
+    return context.group.hosts[vm].state
+
+
+def followers(context):
+    return [vm for vm in sorted(context.group.hosts) if vm != context.leader]
+
+
+def propose(context, request):
+    """Send a change to the leader and return its outcome."""
+    context.group.propose(context.group.wait_for_leader(), request)
+    context.group.run(0.5)
+    return context.group.outcomes.get(request.change_id)
+
+
+def change_members(context, wanted):
+    """Send a change of the members to the leader and return the error, None if there is none."""
+    count = len(context.group.membership)
+    context.group.propose_membership(context.group.wait_for_leader(), wanted)
+    context.group.run(0.5)
+    assert len(context.group.membership) > count, f"no answer to {wanted}"
+    return context.group.membership[count]
+
+
+def replace_disk(context, vm):
+    """Replace a member by one with a blank disk on the same VM."""
+    group = context.group
+    old = group.member(vm)
+    group.crash(vm)
+    group.add_host(vm)
+    group.start(vm)
+    new = group.member(vm)
+    for wanted in (
+        AddLearner(new),
+        PromoteLearner(vm, new.identity),
+        RemoveMember(vm, old.identity),
+    ):
+        error = change_members(context, wanted)
+        assert error is None, f"{wanted}: {error.message}"
+
+
+@when("{count:d} replicas run through random faults with the seeds {first:d} to {last:d}")
+def step_run_chaos(context, count, first, last):
+    context.runs = [run_chaos(count, seed) for seed in range(first, last + 1)]
+
+
+@then("none of these runs broke a rule")
+def step_check_chaos(context):
+    assert sum(len(group.outcomes) for group in context.runs) > 100, "too few changes were tried"
+    assert sum(len(group.leaders) for group in context.runs) > len(context.runs), "no elections"
+
+
+@any_step("a group of {count:d} replicas with an accepted change")
+def step_make_group(context, count):
+    context.group = replica_group(count)
+    context.leader = context.group.wait_for_leader()
+    assert propose(context, change("first", 0)).version == 1
+    assert propose(context, change("late", 0)).error.kind is ChangeErrorKind.VERSION_CONFLICT
+
+
+@any_step("{seconds:g} seconds pass in the group")
+def step_run_group(context, seconds):
+    context.group.run(seconds)
+
+
+@when("the disk of a follower is replaced and its replacement becomes a member")
+def step_replace_follower(context):
+    replace_disk(context, followers(context)[0])
+
+
+@when("the disk of the other follower is lost")
+def step_lose_second_disk(context):
+    vm = followers(context)[1]
+    context.group.crash(vm)
+    context.group.add_host(vm)
+    # The leader fails as well for a moment, so that the replacement has to vote.
+    context.group.crash(context.leader)
+    context.group.start(context.leader)
+
+
+@then("the accepted change is still there and a new one is accepted")
+def step_check_change_kept(context):
+    context.group.wait_for_leader()
+    context.group.check_kept()
+    assert propose(context, change("second", 1)).version == 2
+
+
+@when("two replicas stop and one of them comes back with a blank disk")
+def step_blank_replacement(context):
+    first, second = followers(context)
+    context.group.crash(first)
+    context.group.crash(second)
+    context.group.add_host(first)
+    context.group.start(first)
+
+
+@then("the group has no leader")
+def step_check_no_leader(context):
+    assert context.group.leader() is None, f"{context.group.leader()} leads"
+
+
+@when("the replica with the lowest name comes back with a blank disk and is cut off")
+def step_blank_founder(context):
+    group = context.group
+    group.crash("a")
+    group.add_host("a")
+    group.start("a")
+    group.run(5)
+    group.cut({"a"}, {"b", "c"})
+
+
+@then("the blank replica has no members and leads nothing")
+def step_check_blank_founder(context):
+    state = state_of(context, "a")
+    assert state.members == () and not isinstance(state.role, Leader), state.members
+
+
+@then("a learner that is cut off isn't promoted and a second change has to wait")
+def step_check_membership_rules(context):
+    group = context.group
+    vm = followers(context)[0]
+    old = group.member(vm)
+    group.crash(vm)
+    group.add_host(vm)
+    group.start(vm)
+    new = group.member(vm)
+    group.cut({vm}, set(group.hosts) - {vm})
+    assert change_members(context, AddLearner(new)) is None
+    error = change_members(context, PromoteLearner(vm, new.identity))
+    assert error.field == "synced_entry", error
+    group.cuts.clear()
+    group.run(1)
+    count = len(group.membership)
+    group.propose_membership(context.leader, PromoteLearner(vm, new.identity))
+    group.propose_membership(context.leader, RemoveMember(vm, old.identity))
+    group.run(0.5)
+    second, first = group.membership[count:]
+    assert first is None and second.limit == "one change at a time", (first, second)
+
+
+@when("in the group, {event} happens")
+def step_let_happen(context, event):
+    group = context.group
+    match event:
+        case "a leader change":
+            group.crash(context.leader)
+        case "a snapshot":
+            add_changes(context, 1001)
+            assert state_of(context, context.leader).snapshot_index > 1000
+            fail_all(context)
+        case "a restart of all":
+            fail_all(context)
+        case "nothing":
+            pass
+        case _:
+            raise AssertionError(f"unknown event {event}")
+
+
+def fail_all(context):
+    """Restart all replicas at once."""
+    for vm in sorted(context.group.hosts):
+        context.group.crash(vm)
+        context.group.start(vm)
+
+
+def add_changes(context, count):
+    """Let the leader accept many changes."""
+    version = state_of(context, context.leader).committed.catalogue.version
+    for number in range(count):
+        context.group.propose(context.leader, change(f"more{version + number}", version + number))
+    context.group.run(1)
+
+
+@then("the accepted and the refused change get their first outcomes when sent again")
+def step_check_resent(context):
+    group = context.group
+    before = dict(group.outcomes)
+    leader = group.wait_for_leader()
+    version = state_of(context, leader).committed.catalogue.version
+    group.propose(leader, change("first", 0))
+    group.propose(leader, change("late", 0))
+    group.run(0.5)
+    assert group.outcomes == before and not group.errors, group.errors
+    assert state_of(context, leader).committed.catalogue.version == version
+
+
+@when("the leader is cut off from the others")
+def step_cut_leader(context):
+    context.group.cut({context.leader}, set(followers(context)))
+
+
+@then("it stops leading before another one leads")
+def step_check_step_down(context):
+    group = context.group
+    former = state_of(context, context.leader)
+    ended = None
+    for _ in range(600):
+        group.step()
+        if ended is None and not isinstance(former.role, Leader):
+            ended = group.now
+        if any(isinstance(state_of(context, vm).role, Leader) for vm in followers(context)):
+            break
+    assert ended is not None and ended < group.now, f"{context.leader} still leads at {group.now}"
+    assert group.leader() in (None, *followers(context))
+
+
+@when("a follower is cut off for {seconds:g} seconds and returns")
+def step_cut_follower(context, seconds):
+    group = context.group
+    context.term = state_of(context, context.leader).term
+    group.cut({followers(context)[0]}, set(group.hosts) - {followers(context)[0]})
+    group.run(seconds)
+    group.cuts.clear()
+    group.run(5)
+
+
+@then("leader and term are those from before")
+def step_check_same_leader(context):
+    assert context.group.leader() == context.leader
+    terms = {host.state.term for host in context.group.hosts.values()}
+    assert terms == {context.term}, terms
+
+
+@when("the disk of the leader is full")
+def step_fill_disk(context):
+    context.group.give(context.leader, StorageFailed("the disk is full"))
+
+
+@then("another replica leads and the one with the full disk refuses changes by name of the cause")
+def step_check_full_disk(context):
+    group = context.group
+    group.run(5)
+    assert group.leader() in followers(context), group.leader()
+    group.propose(context.leader, change("more", 1))
+    assert group.errors[-1].kind is ChangeErrorKind.DISK_FULL, group.errors
+    assert propose(context, change("more", 1)).version == 2
+    group.run(1)
+    assert state_of(context, context.leader).committed.catalogue.version == 1
+
+
+@when("a follower misses {count:d} changes and returns")
+def step_miss_changes(context, count):
+    group = context.group
+    context.missing = followers(context)[0]
+    group.crash(context.missing)
+    add_changes(context, count - 250)
+    add_changes(context, 250)
+    group.start(context.missing)
+
+
+@then("it catches up from a snapshot and the log within {seconds:g} seconds")
+def step_check_catch_up(context, seconds):
+    group = context.group
+    chunks = []
+    group.measure = lambda source, target, message: (
+        chunks.append(isinstance(message, SnapshotChunk)) or 0
+    )
+    group.run(seconds)
+    behind, leader = state_of(context, context.missing), state_of(context, context.leader)
+    assert any(chunks), "no snapshot was sent"
+    assert behind.committed.catalogue == leader.committed.catalogue
+    assert list(behind.committed.outcomes) == list(leader.committed.outcomes)
+    assert behind.log.last_index > behind.snapshot_index, "the log's tail wasn't sent"
--- /dev/null
+++ b/features/version/snapshot.feature
@@ -0,0 +1,8 @@
+Feature: Replicas that are far behind catch up
+  Guards against a replica that can't catch up once the entries that it lacks are no longer
+  in the log.
+
+  Scenario: A replica catches up after 1,000 missed changes
+    Given a group of 3 replicas with an accepted change
+    When a follower misses 1300 changes and returns
+    Then it catches up from a snapshot and the log within 3 seconds
