--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -15,6 +15,7 @@
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.codec import encode
 from camphorspread.version.replica_codec import encode_replica_value
+from camphorspread.version.replica_messages import Envelope
 
 __all__ = ["run_control_node", "start_control_node"]
 
@@ -68,8 +69,9 @@
 
 async def serve_message(shell: ReplicaShell, exchange: Exchange) -> None:
     """Take a message of another replica; the response holds the messages that answer it."""
+    replies: list[Envelope] = []
     try:
-        replies = shell.receive(await exchange.read_json())
+        shell.receive(await exchange.read_json(), replies)
     except ValueError as exc:
         refusal = Refusal(ErrorKind.MALFORMED_REQUEST, f"the body is no replica message: {exc}")
         await exchange.refuse(refusal)
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -11,6 +11,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.log_file import FileCalls
 from camphorspread.version.replica_view import ReplicaView
 
 __all__ = ["ControlState"]
@@ -31,6 +32,7 @@
         catalogue: The newest accepted catalogue.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
+        file_calls: How files in the data folder are written and synced.
     """
 
     settings: ControlSettings
@@ -43,3 +45,4 @@
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
+    file_calls: FileCalls = attrs.field(factory=FileCalls)
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import errno
-from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -13,7 +12,7 @@
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.version.changes import ChangeError, ChangeErrorKind, ChangeRequest
-from camphorspread.version.log_file import FileCalls, LogDamagedError
+from camphorspread.version.log_file import LogDamagedError
 from camphorspread.version.replica import (
     Stored,
     apply_event,
@@ -249,23 +248,29 @@
             return  # Lost messages are repeated; the loss of a majority is reported by itself.
         finally:
             self.under_way[target] -= 1
-        if response.status == 200 and isinstance(response.value, list):
+        if response.status != 200 or not isinstance(response.value, list):
+            return
+        try:
             for item in response.value:
                 self.receive(item)
+        except ValueError as exc:
+            self.control.log.write(Event.HANDLER_FAILED, cause=f"from {target}: {exc}")
 
-    def receive(self, value: object) -> list[Envelope]:
-        """Handle a message and return the messages that answer it.
+    def receive(self, value: object, replies: list[Envelope] | None = None) -> None:
+        """Handle a message.
+
+        Args:
+            value: The message in its envelope, as JSON.
+            replies: Receives the messages that answer it; None sends them on their own.
 
         Raises:
             ValueError: The value is no message.
         """
         envelope = decode_envelope(value)
         if envelope.target not in (self.state.own_id, f"{self.state.own.vm}/"):
-            return []
+            return
         self.addresses[envelope.source] = envelope.reply_to
-        replies: list[Envelope] = []
         self.give(Received(envelope.source, envelope.message), replies)
-        return replies
 
     async def propose(self, request: ChangeRequest) -> ChangeOutcome | ChangeError:
         """Propose a change and wait for its outcome."""
@@ -311,14 +316,11 @@
         return CHANGE_UNANSWERED
 
 
-def start_replica(
-    control: ControlState, on_folder: Callable[[], FileCalls] = FileCalls
-) -> ReplicaShell:
+def start_replica(control: ControlState) -> ReplicaShell:
     """Start the replica of a control process from what its data folder holds.
 
     Args:
         control: The control process.
-        on_folder: Returns the system calls for the data folder.
 
     Raises:
         LogDamagedError: A file in the data folder is damaged.
@@ -330,7 +332,7 @@
     stored = Stored(identity)
     if settings.data_folder:
         try:
-            storage, stored = open_folder(Path(settings.data_folder), identity, on_folder())
+            storage, stored = open_folder(Path(settings.data_folder), identity, control.file_calls)
         except (LogDamagedError, OSError) as exc:
             control.log.write(Event.STORAGE_FAILED, cause=str(exc))
             raise
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -5,7 +5,14 @@
 from cattrs.strategies import configure_tagged_union
 from returns.result import Failure, Result, Success
 
-from camphorspread.version.catalogue import Catalogue, DrainEntry, RegionEntry, ServiceEntry
+from camphorspread.version.catalogue import (
+    Catalogue,
+    DrainEntry,
+    DrainKind,
+    RegionEntry,
+    ServiceClass,
+    ServiceEntry,
+)
 from camphorspread.version.changes import (
     Change,
     ChangeError,
@@ -23,9 +30,41 @@
 ]
 
 
+LIMITS = {
+    "int": "a whole number",
+    "str": "a text",
+    "ServiceClass": ", ".join(item.value for item in ServiceClass),
+    "DrainKind": ", ".join(item.value for item in DrainKind),
+}
+
+
+def structure_whole_number(value: object, _: type) -> int:
+    """Read a whole number; `int` would also take 1.7, "1" and True."""
+    if type(value) is not int:
+        raise ValueError("not a whole number")
+    return value
+
+
+def structure_truth_value(value: object, _: type) -> bool:
+    """Read true or false."""
+    if not isinstance(value, bool):
+        raise ValueError("neither true nor false")
+    return value
+
+
+def structure_text(value: object, _: type) -> str:
+    """Read a text; `str` would take any value."""
+    if not isinstance(value, str):
+        raise ValueError("not a text")
+    return value
+
+
 def make_catalogue_converter() -> cattrs.Converter:
-    """Return the converter, which refuses unknown fields."""
+    """Return the converter, which refuses unknown fields and values of another type."""
     converter = make_converter(forbid_extra_keys=True)
+    converter.register_structure_hook(int, structure_whole_number)
+    converter.register_structure_hook(str, structure_text)
+    converter.register_structure_hook(bool, structure_truth_value)
     configure_tagged_union(Change, converter, tag_name="type")
     configure_tagged_union(ServiceEntry | RegionEntry | DrainEntry, converter, tag_name="type")
     return converter
@@ -44,7 +83,7 @@
     try:
         return Success(CONVERTER.structure(value, ChangeRequest))
     except Exception as exc:
-        return Failure(describe_fault(exc))
+        return Failure(describe_fault(exc, value))
 
 
 def decode_catalogue(value: object) -> Catalogue:
@@ -56,8 +95,31 @@
     return CONVERTER.structure(value, Catalogue)
 
 
-def describe_fault(exc: Exception) -> ChangeError:
-    """Return field, value and limit of the first fault that `cattrs` found."""
-    lines = cattrs.transform_error(exc, path="change")
-    message, _, path = lines[0].partition(" @ ")
-    return ChangeError(ChangeErrorKind.INVALID, path or "change", "not accepted", message)
+def describe_fault(exc: Exception, value: object) -> ChangeError:
+    """Return field, value and limit of the first fault that `cattrs` found in a value."""
+    message, _, path = cattrs.transform_error(exc, path="change")[0].partition(" @ ")
+    found = find_value(value, path)
+    if message.startswith("extra fields found ("):
+        name = message.removeprefix("extra fields found (").partition(",")[0].rstrip(")")
+        given = found.get(name) if isinstance(found, dict) else found
+        return ChangeError(ChangeErrorKind.INVALID, f"{path}.{name}", repr(given), "a known field")
+    if message == "required field missing":
+        tag = found.get("type") if isinstance(found, dict) else None
+        if tag is not None:
+            limit = "a known type of this change or entry"
+            return ChangeError(ChangeErrorKind.INVALID, f"{path}.type", repr(tag), limit)
+        return ChangeError(ChangeErrorKind.INVALID, path, "missing", "a value")
+    expected = message.removeprefix("invalid value for type, expected ")
+    return ChangeError(
+        ChangeErrorKind.INVALID, path or "change", repr(found), LIMITS.get(expected, message)
+    )
+
+
+def find_value(value: object, path: str) -> object:
+    """Return what stands at a path such as `change.change.entry.owner` or `change.rules[0]`."""
+    for part in path.replace("[", ".").replace("]", "").split(".")[1:]:
+        if isinstance(value, dict):
+            value = value.get(part)
+        elif isinstance(value, list) and part.isdigit() and int(part) < len(value):
+            value = value[int(part)]
+    return value
--- a/camphorspread/version/log_file.py
+++ b/camphorspread/version/log_file.py
@@ -9,6 +9,7 @@
 import attrs
 
 __all__ = [
+    "RECORD_HEAD",
     "FileCalls",
     "LogDamagedError",
     "LogFile",
@@ -131,7 +132,7 @@
         length, length_checksum, checksum = RECORD_HEAD.unpack_from(data, offset)
         is_unwritten = data.endswith(b"\0")
         if zlib.crc32(data[offset : offset + LENGTH.size]) != length_checksum:
-            if is_unwritten and not data[offset:].strip(b"\0"):
+            if is_unwritten and not data[start:].strip(b"\0"):
                 break
             raise LogDamagedError(path, offset, "the checksum of the length doesn't match")
         if start + length > len(data):
--- a/camphorspread/version/replica_codec.py
+++ b/camphorspread/version/replica_codec.py
@@ -107,4 +107,4 @@
     try:
         return Success(CONVERTER.structure(value, MembershipChange))
     except Exception as exc:
-        return Failure(describe_fault(exc))
+        return Failure(describe_fault(exc, value))
--- a/features/environment.py
+++ b/features/environment.py
@@ -2,10 +2,14 @@
 
 from behave.fixture import use_fixture_by_tag
 
+from features.fixtures.control_group import control_group
+from features.fixtures.data_folder import data_folder
 from features.fixtures.session import session
 from features.fixtures.virtual_time import virtual_loop
 
 FIXTURES = {
+    "fixture.control_group": control_group,
+    "fixture.data_folder": data_folder,
     "fixture.session": session,
     "fixture.virtual_loop": virtual_loop,
 }
--- /dev/null
+++ b/features/process/replicated_catalogue.feature
@@ -0,0 +1,58 @@
+Feature: Control processes replicate the catalogue
+  Guards against a control process that accepts changes alone, and against a restart that loses
+  or repeats an accepted change.
+
+  @fixture.control_group
+  Scenario: A change sent to any control process reaches all of them
+    Given three control processes with a leader
+    When an operator sends the change "c1" to a control process that doesn't lead
+    Then all control processes have version 1 and list the change in their history
+    And the status of the leader lists all members as up to date
+
+  @fixture.control_group
+  Scenario: The leader's process ends and the change is sent again
+    Given three control processes with a leader
+    When an operator sends the change "c1" to a control process that doesn't lead
+    And the process of the leader ends
+    And an operator sends the change "c1" to a control process that still runs
+    Then the remaining control processes have version 1
+
+  @fixture.control_group
+  Scenario: A control process without contact to a majority says so
+    Given three control processes with a leader
+    When a control process is cut off for 12 seconds
+    Then its status and its log tell that it is isolated
+    And it refuses a change and names no leader
+
+  @fixture.control_group
+  Scenario: An operator replaces a member through the operators' listener
+    Given three control processes with a leader
+    When an operator replaces a control process by one with a blank disk
+    Then the members are the two old ones and the new one, and a change is accepted
+
+  @fixture.control_group
+  Scenario Outline: A refused change names field, value and limit
+    Given three control processes with a leader
+    When an operator sends a change with <fault>
+    Then the response names the field "<field>", the value "<value>" and the limit "<limit>"
+
+    Examples:
+      | fault                            | field                             | value   | limit            |
+      | an unknown field                 | change.change.entry.colour        | 'red'   | a known field    |
+      | a negative cap                   | entry.shift_cap_per_second        | -5      | 0 to 10000000    |
+      | a missing owner                  | entry.owner                       | '  '    | a text           |
+      | a limit over a region's capacity | entry.region_limit                | 101     | 0 to 100         |
+      | a text in place of a number      | change.change.entry.region_limit  | 'many'  | a whole number   |
+
+  @fixture.data_folder
+  Scenario Outline: A control process is killed while it writes the log
+    Given a control process that is killed <point>
+    When it is started again on the same data folder
+    Then it has every acknowledged change and a resent one gets its first outcome
+
+    Examples:
+      | point                        |
+      | before a record is written   |
+      | in the middle of a record    |
+      | before the sync              |
+      | after the sync               |
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -1,12 +1,15 @@
 """Steps of the replicated catalogue on replicas in memory."""
 
+from datetime import timedelta
+
+from behave import given, then, when
 from behave import step as any_step
-from behave import then, when
 
 from camphorspread.version.changes import ChangeErrorKind
-from camphorspread.version.replica_events import StorageFailed
+from camphorspread.version.replica_events import Received, StorageFailed
 from camphorspread.version.replica_messages import (
     AddLearner,
+    AppendResponse,
     PromoteLearner,
     RemoveMember,
     SnapshotChunk,
@@ -103,6 +106,28 @@
     assert propose(context, change("second", 1)).version == 2
 
 
+@when("one follower is down and the disk of the leader takes {duration:d} ms to sync")
+def step_slow_sync(context, duration):
+    context.group.crash(followers(context)[0])
+    context.group.hosts[context.leader].sync_time = timedelta(milliseconds=duration)
+
+
+@then("a change is accepted only after that time")
+def step_check_slow_sync(context):
+    group = context.group
+    group.propose(context.leader, change("slow", 1))
+    group.run(0.38)
+    assert "slow" not in group.outcomes, "the change was accepted before the leader's sync"
+    group.run(0.1)
+    assert group.outcomes["slow"].version == 2
+
+
+@given("{count:d} blank replicas of which one doesn't run")
+def step_start_some(context, count):
+    context.group = replica_group(count)
+    context.group.crash("b")
+
+
 @when("two replicas stop and one of them comes back with a blank disk")
 def step_blank_replacement(context):
     first, second = followers(context)
@@ -222,16 +247,88 @@
     assert group.leader() in (None, *followers(context))
 
 
+@then(
+    "with the seeds {first:d} to {last:d} a second leader that is cut off steps down in time as well"
+)
+def step_check_second_leader(context, first, last):
+    for seed in range(first, last + 1):
+        context.group = group = replica_group(3, seed)
+        former = group.wait_for_leader()
+        propose(context, change("first", 0))
+        group.crash(former)
+        group.run(2)
+        context.leader = group.wait_for_leader()
+        group.start(former)
+        propose(context, change("second", 1))
+        step_cut_leader(context)
+        step_check_step_down(context)
+
+
 @when("a follower is cut off for {seconds:g} seconds and returns")
 def step_cut_follower(context, seconds):
     group = context.group
     context.term = state_of(context, context.leader).term
-    group.cut({followers(context)[0]}, set(group.hosts) - {followers(context)[0]})
+    # The time between pre-votes differs, so that some returns fall just before one.
+    for number in range(10):
+        group.cut({followers(context)[0]}, set(group.hosts) - {followers(context)[0]})
+        group.run(seconds + 0.13 * number)
+        group.cuts.clear()
+        group.run(3)
+
+
+@when("a follower can't reach the leader for {seconds:g} seconds")
+def step_cut_pair(context, seconds):
+    group = context.group
+    context.term = state_of(context, context.leader).term
+    group.cut({followers(context)[0]}, {context.leader})
     group.run(seconds)
+
+
+@when("a follower restarts while the leader is cut off from the other follower")
+def step_restart_in_cut(context):
+    group = context.group
+    first, second = followers(context)
+    context.term = state_of(context, context.leader).term
+    group.cut({first}, {context.leader})
+    # The other follower asks for pre-votes again and again; restarts fall into all phases.
+    for _ in range(20):
+        group.run(0.35)
+        group.crash(second)
+        group.start(second)
     group.cuts.clear()
     group.run(5)
 
 
+@when("the leader restarts with an entry that the others lack and leads again")
+def step_lead_with_old_entry(context):
+    group = context.group
+    step_cut_leader(context)
+    group.propose(context.leader, change("old", 1))
+    group.run(0.1)
+    group.crash(context.leader)
+    # The remaining follower has the shorter log and can't win.
+    group.crash(followers(context)[1])
+    group.start(context.leader)
+    group.cuts.clear()
+    for _ in range(2000):
+        group.step()
+        if isinstance(state_of(context, context.leader).role, Leader):
+            return
+    raise AssertionError("the replica with the longest log doesn't lead")
+
+
+@then("acknowledgements of that entry alone commit nothing")
+def step_check_old_entry(context):
+    group = context.group
+    state = state_of(context, context.leader)
+    index = state.log.last_index - 1
+    assert state.committed.index < index and state.log.term_at(index) < state.term
+    message = AppendResponse(state.term, True, index, timedelta(0))
+    follower = group.member(followers(context)[0])
+    group.give(context.leader, Received(follower.member_id, message))
+    assert state.committed.index < index, "an entry of an earlier term was committed"
+
+
 @then("leader and term are those from before")
 def step_check_same_leader(context):
     assert context.group.leader() == context.leader
--- a/features/version/election.feature
+++ b/features/version/election.feature
@@ -7,11 +7,29 @@
     When the leader is cut off from the others
     Then it stops leading before another one leads
 
+  Scenario: A new leader doesn't count the time of the former leader's clock as contact
+    Then with the seeds 1 to 8 a second leader that is cut off steps down in time as well
+
   Scenario: A replica that returns forces no election
     Given a group of 3 replicas with an accepted change
     When a follower is cut off for 10 seconds and returns
     Then leader and term are those from before
 
+  Scenario: A follower that reaches only the other follower forces no election
+    Given a group of 3 replicas with an accepted change
+    When a follower can't reach the leader for 10 seconds
+    Then leader and term are those from before
+
+  Scenario: An entry of an earlier term counts as committed only with one of the leader's own
+    Given a group of 3 replicas with an accepted change
+    When the leader restarts with an entry that the others lack and leads again
+    Then acknowledgements of that entry alone commit nothing
+
+  Scenario: A restarted replica gives no vote while its former leader may still lead
+    Given a group of 3 replicas with an accepted change
+    When a follower restarts while the leader is cut off from the other follower
+    Then leader and term are those from before
+
   Scenario: A leader whose disk is full steps down and refuses changes
     Given a group of 3 replicas with an accepted change
     When the disk of the leader is full
--- a/features/version/replica.feature
+++ b/features/version/replica.feature
@@ -17,6 +17,16 @@
     And the disk of the other follower is lost
     Then the accepted change is still there and a new one is accepted
 
+  Scenario: A leader counts its own entry only once it is synced
+    Given a group of 3 replicas with an accepted change
+    When one follower is down and the disk of the leader takes 400 ms to sync
+    Then a change is accepted only after that time
+
+  Scenario: Two of three blank replicas form no group
+    Given 3 blank replicas of which one doesn't run
+    When 20 seconds pass in the group
+    Then the group has no leader
+
   Scenario: A blank replacement forms no majority with one old replica
     Given a group of 3 replicas with an accepted change
     When two replicas stop and one of them comes back with a blank disk
