--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -30,12 +30,11 @@
             print("\n".join(faults), file=sys.stderr)
             return 2
         case Success(settings):
-            asyncio.run(run_until_signal(settings))
-    return 0
+            return asyncio.run(run_until_signal(settings))
 
 
-async def run_until_signal(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
+async def run_until_signal(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT, and return the exit code."""
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
     access_key = read_access_key(Path(settings.access_key_file))
@@ -50,4 +49,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.cancel)
-    await asyncio.gather(node, return_exceptions=True)
+    (result,) = await asyncio.gather(node, return_exceptions=True)
+    if isinstance(result, Exception):
+        print(f"{settings.place.vm}: {result}", file=sys.stderr)
+        return 1
+    return 0
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -151,12 +151,13 @@
                 data = encode_snapshot(snapshot)
                 self.storage.store_snapshot(data)
                 self.give(SnapshotStored(snapshot, data))
-            case InstallSnapshot(data=data, source=source, sent_at=sent_at):
+            case InstallSnapshot(data=data):
                 snapshot = decode_snapshot(data)
                 self.storage.store_snapshot(data)
-                self.give(SnapshotInstalled(snapshot, data, source, sent_at))
-            case CompactLog(base_index=index, base_term=term, entries=entries):
+                self.give(SnapshotInstalled(snapshot, data))
+            case CompactLog(base_index=index, base_term=term, entries=entries, sequence=sequence):
                 self.storage.compact(index, term, entries)
+                self.give(LogSynced(sequence))
             case Send(target=target):
                 self.send(target, self.envelope(effect))
             case CatalogueCommitted():
--- a/camphorspread/version/replica.py
+++ b/camphorspread/version/replica.py
@@ -155,8 +155,8 @@
             return propose_membership(state, change, now)
         case SnapshotStored(snapshot=snapshot, data=data):
             return record_snapshot(state, snapshot, data)
-        case SnapshotInstalled(snapshot=snapshot, data=data, source=source, sent_at=sent_at):
-            return install_snapshot(state, snapshot, data, source, sent_at)
+        case SnapshotInstalled(snapshot=snapshot, data=data):
+            return install_snapshot(state, snapshot, data)
         case StorageFailed(cause=cause):
             return stop_storing(state, cause)
 
--- a/camphorspread/version/replica_events.py
+++ b/camphorspread/version/replica_events.py
@@ -1,7 +1,5 @@
 """What happens to a replica, and what its shell has to do."""
 
-from datetime import timedelta
-
 import attrs
 
 from camphorspread.version.changes import ChangeError, ChangeRequest
@@ -92,8 +90,6 @@
 
     snapshot: Snapshot
     data: bytes
-    source: str
-    sent_at: timedelta
 
 
 @attrs.frozen
@@ -149,17 +145,19 @@
     """Decode and store a received snapshot; reports `SnapshotInstalled`."""
 
     data: bytes
-    source: str
-    sent_at: timedelta
 
 
 @attrs.frozen
 class CompactLog:
-    """Replace the log's file by one that starts after `base_index`, and sync it."""
+    """Replace the log's file by one that starts after `base_index`, and sync it.
+
+    It reports `LogSynced` with its sequence number.
+    """
 
     base_index: int
     base_term: int
     entries: tuple[LogEntry, ...]
+    sequence: int
 
 
 @attrs.frozen
--- a/camphorspread/version/replication.py
+++ b/camphorspread/version/replication.py
@@ -162,7 +162,8 @@
     effects = follow(state, source, request.term, now)
     state.last_sent_at = max(state.last_sent_at, request.sent_at)
     if state.storage_fault:
-        response = AppendResponse(state.term, True, state.synced_index, request.sent_at)
+        index = min(state.verified_index, state.synced_index)
+        response = AppendResponse(state.term, True, index, request.sent_at)
         return [*effects, Send(source, response)]
     log = state.log
     known_term = log.term_at(request.previous_index)
--- a/camphorspread/version/snapshot.py
+++ b/camphorspread/version/snapshot.py
@@ -67,7 +67,7 @@
         data = bytes(state.incoming)
         state.incoming.clear()
         state.incoming_index = 0
-        return [InstallSnapshot(data, source, chunk.sent_at)]
+        return [InstallSnapshot(data)]
     response = SnapshotResponse(state.term, chunk.index, len(state.incoming), chunk.sent_at)
     return [Send(source, response)]
 
@@ -99,9 +99,7 @@
     state.snapshot_data = data
 
 
-def install_snapshot(
-    state: ReplicaState, snapshot: Snapshot, data: bytes, source: str, sent_at: timedelta
-) -> list[Effect]:
+def install_snapshot(state: ReplicaState, snapshot: Snapshot, data: bytes) -> list[Effect]:
     """Replace what is committed by a received snapshot, and the log by what follows it."""
     if snapshot.index <= state.committed.index:
         return []
@@ -110,10 +108,9 @@
     if log.term_at(snapshot.index) != snapshot.term:
         log.entries.clear()
         log.base_index, log.base_term = snapshot.index, snapshot.term
-    effects = [CatalogueCommitted(), *compact_log(state, snapshot.index)]
+    # The leader learns of it when the log that follows is synced.
     state.verified_index = max(state.verified_index, snapshot.index)
-    index = min(state.verified_index, state.synced_index)
-    return [*effects, Send(source, AppendResponse(state.term, True, index, sent_at))]
+    return [CatalogueCommitted(), *compact_log(state, snapshot.index)]
 
 
 def record_snapshot(state: ReplicaState, snapshot: Snapshot, data: bytes) -> list[Effect]:
@@ -127,7 +124,9 @@
     """Drop the entries up to `index`; writing the rest anew makes all of them durable."""
     state.log.compact(index)
     state.members = state.find_members()
+    state.synced_index = min(state.synced_index, state.log.last_index)
+    state.written += 1
     state.unsynced.clear()
-    state.synced_index = state.log.last_index
+    state.unsynced.append([state.written, state.log.last_index])
     entries = tuple(state.log.entries)
-    return [CompactLog(state.log.base_index, state.log.base_term, entries)]
+    return [CompactLog(state.log.base_index, state.log.base_term, entries, state.written)]
