--- a/features/process/replicated_catalogue.feature
+++ b/features/process/replicated_catalogue.feature
@@ -30,6 +30,13 @@
     When an operator replaces a control process by one with a blank disk
     Then the members are the two old ones and the new one, and a change is accepted
 
+  @fixture.control_group @fixture.data_folder
+  Scenario: A control process whose disk is full refuses changes and goes on answering reads
+    Given three control processes with a leader, each with a data folder
+    When the disk of the leader becomes full and a change is sent to it
+    Then the change isn't accepted there and the status names the cause
+    And another control process leads and accepts the change
+
   @fixture.control_group
   Scenario Outline: A refused change names field, value and limit
     Given three control processes with a leader
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -6,7 +6,7 @@
 from behave import step as any_step
 
 from camphorspread.version.changes import ChangeErrorKind
-from camphorspread.version.replica_events import Received, StorageFailed
+from camphorspread.version.replica_events import Received
 from camphorspread.version.replica_messages import (
     AddLearner,
     AppendResponse,
@@ -336,7 +336,7 @@
 
 @when("the disk of the leader is full")
 def step_fill_disk(context):
-    context.group.give(context.leader, StorageFailed("the disk is full"))
+    context.group.fail_disk(context.leader)
 
 
 @then("another replica leads and the one with the full disk refuses changes by name of the cause")
--- a/features/steps/replicated_catalogue_steps.py
+++ b/features/steps/replicated_catalogue_steps.py
@@ -17,8 +17,11 @@
 from camphorspread.version.catalogue import RegionEntry
 from camphorspread.version.changes import ChangeRequest, PutRegion
 from camphorspread.version.codec import encode
+from camphorspread.version.log_file import FileCalls
 from camphorspread.version.replica_messages import ChangeEntry
 from camphorspread.version.replica_storage import open_folder
+from features.fixtures.control_group import REGIONS
+from features.fixtures.data_folder import FullDisk
 from features.fixtures.replica_group import change
 
 CALL_LIMIT = timedelta(seconds=10)
@@ -109,6 +112,46 @@
     assert value["limit"] == "no leader is known", value
 
 
+@given("three control processes with a leader, each with a data folder")
+def step_start_with_folders(context):
+    group = context.control_group
+    context.disks = {}
+    for vm in REGIONS:
+        group.stop(vm)
+        group.start(vm, data_folder=str(context.data_folder / vm))
+        context.disks[vm] = FullDisk()
+        group.controls[vm].file_calls = FileCalls(context.disks[vm].write)
+    step_start_controls(context)
+
+
+@when("the disk of the leader becomes full and a change is sent to it")
+def step_fill_leader(context):
+    context.disks[context.leader_vm].room = 20
+    context.response = context.control_group.call(
+        context.leader_vm, "POST", "/v1/catalogue/changes", encode_change("c1")
+    )
+
+
+@then("the change isn't accepted there and the status names the cause")
+def step_check_full_leader(context):
+    assert context.response[0] == 503, context.response
+    group = context.control_group
+    _, status = group.call(context.leader_vm, "GET", "/v1/status")
+    assert status["storage_fault"] == "the disk is full", status
+    assert not status["is_ready"], status
+    assert group.call(context.leader_vm, "GET", "/v1/catalogue")[0] == 200
+
+
+@then("another control process leads and accepts the change")
+def step_check_other_leader(context):
+    group = context.control_group
+    group.run(4)
+    leader = group.leader()
+    assert leader not in (None, context.leader_vm), leader
+    status, value = group.call(leader, "POST", "/v1/catalogue/changes", encode_change("c1"))
+    assert (status, value) == (200, {"version": 1}), (status, value)
+
+
 @when("an operator replaces a control process by one with a blank disk")
 def step_replace_control(context):
     group = context.control_group
