--- a/benchmarks/replica.py
+++ b/benchmarks/replica.py
@@ -85,6 +85,26 @@
         )
 
 
+def measure_return(group: fixture.ControlGroup, sent: Counter) -> None:
+    """Measure how a replica that was cut off catches up after missed changes."""
+    leader = group.leader()
+    vm = next(item for item in fixture.REGIONS if item != leader)
+    hosts = {item: group.controls[item].settings.peers.host for item in fixture.REGIONS}
+    group.network.cut({hosts[vm]}, set(hosts.values()) - {hosts[vm]})
+    for number in range(MISSED):
+        send_change(group, leader, 5000 + number)
+    group.network.heal()
+    sent.clear()
+    start = group.loop.time()
+    version = group.controls[leader].catalogue.version
+    while group.controls[vm].catalogue.version < version:
+        group.run(0.005)
+    show(
+        f"replica returns after {MISSED} missed changes, until current",
+        f"{group.loop.time() - start:.3f} s, {sent[hosts[leader]]} bytes from the leader",
+    )
+
+
 def measure_catch_up(group: fixture.ControlGroup, sent: Counter) -> None:
     """Measure how a replica without any entry catches up after missed changes."""
     leader = group.leader()
@@ -170,6 +190,7 @@
         group = fixture.make_control_group(context)
         measure_commits(group)
         measure_rest(group, sent)
+        measure_return(group, sent)
         measure_catch_up(group, sent)
     measure_leader_loss(context)
     parent = Path(sys.argv[1]) if len(sys.argv) > 1 else Path.cwd()
--- a/features/process/replicated_catalogue.feature
+++ b/features/process/replicated_catalogue.feature
@@ -37,19 +37,11 @@
     Then the change isn't accepted there and the status names the cause
     And another control process leads and accepts the change
 
-  @fixture.control_group
-  Scenario Outline: A refused change names field, value and limit
-    Given three control processes with a leader
-    When an operator sends a change with <fault>
-    Then the response names the field "<field>", the value "<value>" and the limit "<limit>"
-
-    Examples:
-      | fault                            | field                             | value   | limit            |
-      | an unknown field                 | change.change.entry.colour        | 'red'   | a known field    |
-      | a negative cap                   | entry.shift_cap_per_second        | -5      | 0 to 10000000    |
-      | a missing owner                  | entry.owner                       | '  '    | a text           |
-      | a limit over a region's capacity | entry.region_limit                | 101     | 0 to 100         |
-      | a text in place of a number      | change.change.entry.region_limit  | 'many'  | a whole number   |
+  @fixture.control_group @fixture.data_folder
+  Scenario: Changes that arrive together share a sync
+    Given three control processes with a leader, each with a data folder
+    When 20 changes of different services reach the leader at the same time
+    Then all are accepted and the leader has synced its log at most 4 times
 
   @fixture.data_folder
   Scenario Outline: A control process is killed while it writes the log
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -60,6 +60,28 @@
         assert error is None, f"{wanted}: {error.message}"
 
 
+@when("five changes that expect version 1 reach the leader in one order and then in another")
+def step_race(context):
+    group = context.group
+    context.races = []
+    for number, order in enumerate(((0, 1, 2, 3, 4), (3, 1, 4, 0, 2))):
+        version = state_of(context, context.leader).committed.catalogue.version
+        for item in order:
+            group.propose(context.leader, change(f"race{number}-{item}", version, cap=item))
+        group.run(0.5)
+        names = [f"race{number}-{item}" for item in order]
+        context.races.append([group.outcomes[name] for name in names])
+
+
+@then("each time one is accepted and the others are told the current version")
+def step_check_race(context):
+    for first, *others in context.races:
+        assert first.error is None, first
+        for outcome in others:
+            assert outcome.error.kind is ChangeErrorKind.VERSION_CONFLICT, outcome
+            assert outcome.error.limit == str(first.version), outcome
+
+
 @when("{count:d} replicas run through random faults with the seeds {first:d} to {last:d}")
 def step_run_chaos(context, count, first, last):
     context.runs = [run_chaos(count, seed) for seed in range(first, last + 1)]
--- a/features/steps/replicated_catalogue_steps.py
+++ b/features/steps/replicated_catalogue_steps.py
@@ -120,10 +120,40 @@
         group.stop(vm)
         group.start(vm, data_folder=str(context.data_folder / vm))
         context.disks[vm] = FullDisk()
-        group.controls[vm].file_calls = FileCalls(context.disks[vm].write)
+        disk = context.disks[vm]
+        group.controls[vm].file_calls = FileCalls(disk.write, disk.sync)
     step_start_controls(context)
 
 
+@when("{count:d} changes of different services reach the leader at the same time")
+def step_send_together(context, count):
+    group = context.control_group
+    address = group.controls[context.leader_vm].settings.operators
+    context.disks[context.leader_vm].syncs = 0
+
+    async def send_all():
+        return await asyncio.gather(
+            *(
+                group.link.call(
+                    address,
+                    "POST",
+                    "/v1/catalogue/changes",
+                    encode_change(f"c{number}", service=f"s{number}"),
+                )
+                for number in range(count)
+            )
+        )
+
+    context.responses = group.loop.run_until_complete(send_all())
+
+
+@then("all are accepted and the leader has synced its log at most {count:d} times")
+def step_check_syncs(context, count):
+    assert {response.status for response in context.responses} == {200}, context.responses
+    syncs = context.disks[context.leader_vm].syncs
+    assert 1 <= syncs <= count, f"{syncs} syncs"
+
+
 @when("the disk of the leader becomes full and a change is sent to it")
 def step_fill_leader(context):
     context.disks[context.leader_vm].room = 20
@@ -202,6 +232,8 @@
             entry["shift_cap_per_second"] = -5
         case "a missing owner":
             entry["owner"] = "  "
+        case "a fraction in place of a number":
+            entry["region_limit"] = 1.5
         case "a text in place of a number":
             entry["region_limit"] = "many"
         case "a limit over a region's capacity":
