--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -1,6 +1,7 @@
 """`camphorspread run`: run one node from its settings file."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -13,12 +14,14 @@
 from camphorspread.connection.network import TcpNetwork
 from camphorspread.connection.pool import ConnectionPool
 from camphorspread.process.clock import SystemClock
+from camphorspread.process.command.output import FAILURE, SUCCESS, print_faults
 from camphorspread.process.control_node import run_control_node
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.entry_node import run_entry_node
 from camphorspread.process.entry_state import make_entry_state
 from camphorspread.process.events import make_event_log
 from camphorspread.process.settings import ControlSettings, EntrySettings, Settings, read_settings
+from camphorspread.version.log_file import LogDamagedError
 
 __all__ = ["run_node"]
 
@@ -27,14 +30,24 @@
     """Run the node that the settings file describes; return the exit code."""
     match read_settings(path):
         case Failure(faults):
-            print("\n".join(faults), file=sys.stderr)
-            return 2
+            return print_faults(faults)
         case Success(settings):
-            return asyncio.run(run_until_signal(settings))
+            pass
+    try:
+        asyncio.run(run_until_signal(settings))
+    except (OSError, LogDamagedError) as exc:
+        print(f"the process stops: {exc}", file=sys.stderr)
+        return FAILURE
+    return SUCCESS
 
 
-async def run_until_signal(settings: Settings) -> int:
-    """Run a node until SIGTERM or SIGINT, and return the exit code."""
+async def run_until_signal(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT.
+
+    Raises:
+        OSError: A listener can't be opened, or the data folder can't be used.
+        LogDamagedError: A file in the data folder is damaged.
+    """
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
     access_key = read_access_key(Path(settings.access_key_file))
@@ -49,8 +62,5 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.cancel)
-    (result,) = await asyncio.gather(node, return_exceptions=True)
-    if isinstance(result, Exception):
-        print(f"{settings.place.vm}: {result}", file=sys.stderr)
-        return 1
-    return 0
+    with contextlib.suppress(asyncio.CancelledError):
+        await node
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -40,11 +40,11 @@
 
 async def run_control_node(state: ControlState) -> None:
     """Run a control process until cancelled."""
-    state.log.write(Event.PROCESS_STARTED, role="control")
     shell = start_replica(state)
     listeners: tuple[Listener, ...] = ()
     try:
         listeners = await start_control_node(state, shell)
+        state.log.write(Event.PROCESS_STARTED, role="control")
         await asyncio.Event().wait()
     finally:
         for listener in listeners:
@@ -83,6 +83,8 @@
     """Answer a poll at once if there is a newer version, or after the hold time."""
     message = await exchange.read_json()
     version = message.get("version", -1) if isinstance(message, dict) else -1
+    if isinstance(message, dict):
+        state.records.acknowledge(str(message.get("vm", "")), version)
     if version >= state.catalogue.version:
         try:
             async with asyncio.timeout(HOLD.total_seconds()):
--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_operators.py
@@ -5,6 +5,7 @@
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.connection.server import Exchange
+from camphorspread.process.control_records import describe_acknowledgements
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.process.replica_shell import ANSWER_LIMIT, ReplicaShell
@@ -12,7 +13,7 @@
 from camphorspread.version.changes import ChangeError, ChangeErrorKind
 from camphorspread.version.codec import decode_change_request, encode
 from camphorspread.version.replica_codec import decode_membership_change
-from camphorspread.version.replica_messages import ChangeOutcome
+from camphorspread.version.replica_messages import ChangeEntry, ChangeOutcome
 from camphorspread.version.replica_state import Leader
 
 __all__ = ["serve_operator"]
@@ -31,6 +32,8 @@
             await exchange.respond_json(200, encode(control.catalogue))
         case b"GET", b"/v1/catalogue/history":
             await exchange.respond_json(200, list_history(shell))
+        case b"GET", b"/v1/acknowledgements":
+            await exchange.respond_json(200, describe_acknowledgements(control.records))
         case b"GET", b"/v1/status":
             await exchange.respond_json(200, describe_status(control, shell))
         case b"POST", b"/v1/catalogue/changes":
@@ -115,15 +118,25 @@
 
 
 def list_history(shell: ReplicaShell) -> list[dict[str, object]]:
-    """Return the newest accepted changes, newest first."""
+    """Return the newest accepted changes, newest first.
+
+    What a change did is listed as long as the log holds it; a snapshot keeps only its outcome.
+    """
+    payloads = (entry.payload for entry in shell.state.log.entries)
+    requests = {
+        item.request.change_id: encode(item.request)
+        for item in payloads
+        if isinstance(item, ChangeEntry)
+    }
     outcomes = reversed(shell.state.committed.outcomes.values())
     accepted = (outcome for outcome in outcomes if outcome.error is None)
     return [
         {
             "version": outcome.version,
-            "operator": outcome.operator,
             "time": outcome.time,
+            "operator": outcome.operator,
             "change_id": outcome.change_id,
+            **requests.get(outcome.change_id, {}),
         }
         for outcome, _ in zip(accepted, range(HISTORY_LENGTH), strict=False)
     ]
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
+from camphorspread.process.control_records import ControlRecords
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
@@ -33,6 +34,7 @@
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
         file_calls: How files in the data folder are written and synced.
+        records: Acknowledgements since the start.
     """
 
     settings: ControlSettings
@@ -46,3 +48,6 @@
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
     file_calls: FileCalls = attrs.field(factory=FileCalls)
+    records: ControlRecords = attrs.field(
+        default=attrs.Factory(lambda self: ControlRecords(self.clock), takes_self=True)
+    )
--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,8 @@
 
 from behave.fixture import use_fixture_by_tag
 
+from features.fixtures.audit import start_audit
+from features.fixtures.command_line import settings_folder
 from features.fixtures.control_group import control_group
 from features.fixtures.data_folder import data_folder
 from features.fixtures.session import session
@@ -10,7 +12,9 @@
 FIXTURES = {
     "fixture.control_group": control_group,
     "fixture.data_folder": data_folder,
+    "fixture.audit": start_audit,
     "fixture.session": session,
+    "fixture.settings_folder": settings_folder,
     "fixture.virtual_loop": virtual_loop,
 }
 
--- a/features/steps/replicated_catalogue_steps.py
+++ b/features/steps/replicated_catalogue_steps.py
@@ -25,6 +25,7 @@
 from features.fixtures.replica_group import change
 
 CALL_LIMIT = timedelta(seconds=10)
+ACCESS_KEY = b"key-of-one-control-process"
 
 
 def encode_change(change_id, expected=0, service="a"):
@@ -279,7 +280,7 @@
     value = encode_change(change_id, expected)
 
     async def send():
-        link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), b"key")
+        link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), ACCESS_KEY)
         try:
             return await link.call(context.operators, "POST", "/v1/catalogue/changes", value)
         finally:
@@ -295,7 +296,7 @@
 
 async def send_until_stopped(context, value):
     """Send a change and wait until the process reports that it has reached its point."""
-    link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), b"key")
+    link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), ACCESS_KEY)
     reached = asyncio.Event()
     asyncio.get_running_loop().add_reader(context.process.stdout, reached.set)
     call = asyncio.create_task(
@@ -318,9 +319,10 @@
         "peers": encode(peers),
         "operators": encode(context.operators),
         "replicas": [{"vm": "a", "peers": encode(peers), "operators": encode(context.operators)}],
-        "access_key_file": "",
+        "access_key_file": "key",
         "data_folder": str(context.data_folder),
     }
+    (context.data_folder.parent / "key").write_bytes(ACCESS_KEY)
     path = context.data_folder.parent / "settings.json"
     path.write_text(json.dumps(settings))
     context.settings = str(path)
