--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -21,6 +21,7 @@
 from camphorspread.process.entry_state import make_entry_state
 from camphorspread.process.events import make_event_log
 from camphorspread.process.settings import ControlSettings, EntrySettings, Settings, read_settings
+from camphorspread.version.log_file import LogDamagedError
 
 __all__ = ["run_node"]
 
@@ -34,7 +35,7 @@
             pass
     try:
         return asyncio.run(run_until_signal(settings))
-    except OSError as exc:
+    except (OSError, LogDamagedError) as exc:
         print(f"the process stops: {exc}", file=sys.stderr)
         return FAILURE
 
@@ -43,7 +44,8 @@
     """Run a node until SIGTERM or SIGINT; return the exit code.
 
     Raises:
-        OSError: A listener can't be opened.
+        OSError: A listener can't be opened, or the data folder can't be used.
+        LogDamagedError: A file in the data folder is damaged.
     """
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
     log = make_event_log(settings.place.vm, clock)
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -12,6 +12,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.log_file import FileCalls
 from camphorspread.version.replica_view import ReplicaView
 
 __all__ = ["ControlState"]
@@ -32,7 +33,8 @@
         catalogue: The newest accepted catalogue.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
-        records: Acknowledgements and accepted changes since the start.
+        file_calls: How files in the data folder are written and synced.
+        records: Acknowledgements since the start.
     """
 
     settings: ControlSettings
@@ -45,6 +47,7 @@
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
+    file_calls: FileCalls = attrs.field(factory=FileCalls)
     records: ControlRecords = attrs.field(
         default=attrs.Factory(lambda self: ControlRecords(self.clock), takes_self=True)
     )
--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -36,6 +36,10 @@
     CATALOGUE_POLL_FAILED = 401
     CHANGE_ACCEPTED = 402
     CHANGE_REFUSED = 403
+    LEADER_CHANGED = 420
+    QUORUM_LOST = 421
+    QUORUM_REGAINED = 422
+    STORAGE_FAILED = 423
 
 
 # Events that an operator should look into soon, and events that show a fault.
@@ -47,6 +51,8 @@
         Event.ENDPOINT_EXPIRED,
         Event.ANNOUNCEMENT_REFUSED,
         Event.CATALOGUE_POLL_FAILED,
+        Event.QUORUM_LOST,
+        Event.STORAGE_FAILED,
     }
 )
 ERRORS = frozenset({Event.HANDLER_FAILED})
