Join the head of a relayed response with its body in one write

Cause: a relayed request took three writes and a turn of the loop before its head left: the head of the response was written alone although its body had arrived with it, and the head of the request was sent only after the tasks of the relay had been created and scheduled.

The head now leaves with the part of the body that has arrived, and at once if there is none. The head of the request is sent before the tasks are created.

The scenarios of the response head fail when the flush before a wait is left out.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -1,6 +1,7 @@
 """The client side of HTTP/1.1 connections."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import attrs
@@ -97,14 +98,17 @@
             if head.status != CONTINUE_STATUS:
                 return head
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, before_wait: Callable[[], Awaitable[None]] | None = None) -> bytes:
         """Return the next part of the response body, or `b""` at its clean end.
 
+        Args:
+            before_wait: Called if the part hasn't arrived yet, before each wait for it.
+
         Raises:
             ResponseBrokenError: The body was cut short.
         """
         while True:
-            match await self._next_event():
+            match await self._next_event(before_wait=before_wait):
                 case h11.Data(data=data):
                     if data:
                         return bytes(data)
@@ -148,7 +152,11 @@
             self.abort()
             raise ConnectionResetError("the request made no progress") from exc
 
-    async def _next_event(self, has_limit: bool = True) -> object:
+    async def _next_event(
+        self,
+        has_limit: bool = True,
+        before_wait: Callable[[], Awaitable[None]] | None = None,
+    ) -> object:
         limit_s = self.limits.progress.total_seconds() if has_limit else None
         while True:
             try:
@@ -157,6 +165,8 @@
                 raise ResponseBrokenError(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
+            if before_wait is not None:
+                await before_wait()
             try:
                 async with asyncio.timeout(limit_s):
                     data = await self.stream.read()
--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -61,6 +61,7 @@
         refusal: The refusal that was sent, or that reset the connection.
         received_bytes: Body bytes received.
         sent_bytes: Body bytes sent.
+        unsent_head: Bytes of the response's head that leave with the next write.
     """
 
     head: RequestHead
@@ -75,6 +76,7 @@
     refusal: Refusal | None = None
     received_bytes: int = 0
     sent_bytes: int = 0
+    unsent_head: bytes = b""
 
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
@@ -133,10 +135,20 @@
 
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
-        data = self.state.send(h11.Response(status_code=head.status, headers=list(head.headers)))
+        self.start_response(head)
+        await self.flush()
+
+    def start_response(self, head: ResponseHead) -> None:
+        """Begin the response; its head leaves with the first part of the body or on `flush`."""
+        event = h11.Response(status_code=head.status, headers=list(head.headers))
+        self.unsent_head = self.state.send(event)
         self.response_started = True
         self.status = head.status
-        await self._write(data)
+
+    async def flush(self) -> None:
+        """Send the head of the response if it hasn't left yet."""
+        if self.unsent_head:
+            await self._write(b"")
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -146,6 +158,7 @@
     async def finish(self) -> None:
         """End the response."""
         await self._send(h11.EndOfMessage())
+        await self.flush()
         self.is_complete = True
 
     def abort(self) -> None:
@@ -234,6 +247,7 @@
             await self._write(data)
 
     async def _write(self, data: bytes) -> None:
+        data, self.unsent_head = self.unsent_head + data, b""
         try:
             async with asyncio.timeout(self.limits.progress.total_seconds()):
                 await self.stream.write(data)
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -132,7 +132,38 @@
     Returns:
         How it ended.
     """
+    try:
+        failure = await send_request_head(conn, head)
+        if failure is not None:
+            return failure
+        return await relay_bodies(exchange, conn, head, body_limit, is_pass)
+    finally:
+        if not conn.is_reusable:
+            conn.abort()
+
+
+async def send_request_head(conn: ClientConnection, head: RequestHead) -> RelayResult | None:
+    """Send the head of the request; return how it failed, or None.
+
+    This happens before any task is created, which saves a turn of the loop before the request
+    leaves.
+    """
+    try:
+        await conn.send_head(head)
+    except NotSentError as exc:
+        return NotSent(str(exc))
+    except ConnectionError as exc:
+        return NoResponse(str(exc))
+    return None
+
+
+async def relay_bodies(
+    exchange: Exchange, conn: ClientConnection, head: RequestHead, body_limit: int, is_pass: bool
+) -> RelayResult:
+    """Stream the body of the request and the response, until either ends the request."""
     body_wanted = asyncio.Event()
+    if (b"expect", b"100-continue") not in head.headers:
+        body_wanted.set()
     upload = asyncio.create_task(watch_caller(exchange, conn, body_limit, body_wanted))
     download = asyncio.create_task(send_response(exchange, conn, head, is_pass, body_wanted))
     try:
@@ -144,8 +175,6 @@
         return await download
     finally:
         await cancel_tasks(upload, download)
-        if not conn.is_reusable:
-            conn.abort()
 
 
 async def cancel_tasks(*tasks: asyncio.Task) -> None:
@@ -193,16 +222,14 @@
     is_pass: bool,
     body_wanted: asyncio.Event,
 ) -> RelayResult:
-    """Send the request head and stream the response to the caller."""
+    """Wait for the response and stream it to the caller."""
     try:
-        response = await exchange_heads(conn, head, body_wanted)
+        response = await read_final_head(conn, body_wanted)
         refusal = read_refusal(response) if is_pass else None
         if refusal is not None:
             while await conn.read_body():
                 pass
             return OwnerRefused(refusal)
-    except NotSentError as exc:
-        return NotSent(str(exc))
     except (ResponseBrokenError, ConnectionError) as exc:
         return NoResponse(str(exc))
     if not is_framed(head.method, response):
@@ -210,13 +237,8 @@
     return await stream_response(exchange, conn, make_response_head(response, is_pass))
 
 
-async def exchange_heads(
-    conn: ClientConnection, head: RequestHead, body_wanted: asyncio.Event
-) -> ResponseHead:
-    """Send the head of the request and return the head of the final response."""
-    await conn.send_head(head)
-    if (b"expect", b"100-continue") not in head.headers:
-        body_wanted.set()
+async def read_final_head(conn: ClientConnection, body_wanted: asyncio.Event) -> ResponseHead:
+    """Return the head of the final response; status 100 lets the body go."""
     while True:
         response = await conn.read_head()
         if response.status != CONTINUE_STATUS:
@@ -227,10 +249,14 @@
 async def stream_response(
     exchange: Exchange, conn: ClientConnection, head: ResponseHead
 ) -> RelayResult:
-    """Stream a response that has begun to the caller."""
+    """Stream a response that has begun to the caller.
+
+    The head leaves in one write with the part of the body that has arrived with it, and at once
+    if there is none.
+    """
     try:
-        await exchange.send_head(head)
-        while data := await conn.read_body():
+        exchange.start_response(head)
+        while data := await conn.read_body(before_wait=exchange.flush):
             await exchange.send_body(data)
         await exchange.finish()
     except ResponseBrokenError as exc:
