Deliver catalogue deltas with a lease and grant leased shares

Entry VMs got the whole catalogue at each change and couldn't tell whether it was current; limits and caps had no allocation. A poll now gets deltas or the whole catalogue, renews a lease of 1.5 s, and counts as the acknowledgement. The leader counts every grant that a holder may still use, so that the sum of shares stays within each cap under lost, late and reordered messages.

--- a/camphorspread/process/catalogue_poll.py
+++ b/camphorspread/process/catalogue_poll.py
@@ -3,41 +3,149 @@
 import asyncio
 from datetime import timedelta
 
+import attrs
+
 from camphorspread.connection.link import LinkError
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
-from camphorspread.version.codec import decode_catalogue
+from camphorspread.process.fleet import FleetView
+from camphorspread.process.settings import ReplicaSettings
+from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.codec import decode_catalogue, decode_deltas
+from camphorspread.version.delivery import CATALOGUE_LEASE, FIRST_POLL, apply_deltas
+from camphorspread.version.shares import record_permanent_parts
 
-__all__ = ["poll_catalogue"]
+__all__ = ["ReplicaChoice", "choose_replica", "order_replicas", "poll_catalogue", "watch_lease"]
 
-POLL_LIMIT = timedelta(seconds=1)
+# Hold and limit are chosen so that after one replica stops responding, another one renews the
+# lease before it ends: 0.51 s + 0.65 s + 0.22 s for connection and poll at 55 ms one way < 1.5 s.
+HOLD = timedelta(milliseconds=400)
+POLL_LIMIT = timedelta(milliseconds=650)
 RETRY_INTERVAL = timedelta(milliseconds=200)
+AVOIDANCE = timedelta(seconds=5)
+WATCH_INTERVAL = timedelta(milliseconds=100)
+
+
+@attrs.define(eq=False)
+class ReplicaChoice:
+    """Which replica is polled next.
+
+    Attributes:
+        replicas: All replicas, nearest first.
+        avoided: Replicas that failed, or couldn't give a lease, and until when they are avoided.
+        leader: Replica named by another one for the first poll; used once.
+    """
+
+    replicas: tuple[ReplicaSettings, ...]
+    avoided: dict[str, timedelta] = attrs.field(factory=dict)
+    leader: str | None = None
+
+
+def order_replicas(
+    replicas: tuple[ReplicaSettings, ...], fleet: FleetView
+) -> tuple[ReplicaSettings, ...]:
+    """Return the replicas with the nearest first: VM, availability zone, region, others."""
+
+    def distance(replica: ReplicaSettings) -> tuple[int, str]:
+        record, own = fleet.vms.get(replica.vm), fleet.own
+        if record is None:
+            return 4, replica.vm
+        near = (record.vm == own.vm, record.availability_zone == own.availability_zone)
+        steps = (*near, record.region == own.region, True)
+        return steps.index(True), replica.vm
+
+    return tuple(sorted(replicas, key=distance))
+
+
+def choose_replica(choice: ReplicaChoice, now: timedelta) -> ReplicaSettings:
+    """Return the replica named as leader, else the nearest one that isn't avoided.
+
+    If all are avoided, it is the one whose avoidance ends first.
+    """
+    for replica in choice.replicas:
+        if replica.vm == choice.leader:
+            choice.leader = None
+            return replica
+    return min(
+        choice.replicas, key=lambda item: max(choice.avoided.get(item.vm, now) - now, timedelta(0))
+    )
 
 
 async def poll_catalogue(state: EntryState) -> None:
-    """Poll the control processes in turn until cancelled."""
-    position = 0
+    """Poll the control processes until cancelled."""
+    choice = ReplicaChoice(order_replicas(state.settings.replicas, state.fleet))
+    failures = 0
     while True:
-        replica = state.settings.replicas[position % len(state.settings.replicas)]
-        version = state.catalogue.version if state.catalogue else -1
-        message = {"vm": state.settings.place.vm, "version": version}
-        try:
-            response = await state.link.call(
-                replica.peers, "POST", "/v1/catalogue/poll", message, POLL_LIMIT
-            )
-        except LinkError as exc:
-            state.log.write(Event.CATALOGUE_POLL_FAILED, replica=replica.vm, cause=str(exc))
-            position += 1
-            await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+        replica = choose_replica(choice, state.clock.monotonic())
+        if await poll_once(state, choice, replica, HOLD if not failures else timedelta(0)):
+            failures = 0
             continue
-        take_response(state, response.value)
+        failures += 1
+        # The other replicas are tried at once, so that the lease needn't end.
+        if failures >= len(choice.replicas):
+            await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+
+
+async def poll_once(
+    state: EntryState, choice: ReplicaChoice, replica: ReplicaSettings, hold: timedelta
+) -> bool:
+    """Send one poll; return True if its response renewed the lease."""
+    message = {
+        "vm": state.settings.place.vm,
+        "version": state.catalogue.version if state.catalogue else FIRST_POLL,
+        "hold_ms": int(hold.total_seconds() * 1000),
+    }
+    sent = state.clock.monotonic()
+    try:
+        response = await state.link.call(
+            replica.peers, "POST", "/v1/catalogue/poll", message, POLL_LIMIT
+        )
+        renewed = take_response(state, choice, response.value, sent)
+    except (LinkError, ValueError, TypeError, KeyError) as exc:
+        state.log.write(Event.CATALOGUE_POLL_FAILED, replica=replica.vm, cause=str(exc))
+        renewed = False
+    if renewed:
+        choice.avoided.pop(replica.vm, None)
+    elif choice.leader is None:
+        choice.avoided[replica.vm] = state.clock.monotonic() + AVOIDANCE
+    return renewed
+
 
+def take_response(state: EntryState, choice: ReplicaChoice, value: object, sent: timedelta) -> bool:
+    """Put a newer catalogue in force and renew the lease; return True if it was renewed."""
+    match value:
+        case {"leader": leader}:
+            choice.leader = leader
+            return False
+        case {"catalogue": encoded}:
+            take_catalogue(state, decode_catalogue(encoded))
+        case {"deltas": encoded} if state.catalogue is not None:
+            take_catalogue(state, apply_deltas(state.catalogue, decode_deltas(encoded)))
+    if not isinstance(value, dict) or value.get("lease") is not True or state.catalogue is None:
+        return False
+    state.catalogue_lease_end = max(state.catalogue_lease_end, sent + CATALOGUE_LEASE)
+    return True
 
-def take_response(state: EntryState, value: object) -> None:
-    """Put a newer catalogue in force."""
-    if not isinstance(value, dict) or value.get("catalogue") is None:
+
+def take_catalogue(state: EntryState, catalogue: Catalogue) -> None:
+    """Put a catalogue in force if it is newer than the one that the VM runs."""
+    if state.catalogue is not None and catalogue.version <= state.catalogue.version:
         return
-    catalogue = decode_catalogue(value["catalogue"])
-    if state.catalogue is None or catalogue.version > state.catalogue.version:
-        state.catalogue = catalogue
-        state.log.write(Event.CATALOGUE_IN_FORCE, version=catalogue.version)
+    state.catalogue = catalogue
+    place = state.settings.place
+    now = state.clock.monotonic()
+    record_permanent_parts(state.held_shares, catalogue, place.region, place.vm, now)
+    state.log.write(Event.CATALOGUE_IN_FORCE, version=catalogue.version)
+
+
+async def watch_lease(state: EntryState) -> None:
+    """Log when the catalogue lease ends and when it returns, until cancelled."""
+    was_isolated = False
+    while True:
+        await asyncio.sleep(WATCH_INTERVAL.total_seconds())
+        is_isolated = state.catalogue_lease_end <= state.clock.monotonic()
+        if is_isolated == was_isolated or state.catalogue is None:
+            continue
+        was_isolated = is_isolated
+        event = Event.CATALOGUE_LEASE_ENDED if is_isolated else Event.CATALOGUE_LEASE_RETURNED
+        state.log.write(event, version=state.catalogue.version)
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -1,7 +1,6 @@
 """A control process: its listeners and their handlers."""
 
 import asyncio
-from datetime import timedelta
 
 from returns.result import Failure, Success
 
@@ -10,14 +9,16 @@
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.poll_listener import serve_acknowledgements, serve_poll
+from camphorspread.process.shares_listener import serve_renewal
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.changes import ChangeError, apply_change, check_change
 from camphorspread.version.codec import decode_change_request, encode
+from camphorspread.version.delivery import record_change
+from camphorspread.version.share_allocator import observe_catalogue
 
 __all__ = ["run_control_node", "start_control_node"]
 
-HOLD = timedelta(milliseconds=500)
-
 
 async def start_control_node(state: ControlState) -> tuple[Listener, ...]:
     """Open the listeners of a control process."""
@@ -53,24 +54,12 @@
     match exchange.head.method, exchange.head.target:
         case b"POST", b"/v1/catalogue/poll":
             await serve_poll(state, exchange)
+        case b"POST", b"/v1/shares/renew":
+            await serve_renewal(state, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
 
-async def serve_poll(state: ControlState, exchange: Exchange) -> None:
-    """Answer a poll at once if there is a newer version, or after the hold time."""
-    message = await exchange.read_json()
-    version = message.get("version", -1) if isinstance(message, dict) else -1
-    if version >= state.catalogue.version:
-        try:
-            async with asyncio.timeout(HOLD.total_seconds()):
-                await state.changed.wait()
-        except TimeoutError:
-            await exchange.respond_json(200, {"catalogue": None})
-            return
-    await exchange.respond_json(200, {"catalogue": encode(state.catalogue)})
-
-
 async def handle_operator(state: ControlState, exchange: Exchange) -> None:
     """Serve one exchange of the operators' listener."""
     match check_access_key(exchange.head.headers, state.access_key):
@@ -80,6 +69,8 @@
     match exchange.head.method, exchange.head.target:
         case b"GET", b"/v1/catalogue":
             await exchange.respond_json(200, encode(state.catalogue))
+        case b"GET", b"/v1/acknowledgements":
+            await serve_acknowledgements(state, exchange)
         case b"POST", b"/v1/catalogue/changes":
             await serve_change(state, exchange)
         case _:
@@ -98,7 +89,10 @@
         case Failure(error):
             await respond_error(state, exchange, error)
             return
-    state.catalogue = apply_change(state.catalogue, decoded.unwrap().change)
+    change = decoded.unwrap().change
+    state.catalogue = apply_change(state.catalogue, change)
+    record_change(state.delivery, state.catalogue.version, change)
+    observe_catalogue(state.allocator, state.catalogue, state.clock.monotonic())
     state.log.write(Event.CHANGE_ACCEPTED, version=state.catalogue.version)
     state.changed.set()
     state.changed = asyncio.Event()
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from datetime import timedelta
 
 import attrs
 
@@ -11,7 +12,9 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.delivery import Delivery
 from camphorspread.version.replica_view import ReplicaView
+from camphorspread.version.share_allocator import Allocator
 
 __all__ = ["ControlState"]
 
@@ -31,6 +34,8 @@
         catalogue: The newest accepted catalogue.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
+        delivery: History of changes and acknowledgements of entry VMs.
+        allocator: Shares granted to entry VMs while this replica leads.
     """
 
     settings: ControlSettings
@@ -42,4 +47,16 @@
     access_key: bytes
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    view: ReplicaView = attrs.field(factory=ReplicaView)
+    view: ReplicaView = attrs.field()
+    delivery: Delivery = attrs.field(factory=Delivery)
+    allocator: Allocator = attrs.field(factory=Allocator)
+
+    @view.default
+    def _lead_alone(self) -> ReplicaView:
+        # A single control process leads from its start, and its lease doesn't end.
+        return ReplicaView(
+            leader=self.settings.place.vm,
+            is_leader=True,
+            lease_end=timedelta.max,
+            has_own_term_entry=True,
+        )
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -10,10 +10,11 @@
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
-from camphorspread.process.catalogue_poll import poll_catalogue
+from camphorspread.process.catalogue_poll import poll_catalogue, watch_lease
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.share_renewal import renew_periodically
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -55,6 +56,8 @@
     )
     tasks = (
         asyncio.create_task(poll_catalogue(state)),
+        asyncio.create_task(watch_lease(state)),
+        asyncio.create_task(renew_periodically(state)),
         asyncio.create_task(expire_periodically(state)),
     )
     state.log.write(Event.PROCESS_STARTED, role="entry")
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -14,7 +14,7 @@
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.settings import EntrySettings
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import HeldShares
+from camphorspread.version.shares import HeldShares, Renewal, ShareDemand, ShareKey
 
 __all__ = ["EntryState", "make_entry_state"]
 
@@ -40,6 +40,8 @@
         started: Instant of the start.
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
+        share_demand: Demand for shares, counted by the request path.
+        renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
     """
 
@@ -57,6 +59,8 @@
     started: timedelta = timedelta(0)
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
+    share_demand: dict[ShareKey, ShareDemand] = attrs.field(factory=dict)
+    renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
 
 
--- /dev/null
+++ b/camphorspread/process/share_renewal.py
@@ -0,0 +1,81 @@
+"""Renews the shares of an entry process at the control leader."""
+
+import asyncio
+from datetime import timedelta
+
+from camphorspread.connection.link import LinkError
+from camphorspread.process.catalogue_poll import order_replicas
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.events import Event
+from camphorspread.version.share_allocator import RenewalRequest
+from camphorspread.version.share_codec import decode_amounts, encode_renewal
+from camphorspread.version.shares import Renewal, take_demand, take_grants
+
+__all__ = ["renew_periodically", "return_shares"]
+
+RENEWAL_INTERVAL = timedelta(milliseconds=500)
+RENEWAL_LIMIT = timedelta(milliseconds=450)
+
+
+async def renew_periodically(state: EntryState) -> None:
+    """Renew the shares every 0.5 s until cancelled."""
+    replicas = order_replicas(state.settings.replicas, state.fleet)
+    state.renewal.replicas = tuple(replica.vm for replica in replicas)
+    while not state.renewal.is_returned:
+        start = state.clock.monotonic()
+        if state.catalogue is not None:
+            await renew_once(state)
+        rest = start + RENEWAL_INTERVAL - state.clock.monotonic()
+        await asyncio.sleep(max(rest.total_seconds(), 0))
+
+
+async def renew_once(state: EntryState) -> None:
+    """Ask for shares; ask a second replica if the first one isn't the leader."""
+    demand = take_demand(state.share_demand)
+    for _ in range(2):
+        renewal = state.renewal
+        renewal.number += 1
+        place = state.settings.place
+        request = RenewalRequest(
+            place.vm, state.incarnation, renewal.number, renewal.holds, demand, renewal.is_returned
+        )
+        name = renewal.replicas[renewal.position % len(renewal.replicas)]
+        replica = next(item for item in state.settings.replicas if item.vm == name)
+        sent = state.clock.monotonic()
+        try:
+            response = await state.link.call(
+                replica.peers, "POST", "/v1/shares/renew", encode_renewal(request), RENEWAL_LIMIT
+            )
+        except LinkError as exc:
+            state.log.write(Event.SHARE_RENEWAL_FAILED, replica=replica.vm, cause=str(exc))
+            renewal.position += 1
+            return
+        match response.value:
+            case {"number": number, "grants": dict(grants)} if number == request.number:
+                amounts = decode_amounts(grants)
+                take_grants(state.held_shares, renewal, number, amounts, sent)
+                return
+            case {"number": _}:
+                return
+            case {"leader": leader}:
+                follow_leader(renewal, leader)
+            case _:
+                renewal.position += 1
+                return
+
+
+def follow_leader(renewal: Renewal, leader: str | None) -> None:
+    """Ask the named leader next, or the next replica if none is named."""
+    names = renewal.replicas
+    renewal.position = names.index(leader) if leader in names else renewal.position + 1
+
+
+async def return_shares(state: EntryState) -> None:
+    """Stop using all grants and tell the leader, as part of a planned stop.
+
+    If the leader can't be reached, the shares come back when their lease ends.
+    """
+    state.renewal.is_returned = True
+    state.held_shares.grants = {}
+    state.renewal.holds = 0
+    await renew_once(state)
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -12,8 +12,16 @@
     ChangeErrorKind,
     ChangeRequest,
 )
+from camphorspread.version.delivery import Delta
 
-__all__ = ["CONVERTER", "decode_catalogue", "decode_change_request", "encode"]
+__all__ = [
+    "CONVERTER",
+    "decode_catalogue",
+    "decode_change_request",
+    "decode_deltas",
+    "encode",
+    "encode_deltas",
+]
 
 
 def make_catalogue_converter() -> cattrs.Converter:
@@ -49,6 +57,20 @@
     return CONVERTER.structure(value, Catalogue)
 
 
+def encode_deltas(deltas: tuple[Delta, ...]) -> object:
+    """Return the JSON form of changes that an entry VM lacks."""
+    return CONVERTER.unstructure(deltas, unstructure_as=tuple[Delta, ...])
+
+
+def decode_deltas(value: object) -> tuple[Delta, ...]:
+    """Read changes that this program wrote.
+
+    Raises:
+        cattrs.errors.IterableValidationError: The value holds no changes.
+    """
+    return CONVERTER.structure(value, tuple[Delta, ...])
+
+
 def describe_fault(exc: Exception) -> ChangeError:
     """Return field, value and limit of the first fault that `cattrs` found."""
     lines = cattrs.transform_error(exc, path="change")
--- a/camphorspread/version/replica_view.py
+++ b/camphorspread/version/replica_view.py
@@ -17,7 +17,9 @@
         lease_end: Until when a leader that has heard from a majority may act as one.
         has_own_term_entry: True once the leader has committed an entry of its own term, so that
             its catalogue holds every change that was ever accepted.
-        leader_heard: When this replica last heard its leader; None if it never did.
+        leader_heard: When this replica last heard its leader and held everything that the leader
+            had committed by then; None if it never did.
+        term: Term of the leader; it grows with each change of leader.
     """
 
     leader: str | None = None
@@ -25,3 +27,4 @@
     lease_end: timedelta = timedelta(0)
     has_own_term_entry: bool = False
     leader_heard: timedelta | None = None
+    term: int = 0
--- a/camphorspread/version/shares.py
+++ b/camphorspread/version/shares.py
@@ -5,7 +5,29 @@
 
 import attrs
 
-__all__ = ["Grant", "HeldShares", "ShareKey", "ShareKind"]
+from camphorspread.version.catalogue import Catalogue
+
+__all__ = [
+    "CHANGE_SPREAD",
+    "SHARE_LEASE",
+    "Grant",
+    "HeldShares",
+    "PermanentPart",
+    "Renewal",
+    "ShareDemand",
+    "ShareKey",
+    "ShareKind",
+    "limit_of",
+    "list_region_keys",
+    "permanent_part",
+    "record_permanent_parts",
+    "take_demand",
+    "take_grants",
+]
+
+SHARE_LEASE = timedelta(seconds=2)
+# Time in which a catalogue change is in effect everywhere.
+CHANGE_SPREAD = timedelta(seconds=3)
 
 
 class ShareKind(enum.Enum):
@@ -31,6 +53,21 @@
     service: str = ""
 
 
+@attrs.define(eq=False)
+class ShareDemand:
+    """What the request path of one VM did with a share.
+
+    Attributes:
+        used: Requests admitted in the last interval; for a region limit the most that ran at once.
+        refused: Requests refused in the last interval for lack of a share.
+        running: Requests that run now under a region limit; 0 for a shift cap.
+    """
+
+    used: int = 0
+    refused: int = 0
+    running: int = 0
+
+
 @attrs.frozen
 class Grant:
     """An amount that may be used until the lease ends."""
@@ -39,13 +76,159 @@
     lease_end: timedelta
 
 
+@attrs.define(eq=False)
+class PermanentPart:
+    """The part of a region limit that a VM has without a lease.
+
+    Attributes:
+        amounts: Amounts by the catalogue and since when, oldest first.
+    """
+
+    amounts: list[tuple[timedelta, int]] = attrs.field(factory=list)
+
+    def record(self, amount: int, now: timedelta) -> None:
+        """Note the amount that the catalogue gives from now on."""
+        if not self.amounts or self.amounts[-1][1] != amount:
+            self.amounts.append((now, amount))
+        while len(self.amounts) > 1 and self.amounts[1][0] <= now - CHANGE_SPREAD:
+            del self.amounts[0]
+
+    def amount(self, now: timedelta) -> int:
+        """Return the smallest amount in force within the last `CHANGE_SPREAD`.
+
+        A decrease so applies at once and an increase once all VMs know of it.
+        """
+        start = now - CHANGE_SPREAD
+        ends = [since for since, _ in self.amounts[1:]]
+        current = [self.amounts[-1][1]] if self.amounts else [0]
+        pairs = zip(self.amounts, ends, strict=False)
+        return min(current + [amount for (_, amount), end in pairs if end > start])
+
+
 @attrs.define(eq=False)
 class HeldShares:
-    """Grants that an entry VM holds."""
+    """What an entry VM holds of limits and caps.
+
+    Attributes:
+        grants: Parts held under a lease.
+        permanent: Parts held without a lease.
+    """
 
     grants: dict[ShareKey, Grant] = attrs.field(factory=dict)
+    permanent: dict[ShareKey, PermanentPart] = attrs.field(factory=dict)
 
     def amount(self, key: ShareKey, now: timedelta) -> int:
         """Return the amount held under a lease that hasn't ended."""
         grant = self.grants.get(key)
         return grant.amount if grant and grant.lease_end > now else 0
+
+    def permanent_amount(self, key: ShareKey, now: timedelta) -> int:
+        """Return the amount that belongs to this VM without a lease."""
+        part = self.permanent.get(key)
+        return part.amount(now) if part else 0
+
+    def total(self, key: ShareKey, now: timedelta) -> int:
+        """Return all that this VM may use now."""
+        return self.permanent_amount(key, now) + self.amount(key, now)
+
+
+@attrs.define(eq=False)
+class Renewal:
+    """The renewals of one process.
+
+    Attributes:
+        replicas: Names of all replicas, nearest first.
+        position: Which one is asked next.
+        number: Number of the last request.
+        holds: Number of the request whose grants are in use, 0 for none.
+        is_returned: True once the shares were returned; none is requested after that.
+    """
+
+    replicas: tuple[str, ...] = ()
+    position: int = 0
+    number: int = 0
+    holds: int = 0
+    is_returned: bool = False
+
+
+def permanent_part(limit: int, vms: tuple[str, ...], vm: str) -> int:
+    """Return the part of a region limit that belongs to a VM without a lease.
+
+    Args:
+        limit: The limit.
+        vms: Names of the entry VMs in the entry of the region.
+        vm: Name of the VM.
+
+    Examples:
+        >>> permanent_part(11, ("sofia-a-1", "sofia-b-1"), "sofia-a-1")
+        2
+        >>> permanent_part(11, ("sofia-a-1", "sofia-b-1"), "varna-a-1")
+        0
+    """
+    return limit // 2 // len(vms) if vm in vms else 0
+
+
+def list_region_keys(catalogue: Catalogue, region: str) -> list[ShareKey]:
+    """Return the keys of the limits of a region, empty if it has no entry."""
+    if catalogue.find_region(region) is None:
+        return []
+    services = [
+        ShareKey(ShareKind.SERVICE_REGION_LIMIT, region, service)
+        for service in sorted(catalogue.services)
+    ]
+    return [ShareKey(ShareKind.REGION_LIMIT, region), *services]
+
+
+def limit_of(catalogue: Catalogue, key: ShareKey) -> int:
+    """Return the whole limit or cap of a key, 0 if its entry is gone."""
+    region, service = catalogue.find_region(key.region), catalogue.find_service(key.service)
+    match key.kind:
+        case ShareKind.REGION_LIMIT:
+            return region.limit if region else 0
+        case ShareKind.SERVICE_REGION_LIMIT:
+            return service.region_limit if region and service else 0
+        case ShareKind.SHIFT_CAP:
+            return service.shift_cap_per_second if service else 0
+
+
+def record_permanent_parts(
+    held: HeldShares, catalogue: Catalogue, region: str, vm: str, now: timedelta
+) -> None:
+    """Note the permanent parts of a VM when a catalogue comes into force on it."""
+    keys = list_region_keys(catalogue, region)
+    entry = catalogue.find_region(region)
+    for key in {*keys, *held.permanent}:
+        amount = permanent_part(limit_of(catalogue, key), entry.vms, vm) if entry else 0
+        held.permanent.setdefault(key, PermanentPart()).record(amount, now)
+
+
+def take_demand(demand: dict[ShareKey, ShareDemand]) -> dict[ShareKey, ShareDemand]:
+    """Return the demand of the interval that ends and start the next one."""
+    taken = {key: attrs.evolve(item) for key, item in demand.items()}
+    for item in demand.values():
+        item.used, item.refused = item.running, 0
+    return {key: item for key, item in taken.items() if item.used or item.refused or item.running}
+
+
+def take_grants(
+    held: HeldShares,
+    renewal: Renewal,
+    number: int,
+    amounts: dict[ShareKey, int],
+    sent: timedelta,
+) -> None:
+    """Replace the held grants by those of the response to the newest request.
+
+    Args:
+        held: What the VM holds.
+        renewal: Its renewals.
+        number: Number of the request. The grants of any other than the newest are ignored, as the
+            leader was told that they won't be used.
+        amounts: Granted amounts.
+        sent: When the request was sent, from which the lease counts.
+    """
+    if number != renewal.number or renewal.is_returned:
+        return
+    lease_end = sent + SHARE_LEASE
+    held.grants = {key: Grant(amount, lease_end) for key, amount in amounts.items()}
+    renewal.holds = number
--- /dev/null
+++ b/features/steps/shares_steps.py
@@ -0,0 +1,173 @@
+"""Steps of the shares of limits and caps."""
+
+import random
+from datetime import timedelta
+
+from behave import given, then, when
+
+from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.share_allocator import divide
+from camphorspread.version.shares import SHARE_LEASE, ShareDemand
+from features.fixtures.share_simulation import KEYS, ShareSimulation, make_catalogue
+
+VMS = ("sofia-a-1", "sofia-a-2", "sofia-b-1", "sofia-b-2", "sofia-b-3")
+SHIFT_KEY = KEYS[2]
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+def make_simulation(seed, **options):
+    rng = random.Random(seed)
+    limits = rng.randint(0, 60), rng.randint(0, 60), rng.randint(0, 60)
+    catalogue = make_catalogue(Catalogue(), VMS, *limits)
+    return ShareSimulation(rng, VMS, catalogue, **options)
+
+
+def move_demand(sim):
+    for vm in VMS:
+        for key in KEYS:
+            used = sim.rng.choice((0, 0, 3, 20, 100))
+            sim.current(vm).demand[key] = ShareDemand(used, sim.rng.choice((0, 5)))
+
+
+def disturb(sim):
+    match sim.rng.randrange(5):
+        case 0:
+            sim.change_leader()
+        case 1:
+            sim.start(sim.rng.choice(VMS))
+        case 2:
+            length = seconds(sim.rng.uniform(0.5, 5))
+            sim.isolated[sim.rng.choice(VMS)] = sim.now + length
+        case _:
+            move_demand(sim)
+    sim.after(seconds(sim.rng.uniform(0.05, 2)), lambda: disturb(sim))
+
+
+def check_fixed(sim):
+    for key in KEYS:
+        assert sim.total(key) <= sim.limit(key), (sim.now, key, sim.total(key), sim.limit(key))
+
+
+@then("with {count:d} seeds of drops, delays, restarts and new leaders no sum passes its cap")
+def step_check_sums(context, count):
+    for seed in range(count):
+        sim = make_simulation(seed, loss=0.15, delays_ms=(200, 3000))
+        sim.check = check_fixed
+        disturb(sim)
+        sim.run_until(seconds(40))
+
+
+@then("with {count:d} seeds of changed limits the sum follows them within 3 seconds")
+def step_check_changes(context, count):
+    for seed in range(count):
+        sim = make_simulation(seed, loss=0.05, delays_ms=(100, 400))
+        bounds = {key: [sim.limit(key)] for key in KEYS}
+
+        def check(sim, bounds=bounds):
+            for key in KEYS:
+                assert sim.total(key) <= bounds[key][-1], (sim.now, key, sim.total(key))
+
+        def settle(sim=sim, bounds=bounds):
+            for key in KEYS:
+                bounds[key].append(sim.limit(key))
+
+        def change(sim=sim, settle=settle, bounds=bounds):
+            # Also moves VMs into the region's entry and out of it.
+            vms = sorted(sim.rng.sample(VMS, sim.rng.randint(2, 5)))
+            limits = [sim.rng.randint(0, 60) for _ in range(3)]
+            sim.change_catalogue(make_catalogue(sim.catalogue, vms, *limits))
+            # A shift cap has no permanent parts, so an increase may be granted at once.
+            bounds[SHIFT_KEY].append(max(bounds[SHIFT_KEY][-1], sim.limit(SHIFT_KEY)))
+            sim.after(seconds(3), settle)
+            move_demand(sim)
+            sim.after(seconds(sim.rng.uniform(6, 9)), change)
+
+        sim.check = check
+        sim.after(seconds(5), change)
+        sim.run_until(seconds(60))
+
+
+@given("{count:d} VMs that share a shift cap of {cap:d}")
+def step_start(context, count, cap):
+    vms = VMS[:count]
+    catalogue = make_catalogue(Catalogue(), vms, 40, 40, cap)
+    context.shares = ShareSimulation(random.Random(1), vms, catalogue)
+    context.shares.check = check_fixed
+
+
+@given("each of them wants {amount:d}")
+@when("each of them wants {amount:d}")
+def step_want(context, amount):
+    for vm in context.shares.vms:
+        context.shares.current(vm).demand[SHIFT_KEY] = ShareDemand(amount)
+
+
+@when("only {vm} wants {amount:d}")
+def step_want_one(context, vm, amount):
+    for name in context.shares.vms:
+        wanted = amount if name == vm else 0
+        context.shares.current(name).demand[SHIFT_KEY] = ShareDemand(wanted)
+
+
+@given("{duration:g} seconds of renewals pass")
+@when("{duration:g} seconds of renewals pass")
+def step_run(context, duration):
+    context.shares.run_until(context.shares.now + seconds(duration))
+
+
+@when("{vm} is isolated for {duration:g} seconds")
+def step_isolate(context, vm, duration):
+    context.shares.isolated[vm] = context.shares.now + seconds(duration)
+
+
+@when("another replica leads")
+def step_change_leader(context):
+    context.shares.change_leader()
+    context.allocator = context.shares.allocators[context.shares.leader]
+
+
+def held_amount(context, vm):
+    sim = context.shares
+    return sim.current(vm).held.amount(SHIFT_KEY, sim.now)
+
+
+@then("{vm} holds at least {amount:d}")
+def step_check_held(context, vm, amount):
+    assert held_amount(context, vm) >= amount, held_amount(context, vm)
+
+
+@then("the others hold {amount:d} or fewer together")
+def step_check_others(context, amount):
+    held = sum(held_amount(context, vm) for vm in context.shares.vms[1:])
+    assert held <= amount, held
+
+
+@then("the held shares are {amounts}")
+def step_check_amounts(context, amounts):
+    held = [held_amount(context, vm) for vm in context.shares.vms]
+    assert held == [int(item) for item in amounts.split(", ")], held
+
+
+@then("it has granted nothing")
+def step_check_nothing(context):
+    holders = context.allocator.holders.values()
+    assert context.allocator.ready == seconds(5) + SHARE_LEASE
+    assert holders
+    assert not any(sent.amounts for item in holders for sent in item.grants.values())
+
+
+@then("{count:d} seeds of divisions are exact and fair")
+def step_check_divide(context, count):
+    for seed in range(count):
+        rng = random.Random(seed)
+        pool = rng.randint(0, 50)
+        wanted = {f"vm-{number}": rng.choice((0, 1, 7, 50)) for number in range(rng.randint(1, 9))}
+        result = divide(pool, wanted)
+        assert sum(result.values()) == pool
+        for name, amount in result.items():
+            if amount < wanted[name]:
+                most = max(result.values())
+                assert amount >= most - 1, (seed, wanted, result)
