--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -12,7 +12,8 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
-from camphorspread.process.membership import Membership, make_membership
+from camphorspread.process.liveness import Membership
+from camphorspread.process.membership import make_membership
 from camphorspread.process.settings import EntrySettings
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares, Renewal, ShareDemand, ShareKey
--- /dev/null
+++ b/camphorspread/process/liveness.py
@@ -0,0 +1,214 @@
+"""What one VM knows about the entry VMs, and in which state it sees them."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.process.fleet import VmRecord, VmState
+
+__all__ = [
+    "ALL_TO_ALL_LIMIT",
+    "HEARTBEAT_INTERVAL",
+    "LIVE",
+    "LOST_AFTER",
+    "SUMMARY_INTERVAL",
+    "SUMMARY_SUSPECTED_AFTER",
+    "SUSPECTED_AFTER",
+    "Member",
+    "Membership",
+    "Stated",
+    "Stream",
+    "Summary",
+    "find_delegate",
+    "is_heard",
+    "list_records",
+    "state_of",
+]
+
+HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
+SUMMARY_INTERVAL = timedelta(seconds=1)
+SUSPECTED_AFTER = timedelta(seconds=1.5)
+# Summaries come once a second and by turns through two VMs, so that the next one may come 2 s plus
+# a tick later when the delegate has failed.
+SUMMARY_SUSPECTED_AFTER = timedelta(seconds=2.75)
+LOST_AFTER = timedelta(seconds=3)
+# With more VMs than this, each one sends heartbeats only to the two lowest live names and to the
+# next two names, so that its traffic doesn't grow with the availability zone.
+ALL_TO_ALL_LIMIT = 5
+LIVE = (VmState.ALIVE, VmState.LEAVING)
+
+
+@attrs.frozen
+class Stated:
+    """A record as one VM states it, and when the process of the VM started on this clock."""
+
+    record: VmRecord
+    started: timedelta
+
+
+@attrs.frozen
+class Summary:
+    """What a delegate states about its availability zone.
+
+    Attributes:
+        availability_zone: The availability zone.
+        source: Name of the delegate.
+        incarnation: Its incarnation.
+        sequence: Number of the summary, without gaps within the incarnation.
+        is_whole: True if it holds all members, False if only the changes since the last one.
+        members: Their records.
+    """
+
+    availability_zone: str
+    source: str
+    incarnation: str
+    sequence: int
+    is_whole: bool
+    members: tuple[Stated, ...] = ()
+
+
+@attrs.frozen
+class Stream:
+    """The summaries of one delegate, as far as they were received."""
+
+    availability_zone: str
+    incarnation: str
+    sequence: int
+    heard: timedelta
+
+
+@attrs.define(eq=False)
+class Member:
+    """An entry VM.
+
+    Attributes:
+        record: Its record as last stated; `state` is as stated, `uptime_s` isn't kept.
+        started: When its process started, on the clock of this VM.
+        heard: When its last heartbeat arrived here, None if none ever did.
+        sent: Uptime in its newest heartbeat, by which late ones are recognised.
+    """
+
+    record: VmRecord
+    started: timedelta
+    heard: timedelta | None = None
+    sent: timedelta = timedelta(0)
+
+
+@attrs.define(eq=False)
+class Membership:
+    """State of the membership on one VM.
+
+    Attributes:
+        own_vm: Name of this VM.
+        zone: Its availability zone.
+        begun: When this VM started.
+        members: All known VMs by name, this one included.
+        zones: Sorted names of the VMs of each availability zone.
+        zones_heard: When the last summary of each availability zone arrived.
+        zones_source: Delegate whose summary of each availability zone was taken in last.
+        replaced: Former incarnations of each VM, newest last.
+        streams: Received summaries by name of the delegate.
+        sequence: Number of the last summary of this VM.
+        stated: What its summaries have stated so far.
+        is_delegate: True if it was the delegate at its last tick.
+        next_summary: When its next regular summary is due.
+        pending: Summaries of other availability zones that are to be passed on.
+        ticks: Number of ticks.
+    """
+
+    own_vm: str
+    zone: str
+    begun: timedelta
+    members: dict[str, Member]
+    zones: dict[str, list[str]] = attrs.field(factory=dict)
+    zones_heard: dict[str, timedelta] = attrs.field(factory=dict)
+    zones_source: dict[str, str] = attrs.field(factory=dict)
+    replaced: dict[str, list[str]] = attrs.field(factory=dict)
+    streams: dict[str, Stream] = attrs.field(factory=dict)
+    sequence: int = 0
+    stated: dict[str, Stated] = attrs.field(factory=dict)
+    is_delegate: bool = False
+    next_summary: timedelta = timedelta(0)
+    pending: list[Summary] = attrs.field(factory=list)
+    ticks: int = 0
+
+    @property
+    def own(self) -> Member:
+        """This VM."""
+        return self.members[self.own_vm]
+
+
+def is_heard(member: Member, now: timedelta) -> bool:
+    """Return True if a heartbeat of the VM itself arrived lately."""
+    return member.heard is not None and now - member.heard < SUSPECTED_AFTER
+
+
+def state_of(state: Membership, vm: str, now: timedelta) -> VmState:
+    """Return the state of a VM as seen from this one."""
+    member = state.members[vm]
+    if vm == state.own_vm or is_heard(member, now):
+        return live_state(member)
+    if member.record.availability_zone == state.zone:
+        return own_zone_state(state, vm, member, now)
+    return other_zone_state(state, vm, member, now)
+
+
+def live_state(member: Member) -> VmState:
+    """Return the state of a VM that is known to live, whatever others state."""
+    return VmState.LEAVING if member.record.state is VmState.LEAVING else VmState.ALIVE
+
+
+def own_zone_state(state: Membership, vm: str, member: Member, now: timedelta) -> VmState:
+    """Return the state of a silent VM of the own availability zone."""
+    if len(state.zones[state.zone]) > ALL_TO_ALL_LIMIT:
+        # Not every VM sends its heartbeats here, but the delegate hears all.
+        for source, stream in state.streams.items():
+            is_near = stream.availability_zone == state.zone and source != vm
+            if is_near and now - stream.heard < SUMMARY_SUSPECTED_AFTER:
+                return member.record.state
+    return state_by_age(member, now - (state.begun if member.heard is None else member.heard))
+
+
+def other_zone_state(state: Membership, vm: str, member: Member, now: timedelta) -> VmState:
+    """Return the state of a VM of another availability zone."""
+    stream = state.streams.get(vm)
+    if stream is not None and now - stream.heard < SUMMARY_SUSPECTED_AFTER:
+        # A delegate that sends summaries is alive, whatever another delegate states about it.
+        return live_state(member)
+    heard = state.zones_heard.get(member.record.availability_zone)
+    if heard is None:
+        # VMs from the settings get the usual time to be heard.
+        return state_by_age(member, now - state.begun)
+    if now - heard >= LOST_AFTER:
+        return VmState.LOST
+    if now - heard >= SUMMARY_SUSPECTED_AFTER and member.record.state in LIVE:
+        return VmState.SUSPECTED
+    return member.record.state
+
+
+def state_by_age(member: Member, silence: timedelta) -> VmState:
+    """Return the state of a VM that was silent for so long."""
+    if silence >= LOST_AFTER:
+        return VmState.LOST
+    return VmState.SUSPECTED if silence >= SUSPECTED_AFTER else live_state(member)
+
+
+def find_delegate(state: Membership, now: timedelta) -> str:
+    """Return the live VM with the lowest name in the own availability zone."""
+    live = (vm for vm in state.zones[state.zone] if state_of(state, vm, now) in LIVE)
+    return next(live, state.own_vm)
+
+
+def list_records(state: Membership, vms: Iterable[str], now: timedelta) -> dict[str, VmRecord]:
+    """Return the records of some VMs as seen from this one."""
+    return {
+        vm: attrs.evolve(
+            (member := state.members[vm]).record,
+            state=state_of(state, vm, now),
+            uptime_s=max(int((now - member.started).total_seconds()), 0)
+            if member.record.incarnation
+            else 0,
+        )
+        for vm in vms
+    }
--- a/camphorspread/process/membership_codec.py
+++ b/camphorspread/process/membership_codec.py
@@ -4,7 +4,7 @@
 
 from camphorspread.connection.network import Address
 from camphorspread.process.fleet import VmRecord, VmState
-from camphorspread.process.membership import Stated, Summary
+from camphorspread.process.liveness import Stated, Summary
 
 __all__ = [
     "decode_digest",
--- a/camphorspread/process/membership_exchange.py
+++ b/camphorspread/process/membership_exchange.py
@@ -5,21 +5,19 @@
 import attrs
 
 from camphorspread.process.fleet import VmRecord, VmState
-from camphorspread.process.membership import (
+from camphorspread.process.liveness import (
     ALL_TO_ALL_LIMIT,
     LIVE,
     SUMMARY_INTERVAL,
     SUMMARY_SUSPECTED_AFTER,
     Membership,
     Stated,
-    StreamStep,
     Summary,
     find_delegate,
     is_heard,
     state_of,
-    take_heartbeat,
-    take_summary,
 )
+from camphorspread.process.membership import StreamStep, take_heartbeat, take_summary
 
 __all__ = [
     "AskWhole",
@@ -40,7 +38,7 @@
 # Lost VMs are tried less often; otherwise the two sides of a partition would never meet again.
 LOST_TICKS = 4
 # Changes of load alone that summaries of all availability zones state in one second.
-LOAD_RECORDS = 16
+LOAD_RECORDS = 8
 LOAD_STEPS = 8
 
 
--- a/camphorspread/process/membership_shell.py
+++ b/camphorspread/process/membership_shell.py
@@ -9,7 +9,7 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import FleetView, VmRecord, VmState
-from camphorspread.process.membership import HEARTBEAT_INTERVAL, list_records
+from camphorspread.process.liveness import HEARTBEAT_INTERVAL, list_records
 from camphorspread.process.membership_codec import encode_digest, encode_heartbeat
 from camphorspread.process.membership_exchange import (
     DigestArrived,
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from camphorspread.process.fleet import VmState
-from camphorspread.process.membership import Stated, Summary, make_membership
+from camphorspread.process.liveness import Stated, Summary
+from camphorspread.process.membership import make_membership
 from camphorspread.process.membership_exchange import DigestArrived, HeartbeatArrived, apply_event
 from features.fixtures.membership_simulation import MembershipSimulation
 
