--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.client_blocks import BlockTable, build_table, parse_block
 from camphorspread.process.clock import Clock
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
@@ -15,6 +16,8 @@
 from camphorspread.process.liveness import Membership
 from camphorspread.process.membership import make_membership
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.shift import ShiftPlan
+from camphorspread.request.lookup import Place
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares, Renewal, ShareDemand, ShareKey
 
@@ -46,6 +49,9 @@
         share_demand: Demand for shares, counted by the request path.
         renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
+        blocks: Blocks of client addresses and their site numbers.
+        sites: Places by site number.
+        shift_plan: Shifts between regions that are under way.
     """
 
     settings: EntrySettings
@@ -66,6 +72,9 @@
     share_demand: dict[ShareKey, ShareDemand] = attrs.field(factory=dict)
     renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
+    blocks: BlockTable = attrs.field(factory=BlockTable)
+    sites: list[Place] = attrs.field(factory=list)
+    shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
 
 
 def make_entry_state(
@@ -88,4 +97,17 @@
     state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership)
     state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     state.started = clock.monotonic()
+    load_client_blocks(state)
     return state
+
+
+def load_client_blocks(state: EntryState) -> None:
+    """Fill the table of client blocks from the settings."""
+    numbers: dict[Place, int] = {}
+    pairs = []
+    for item in state.settings.client_blocks:
+        place = Place(item.availability_zone, item.region)
+        number = numbers.setdefault(place, len(numbers))
+        pairs.append((parse_block(item.block).unwrap(), number))
+    state.blocks = build_table(pairs)
+    state.sites = list(numbers)
