--- a/features/process/membership.feature
+++ b/features/process/membership.feature
@@ -53,5 +53,20 @@
   Scenario: A late record of an old incarnation changes nothing
     Then neither a late heartbeat nor a late summary brings back an old incarnation
 
+  Scenario: A VM that was cut off from all others meets them again
+    Given 3 availability zones of 3 VMs that know each other
+    When zone0-01 can't reach any other VM
+    And 8.0 seconds of membership pass
+    Then zone0-01 and the other VMs see each other lost
+    When the partition of the membership ends
+    And 5.0 seconds of membership pass
+    Then all views are true
+
+  Scenario: A late heartbeat doesn't bring back an older catalogue version
+    Then a heartbeat that was sent before another one is ignored after it
+
+  Scenario: Changes of one delegate after statements of another one aren't enough
+    Then a summary of changes is a gap after the summary of another delegate
+
   Scenario: Traffic of an ordinary VM doesn't grow with its availability zone
     Then an ordinary VM sends and receives no more with 16 VMs in its availability zone than with 8
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -9,7 +9,12 @@
 from camphorspread.process.fleet import VmState
 from camphorspread.process.liveness import Stated, Summary
 from camphorspread.process.membership import make_membership
-from camphorspread.process.membership_exchange import DigestArrived, HeartbeatArrived, apply_event
+from camphorspread.process.membership_exchange import (
+    AskWhole,
+    DigestArrived,
+    HeartbeatArrived,
+    apply_event,
+)
 from features.fixtures.membership_simulation import MembershipSimulation
 
 
@@ -170,7 +175,7 @@
 @then("neither a late heartbeat nor a late summary brings back an old incarnation")
 def step_check_late(context):
     sim = make_simulation(2, 2)
-    settings = {vm: item.record for vm, item in sim.vms.items()}
+    settings = {vm: attrs.evolve(item.record, incarnation="") for vm, item in sim.vms.items()}
     state = make_membership("zone0-01", settings, timedelta(0))
     second = timedelta(seconds=1)
 
@@ -179,7 +184,9 @@
 
     for vm in ("zone0-02", "zone1-02"):
         old, new = stated(vm, "old", -9 * second), stated(vm, "new", second)
-        sent = [(old, 9 * second), (new, second), (old, 12 * second)]
+        # The last one was so long on its way that it seems to be of a newer process.
+        late = stated(vm, "old", 2 * second)
+        sent = [(old, 9 * second), (new, second), (old, 12 * second), (late, 13 * second)]
         for number, (item, uptime) in enumerate(sent):
             summary = Summary("zone1", "zone1-01", "x", number, True, (item,))
             event = HeartbeatArrived(item, uptime)
@@ -192,6 +199,46 @@
         assert state.members[vm].record.incarnation == "new"
 
 
+@when("{vm} can't reach any other VM")
+def step_isolate_vm(context, vm):
+    context.sim.cuts = {frozenset((vm, other)) for other in context.sim.vms if other != vm}
+    context.isolated_vm = vm
+
+
+@then("{vm} and the other VMs see each other lost")
+def step_check_isolated(context, vm):
+    for observer in context.sim.vms:
+        for record in context.sim.view(observer).values():
+            is_apart = (record.vm == vm) != (observer == vm)
+            expected = VmState.LOST if is_apart else VmState.ALIVE
+            assert record.state is expected, (observer, record)
+
+
+@then("a heartbeat that was sent before another one is ignored after it")
+def step_check_late_heartbeat(context):
+    sim = make_simulation(1, 2)
+    state = sim.vms["zone0-01"].membership
+    record = sim.vms["zone0-02"].record
+    for version, uptime in ((1, 4), (2, 5), (1, 4.5)):
+        stated = Stated(attrs.evolve(record, catalogue_version=version), timedelta(0))
+        event = HeartbeatArrived(stated, timedelta(seconds=uptime))
+        apply_event(state, event, timedelta(seconds=6))
+    assert state.members["zone0-02"].record.catalogue_version == 2
+
+
+@then("a summary of changes is a gap after the summary of another delegate")
+def step_check_sources(context):
+    state = make_simulation(2, 2).vms["zone0-01"].membership
+    steps = (("01", 4, True), ("02", 9, True), ("01", 5, False), ("01", 6, True), ("01", 7, False))
+    asked = []
+    for number, sequence, is_whole in steps:
+        source = f"zone1-{number}"
+        summary = Summary("zone1", source, f"{source}-process", sequence, is_whole)
+        effects = apply_event(state, DigestArrived(source, (summary,)), timedelta(seconds=1))
+        asked.append(any(isinstance(effect, AskWhole) for effect in effects))
+    assert asked == [False, False, True, False, False], asked
+
+
 @then(
     "an ordinary VM sends and receives no more with {many:d} VMs"
     " in its availability zone than with {few:d}"
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -159,6 +159,32 @@
     assert not any(sent.amounts for item in holders for sent in item.grants.values())
 
 
+def run_requests(sim, running):
+    """Let some requests end and admit new ones within the shares, once in 20 ms."""
+    key = KEYS[0]
+    for vm in VMS:
+        holder = sim.current(vm)
+        demand = holder.demand.setdefault(key, ShareDemand())
+        running[vm] -= sum(sim.rng.random() < 0.01 for _ in range(running[vm]))
+        wanted = sim.wanted_requests[vm]
+        admitted = min(wanted, holder.held.total(key, sim.now)) - running[vm]
+        running[vm] += max(admitted, 0)
+        demand.running, demand.used = running[vm], max(running[vm], min(wanted, 60))
+        if sim.rng.random() < 0.005:
+            sim.wanted_requests[vm] = sim.rng.choice((0, 2, 60))
+    assert sum(running.values()) <= sim.limit(key), (sim.now, running)
+    sim.after(timedelta(milliseconds=20), lambda: run_requests(sim, running))
+
+
+@then("a region's requests in flight stay within its limit while demand moves for {count:d} seeds")
+def step_check_running(context, count):
+    for seed in range(count):
+        sim = make_simulation(seed)
+        sim.wanted_requests = dict.fromkeys(VMS, 60)
+        run_requests(sim, dict.fromkeys(VMS, 0))
+        sim.run_until(seconds(20))
+
+
 @then("{count:d} seeds of divisions are exact and fair")
 def step_check_divide(context, count):
     for seed in range(count):
--- a/features/version/shares.feature
+++ b/features/version/shares.feature
@@ -36,6 +36,9 @@
     When 2 seconds of renewals pass
     Then the held shares are 0, 12, 12, 13, 13
 
+  Scenario: Requests that still run beyond a lowered share aren't granted to another VM
+    Then a region's requests in flight stay within its limit while demand moves for 15 seeds
+
   Scenario: A new leader grants nothing for one lease
     Given 5 VMs that share a shift cap of 50
     And each of them wants 100
