--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -7,6 +7,7 @@
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.network import Listener
 from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.process.control_records import describe_history
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.process.poll_listener import serve_acknowledgements, serve_poll
@@ -69,14 +70,28 @@
     match exchange.head.method, exchange.head.target:
         case b"GET", b"/v1/catalogue":
             await exchange.respond_json(200, encode(state.catalogue))
+        case b"GET", b"/v1/catalogue/history":
+            await exchange.respond_json(200, describe_history(state.records))
         case b"GET", b"/v1/acknowledgements":
             await serve_acknowledgements(state, exchange)
+        case b"GET", b"/v1/status":
+            await exchange.respond_json(200, describe_status(state))
         case b"POST", b"/v1/catalogue/changes":
             await serve_change(state, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
 
+def describe_status(state: ControlState) -> dict[str, object]:
+    """Return the status of this control process."""
+    return {
+        "vm": state.settings.place.vm,
+        "role": "leader" if state.view.is_leader else "follower",
+        "version": state.catalogue.version,
+        "leader": state.view.leader,
+    }
+
+
 async def serve_change(state: ControlState, exchange: Exchange) -> None:
     """Accept or refuse a change."""
     decoded = decode_change_request(await exchange.read_json())
@@ -89,10 +104,11 @@
         case Failure(error):
             await respond_error(state, exchange, error)
             return
-    change = decoded.unwrap().change
-    state.catalogue = apply_change(state.catalogue, change)
-    record_change(state.delivery, state.catalogue.version, change)
+    request = decoded.unwrap()
+    state.catalogue = apply_change(state.catalogue, request.change)
+    record_change(state.delivery, state.catalogue.version, request.change)
     observe_catalogue(state.allocator, state.catalogue, state.clock.monotonic())
+    state.records.accept(state.catalogue.version, request)
     state.log.write(Event.CHANGE_ACCEPTED, version=state.catalogue.version)
     state.changed.set()
     state.changed = asyncio.Event()
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -9,6 +9,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
+from camphorspread.process.control_records import ControlRecords
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
@@ -36,6 +37,7 @@
         view: What this replica knows about the leader.
         delivery: History of changes and acknowledgements of entry VMs.
         allocator: Shares granted to entry VMs while this replica leads.
+        records: Accepted changes since the start.
     """
 
     settings: ControlSettings
@@ -60,3 +62,7 @@
             lease_end=timedelta.max,
             has_own_term_entry=True,
         )
+
+    records: ControlRecords = attrs.field(
+        default=attrs.Factory(lambda self: ControlRecords(self.clock), takes_self=True)
+    )
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -15,6 +15,7 @@
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.liveness import Membership
 from camphorspread.process.membership import make_membership
+from camphorspread.process.observer import Observer, make_observer
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.shift import ShiftPlan
 from camphorspread.request.lookup import Place
@@ -41,6 +42,7 @@
         catalogue: The catalogue in force, or None before the first poll.
         membership: Heartbeats and summaries, from which `fleet` is made.
         fleet: Known entry VMs.
+        observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
         incarnation: Differs after each start of the process.
         started: Instant of the start.
@@ -63,6 +65,7 @@
     link: JsonLink
     fleet: FleetView
     membership: Membership
+    observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
     incarnation: str = ""
@@ -94,8 +97,10 @@
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
     membership = make_membership(settings.place.vm, vms, clock.monotonic())
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership)
-    state.incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    observer = make_observer(settings, clock, incarnation)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership, observer)
+    state.incarnation = incarnation
     state.started = clock.monotonic()
     load_client_blocks(state)
     return state
