--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -9,12 +9,13 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import split_service
 from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "find_place", "handle_caller"]
 
-STEER_PREFIX = "/s/"
+STEER_PREFIX = b"/s/"
 
 
 async def handle_caller(state: EntryState, exchange: Exchange) -> None:
@@ -23,13 +24,18 @@
     path = urlsplit(target).path
     if path == "/v1/lookup":
         await serve_lookup(state, exchange, target)
-    elif path.startswith(STEER_PREFIX):
-        service, _, _ = path.removeprefix(STEER_PREFIX).partition("/")
-        rest = target.removeprefix(STEER_PREFIX + service) or "/"
-        rest = rest if rest.startswith("/") else "/" + rest
-        zone = find_place(state, exchange.peer.host).availability_zone
-        with observe_request(state.observer, exchange, state.catalogue, service, rest, zone):
-            await steer_request(state, exchange, service, rest.encode())
+    elif exchange.head.target.startswith(STEER_PREFIX):
+        service, rest = split_service(exchange.head.target, STEER_PREFIX)
+        place = find_place(state, exchange.peer.host)
+        with observe_request(
+            state.observer,
+            exchange,
+            state.catalogue,
+            service,
+            rest.decode("ascii", "replace"),
+            place.availability_zone,
+        ):
+            await steer_request(state, exchange, service, rest, place.region)
     else:
         await refuse(state, exchange, Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -18,6 +18,8 @@
 from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.process.peer_listener import handle_peer
 from camphorspread.process.share_renewal import renew_periodically
+from camphorspread.process.slots import forget_endpoint
+from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -101,9 +103,12 @@
     """Remove endpoints whose lease has ended, until cancelled."""
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL.total_seconds())
-        for endpoint in expire_endpoints(state.registry, state.clock.monotonic()):
+        expired = expire_endpoints(state.registry, state.clock.monotonic())
+        grant_free_slots(state)
+        for endpoint in expired:
             announcement = endpoint.announcement
             state.pool.close_address(announcement.address)
+            forget_endpoint(state.slots, announcement.service, announcement.endpoint)
             state.log.write(
                 Event.ENDPOINT_EXPIRED,
                 service=announcement.service,
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -1,5 +1,6 @@
 """What an entry process holds while it runs."""
 
+import asyncio
 import random
 from datetime import timedelta
 
@@ -17,10 +18,14 @@
 from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.share_demand import ShareDemand
 from camphorspread.process.shift import ShiftPlan
+from camphorspread.process.slots import SlotTable
+from camphorspread.request.admission import AdmissionQueue
 from camphorspread.request.lookup import Place
+from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import HeldShares, Renewal, ShareDemand, ShareKey
+from camphorspread.version.shares import HeldShares, Renewal
 
 __all__ = ["EntryState", "make_entry_state"]
 
@@ -48,9 +53,14 @@
         started: Instant of the start.
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
-        share_demand: Demand for shares, counted by the request path.
         renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
+        slots: Measurements at the endpoints.
+        share_demand: What this VM used and refused of each share.
+        admission: Requests that wait or run at the endpoints of this VM.
+        waiting: Futures of the waiting requests by ticket.
+        next_ticket: Ticket of the next request.
+        retry_budget: Recent requests and retries.
         blocks: Blocks of client addresses and their site numbers.
         sites: Places by site number.
         shift_plan: Shifts between regions that are under way.
@@ -72,13 +82,22 @@
     started: timedelta = timedelta(0)
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
-    share_demand: dict[ShareKey, ShareDemand] = attrs.field(factory=dict)
     renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
+    slots: SlotTable = attrs.field(factory=SlotTable)
+    share_demand: ShareDemand = attrs.field(factory=ShareDemand)
+    admission: AdmissionQueue = attrs.field(init=False)
+    waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    next_ticket: int = 0
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     blocks: BlockTable = attrs.field(factory=BlockTable)
     sites: list[Place] = attrs.field(factory=list)
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
 
+    def __attrs_post_init__(self) -> None:
+        """Let admission share the registry, measurements and demand of the process."""
+        self.admission = AdmissionQueue(self.registry, self.slots, self.share_demand)
+
 
 def make_entry_state(
     settings: EntrySettings,
--- a/camphorspread/process/observer.py
+++ b/camphorspread/process/observer.py
@@ -10,7 +10,7 @@
 from opentelemetry import trace
 from opentelemetry.sdk.trace import Tracer
 
-from camphorspread.connection.messages import Headers
+from camphorspread.connection.messages import Headers, has_body
 from camphorspread.connection.server import Exchange
 from camphorspread.process.clock import Clock
 from camphorspread.process.decisions import DecisionRecord, DecisionRing
@@ -31,7 +31,6 @@
     to_nanoseconds,
 )
 from camphorspread.request.errors import Refusal
-from camphorspread.request.forwarding import has_body
 from camphorspread.request.reasons import Reason
 from camphorspread.version.catalogue import (
     Catalogue,
--- /dev/null
+++ b/camphorspread/process/pass_handler.py
@@ -0,0 +1,27 @@
+"""Requests that other entry VMs pass to this one, which owns the endpoints."""
+
+from camphorspread.connection.messages import find_header
+from camphorspread.connection.server import Exchange
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.observer import observe_request
+from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import CALLER_REGION_HEADER, PASS_PREFIX, split_service
+from camphorspread.request.steer import refuse, steer_passed_request
+
+__all__ = ["handle_pass"]
+
+
+async def handle_pass(state: EntryState, exchange: Exchange) -> None:
+    """Serve a request on `/v1/pass/NAME/PATH`; the access key has been checked."""
+    service, target = split_service(exchange.head.target, PASS_PREFIX)
+    region = find_header(exchange.head.headers, CALLER_REGION_HEADER)
+    if region is None:
+        message = f"{CALLER_REGION_HEADER.decode()} is missing"
+        await refuse(state, exchange, Refusal(ErrorKind.MALFORMED_REQUEST, message))
+        return
+    shown = target.decode("ascii", "replace")
+    with observe_request(
+        state.observer, exchange, state.catalogue, service, shown, "", is_passed=True
+    ):
+        caller_region = region.decode("ascii", "replace")
+        await steer_passed_request(state, exchange, service, target, caller_region)
--- a/camphorspread/process/peer_listener.py
+++ b/camphorspread/process/peer_listener.py
@@ -8,7 +8,9 @@
 from camphorspread.process.membership_codec import decode_digest, decode_heartbeat
 from camphorspread.process.membership_exchange import AskWhole, DigestArrived, HeartbeatArrived
 from camphorspread.process.membership_shell import carry_out, handle_membership_event
+from camphorspread.process.pass_handler import handle_pass
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import PASS_PREFIX
 
 __all__ = ["handle_peer"]
 
@@ -19,6 +21,9 @@
         case Failure(refusal):
             await exchange.refuse(refusal)
             return
+    if exchange.head.target.startswith(PASS_PREFIX):
+        await handle_pass(state, exchange)
+        return
     match exchange.head.method, exchange.head.target:
         case b"POST", b"/v1/peer/heartbeat":
             await serve_heartbeat(state, exchange)
--- a/camphorspread/process/share_renewal.py
+++ b/camphorspread/process/share_renewal.py
@@ -7,9 +7,17 @@
 from camphorspread.process.catalogue_poll import order_replicas
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.share_demand import KeyDemand, take_demand
 from camphorspread.version.share_allocator import RenewalRequest
 from camphorspread.version.share_codec import decode_amounts, encode_renewal
-from camphorspread.version.shares import Renewal, take_demand, take_grants
+from camphorspread.version.shares import (
+    Renewal,
+    RenewalDemand,
+    ShareKey,
+    ShareKind,
+    list_region_keys,
+    take_grants,
+)
 
 __all__ = ["renew_periodically", "return_shares"]
 
@@ -31,7 +39,7 @@
 
 async def renew_once(state: EntryState) -> None:
     """Ask for shares; ask a second replica if the first one isn't the leader."""
-    demand = take_demand(state.share_demand)
+    demand = collect_demand(state)
     for _ in range(2):
         renewal = state.renewal
         renewal.number += 1
@@ -64,6 +72,31 @@
                 return
 
 
+def collect_demand(state: EntryState) -> dict[ShareKey, RenewalDemand]:
+    """Return the demand of the interval that ends, with what runs now under the region limits."""
+    taken = take_demand(state.share_demand)
+    region = state.settings.place.region
+    keys = {*taken, *list_region_keys(state.catalogue, region)} if state.catalogue else set()
+    demand = {}
+    for key in sorted(keys, key=lambda item: (item.kind.value, item.region, item.service)):
+        running = count_running(state, key)
+        item = taken.get(key, KeyDemand())
+        if item.used or item.refused or running:
+            demand[key] = RenewalDemand(max(item.used, running), item.refused, running)
+    return demand
+
+
+def count_running(state: EntryState, key: ShareKey) -> int:
+    """Return the requests in flight under a region limit, 0 for a shift cap."""
+    match key.kind:
+        case ShareKind.REGION_LIMIT:
+            return state.admission.in_flight.total()
+        case ShareKind.SERVICE_REGION_LIMIT:
+            return state.admission.in_flight[key.service]
+        case ShareKind.SHIFT_CAP:
+            return 0
+
+
 def follow_leader(renewal: Renewal, leader: str | None) -> None:
     """Ask the named leader next, or the next replica if none is named."""
     names = renewal.replicas
--- a/camphorspread/version/share_allocator.py
+++ b/camphorspread/version/share_allocator.py
@@ -14,7 +14,7 @@
 from camphorspread.version.shares import (
     CHANGE_SPREAD,
     SHARE_LEASE,
-    ShareDemand,
+    RenewalDemand,
     ShareKey,
     ShareKind,
     limit_of,
@@ -53,7 +53,7 @@
     incarnation: str
     number: int
     holds: int
-    demand: dict[ShareKey, ShareDemand]
+    demand: dict[ShareKey, RenewalDemand]
     is_returning: bool = False
 
 
@@ -82,7 +82,7 @@
     last_number: int = 0
     heard: timedelta = timedelta(0)
     is_returned: bool = False
-    demand: dict[ShareKey, ShareDemand] = attrs.field(factory=dict)
+    demand: dict[ShareKey, RenewalDemand] = attrs.field(factory=dict)
     grants: dict[int, SentGrants] = attrs.field(factory=dict)
 
 
@@ -209,7 +209,7 @@
 
 def wanted_amount(allocator: Allocator, key: ShareKey, holder: Holder) -> int:
     """Return what a holder needs of the leased part for its demand."""
-    demand = holder.demand.get(key, ShareDemand())
+    demand = holder.demand.get(key, RenewalDemand())
     return max(demand.used + demand.refused - own_part(allocator.newest, key, holder.vm), 0)
 
 
@@ -224,7 +224,7 @@
     )
     if now - holder.heard >= SHARE_LEASE:
         return granted
-    running = holder.demand.get(key, ShareDemand()).running
+    running = holder.demand.get(key, RenewalDemand()).running
     return max(granted, running - own_part(allocator.newest, key, holder.vm))
 
 
--- a/camphorspread/version/share_codec.py
+++ b/camphorspread/version/share_codec.py
@@ -1,7 +1,7 @@
 """JSON of the messages that renew shares."""
 
 from camphorspread.version.share_allocator import RenewalRequest
-from camphorspread.version.shares import ShareDemand, ShareKey, ShareKind
+from camphorspread.version.shares import RenewalDemand, ShareKey, ShareKind
 
 __all__ = ["decode_amounts", "decode_renewal", "encode_amounts", "encode_renewal"]
 
@@ -56,7 +56,7 @@
     raise ValueError("a renewal needs vm, incarnation, number, holds, demand and returning")
 
 
-def decode_demand(value: object) -> ShareDemand:
+def decode_demand(value: object) -> RenewalDemand:
     """Read used, refused and running.
 
     Raises:
@@ -64,7 +64,7 @@
     """
     match value:
         case [int(used), int(refused), int(running)]:
-            return ShareDemand(max(used, 0), max(refused, 0), max(running, 0))
+            return RenewalDemand(max(used, 0), max(refused, 0), max(running, 0))
     raise ValueError("a demand is [used, refused, running]")
 
 
--- a/camphorspread/version/shares.py
+++ b/camphorspread/version/shares.py
@@ -14,14 +14,13 @@
     "HeldShares",
     "PermanentPart",
     "Renewal",
-    "ShareDemand",
+    "RenewalDemand",
     "ShareKey",
     "ShareKind",
     "limit_of",
     "list_region_keys",
     "permanent_part",
     "record_permanent_parts",
-    "take_demand",
     "take_grants",
 ]
 
@@ -54,7 +53,7 @@
 
 
 @attrs.define(eq=False)
-class ShareDemand:
+class RenewalDemand:
     """What the request path of one VM did with a share.
 
     Attributes:
@@ -169,8 +168,9 @@
 
 
 def list_region_keys(catalogue: Catalogue, region: str) -> list[ShareKey]:
-    """Return the keys of the limits of a region, empty if it has no entry."""
-    if catalogue.find_region(region) is None:
+    """Return the keys of the limits of a region, empty if it has no entry with VMs."""
+    entry = catalogue.find_region(region)
+    if entry is None or not entry.vms:
         return []
     services = [
         ShareKey(ShareKind.SERVICE_REGION_LIMIT, region, service)
@@ -202,14 +202,6 @@
         held.permanent.setdefault(key, PermanentPart()).record(amount, now)
 
 
-def take_demand(demand: dict[ShareKey, ShareDemand]) -> dict[ShareKey, ShareDemand]:
-    """Return the demand of the interval that ends and start the next one."""
-    taken = {key: attrs.evolve(item) for key, item in demand.items()}
-    for item in demand.values():
-        item.used, item.refused = item.running, 0
-    return {key: item for key, item in taken.items() if item.used or item.refused or item.running}
-
-
 def take_grants(
     held: HeldShares,
     renewal: Renewal,
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -7,7 +7,7 @@
 
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.share_allocator import divide
-from camphorspread.version.shares import SHARE_LEASE, ShareDemand
+from camphorspread.version.shares import SHARE_LEASE, RenewalDemand
 from features.fixtures.share_simulation import KEYS, ShareSimulation, make_catalogue
 
 VMS = ("sofia-a-1", "sofia-a-2", "sofia-b-1", "sofia-b-2", "sofia-b-3")
@@ -29,7 +29,7 @@
     for vm in VMS:
         for key in KEYS:
             used = sim.rng.choice((0, 0, 3, 20, 100))
-            sim.current(vm).demand[key] = ShareDemand(used, sim.rng.choice((0, 5)))
+            sim.current(vm).demand[key] = RenewalDemand(used, sim.rng.choice((0, 5)))
 
 
 def disturb(sim):
@@ -102,14 +102,14 @@
 @when("each of them wants {amount:d}")
 def step_want(context, amount):
     for vm in context.shares.vms:
-        context.shares.current(vm).demand[SHIFT_KEY] = ShareDemand(amount)
+        context.shares.current(vm).demand[SHIFT_KEY] = RenewalDemand(amount)
 
 
 @when("only {vm} wants {amount:d}")
 def step_want_one(context, vm, amount):
     for name in context.shares.vms:
         wanted = amount if name == vm else 0
-        context.shares.current(name).demand[SHIFT_KEY] = ShareDemand(wanted)
+        context.shares.current(name).demand[SHIFT_KEY] = RenewalDemand(wanted)
 
 
 @given("{duration:g} seconds of renewals pass")
@@ -164,7 +164,7 @@
     key = KEYS[0]
     for vm in VMS:
         holder = sim.current(vm)
-        demand = holder.demand.setdefault(key, ShareDemand())
+        demand = holder.demand.setdefault(key, RenewalDemand())
         running[vm] -= sum(sim.rng.random() < 0.01 for _ in range(running[vm]))
         wanted = sim.wanted_requests[vm]
         admitted = min(wanted, holder.held.total(key, sim.now)) - running[vm]
