--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -15,10 +15,17 @@
 )
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.region_share import find_limits
 from camphorspread.process.settings import ReplicaSettings
 from camphorspread.process.share_renewal import return_shares
-from camphorspread.version.catalogue import Catalogue, DrainEntry, DrainKind
-from camphorspread.version.changes import PutDrain, apply_change
+from camphorspread.version.catalogue import (
+    AvailabilityZoneEntry,
+    Catalogue,
+    DrainEntry,
+    DrainKind,
+    RegionEntry,
+)
+from camphorspread.version.changes import ChangeRequest, PutDrain, PutRegion, apply_change
 from camphorspread.version.codec import decode_deltas, encode, encode_deltas
 from camphorspread.version.delivery import (
     AskLeader,
@@ -221,3 +228,31 @@
     amounts = shift_amounts(context, service)
     assert amounts[0] == 0, amounts
     assert sum(amounts) == 20, amounts
+
+
+@given("the operator limits sofia with its 2 VMs to {limit:d} requests in flight")
+def step_limit_region(context, limit):
+    zones = (
+        AvailabilityZoneEntry("sofia-a", ("sofia-a-1",)),
+        AvailabilityZoneEntry("sofia-b", ("sofia-b-1",)),
+    )
+    change = PutRegion(RegionEntry("sofia", "water", limit, zones))
+    value = encode(ChangeRequest("limit-sofia", 0, "operator", change))
+    address = context.fleet.plan.replicas()[0].operators
+    response = run(
+        context, context.fleet.link.call(address, "POST", "/v1/catalogue/changes", value)
+    )
+    assert response.status == 200, response
+
+
+@then(
+    "admission on the VMs of sofia may run {total:d} requests together"
+    " and {alone:d} each without a lease"
+)
+def step_check_admission(context, total, alone):
+    now = context.clock.monotonic()
+    states = [find_entry(context, vm).state for vm in ("sofia-a-1", "sofia-b-1")]
+    shares = [find_limits(state, now).region_share for state in states]
+    assert sum(shares) == total, shares
+    later = now + timedelta(seconds=3)
+    assert [find_limits(state, later).region_share for state in states] == [alone, alone]
--- a/features/version/delivery.feature
+++ b/features/version/delivery.feature
@@ -67,3 +67,9 @@
     When sofia-a-1 returns its shares
     And 1.2 seconds pass
     Then the other entry VMs hold the shift cap of "status-svc" together
+
+  @fixture.session
+  Scenario: Admission uses the permanent part and the leased share of the region's limit
+    Given the operator limits sofia with its 2 VMs to 21 requests in flight
+    And 4.5 seconds pass
+    Then admission on the VMs of sofia may run 21 requests together and 5 each without a lease
