--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -1,7 +1,6 @@
 """A control process: its listeners and their handlers."""
 
 import asyncio
-from datetime import timedelta
 
 from returns.result import Failure
 
@@ -11,16 +10,15 @@
 from camphorspread.process.control_operators import serve_operator
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.poll_listener import serve_poll
 from camphorspread.process.replica_shell import ReplicaShell, start_replica
+from camphorspread.process.shares_listener import serve_renewal
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.version.codec import encode
 from camphorspread.version.replica_codec import encode_replica_value
 from camphorspread.version.replica_messages import Envelope
 
 __all__ = ["run_control_node", "start_control_node"]
 
-HOLD = timedelta(milliseconds=500)
-
 
 async def start_control_node(state: ControlState, shell: ReplicaShell) -> tuple[Listener, ...]:
     """Open the listeners of a control process."""
@@ -63,6 +61,8 @@
             await serve_poll(state, exchange)
         case b"POST", b"/v1/replica/message":
             await serve_message(shell, exchange)
+        case b"POST", b"/v1/shares/renew":
+            await serve_renewal(state, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
@@ -79,22 +79,6 @@
     await exchange.respond_json(200, [encode_replica_value(reply) for reply in replies])
 
 
-async def serve_poll(state: ControlState, exchange: Exchange) -> None:
-    """Answer a poll at once if there is a newer version, or after the hold time."""
-    message = await exchange.read_json()
-    version = message.get("version", -1) if isinstance(message, dict) else -1
-    if isinstance(message, dict):
-        state.records.acknowledge(str(message.get("vm", "")), version)
-    if version >= state.catalogue.version:
-        try:
-            async with asyncio.timeout(HOLD.total_seconds()):
-                await state.changed.wait()
-        except TimeoutError:
-            await exchange.respond_json(200, {"catalogue": None})
-            return
-    await exchange.respond_json(200, {"catalogue": encode(state.catalogue)})
-
-
 async def handle_operator(state: ControlState, shell: ReplicaShell, exchange: Exchange) -> None:
     """Serve one exchange of the operators' listener."""
     match check_access_key(exchange.head.headers, state.access_key):
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -14,6 +14,8 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.liveness import Membership
+from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.share_demand import ShareDemand
@@ -23,7 +25,7 @@
 from camphorspread.request.lookup import Place
 from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import HeldShares
+from camphorspread.version.shares import HeldShares, Renewal
 
 __all__ = ["EntryState", "make_entry_state"]
 
@@ -43,6 +45,7 @@
         pool: Idle connections to backend servers and other VMs.
         link: Messages to other processes.
         catalogue: The catalogue in force, or None before the first poll.
+        membership: Heartbeats and summaries, from which `fleet` is made.
         fleet: Known entry VMs.
         observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
@@ -50,6 +53,7 @@
         started: Instant of the start.
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
+        renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
         slots: Measurements at the endpoints.
         share_demand: What this VM used and refused of each share.
@@ -70,6 +74,7 @@
     pool: ConnectionPool
     link: JsonLink
     fleet: FleetView
+    membership: Membership
     observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
@@ -77,6 +82,7 @@
     started: timedelta = timedelta(0)
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
+    renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
     slots: SlotTable = attrs.field(factory=SlotTable)
     share_demand: ShareDemand = attrs.field(factory=ShareDemand)
@@ -109,9 +115,10 @@
     }
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
+    membership = make_membership(settings.place.vm, vms, clock.monotonic())
     incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     observer = make_observer(settings, clock, incarnation)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, observer)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership, observer)
     state.incarnation = incarnation
     state.started = clock.monotonic()
     load_client_blocks(state)
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -12,6 +12,7 @@
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.version.changes import ChangeError, ChangeErrorKind, ChangeRequest
+from camphorspread.version.delivery import record_change
 from camphorspread.version.log_file import LogDamagedError
 from camphorspread.version.replica import (
     Stored,
@@ -31,6 +32,7 @@
     AnswerMembership,
     CatalogueCommitted,
     ChangeProposed,
+    CommittedChange,
     CompactLog,
     Effect,
     EncodeSnapshot,
@@ -51,6 +53,7 @@
 from camphorspread.version.replica_messages import ChangeOutcome, Envelope, Member, MembershipChange
 from camphorspread.version.replica_state import ReplicaState
 from camphorspread.version.replica_storage import MemoryStorage, ReplicaStorage, open_folder
+from camphorspread.version.share_allocator import observe_catalogue
 
 __all__ = ["ReplicaShell", "start_replica"]
 
@@ -160,8 +163,8 @@
                 self.give(LogSynced(sequence))
             case Send(target=target):
                 self.send(target, self.envelope(effect))
-            case CatalogueCommitted():
-                self.take_catalogue()
+            case CatalogueCommitted(changes=changes):
+                self.take_catalogue(changes)
             case AnswerChange(change_id=change_id, outcome=outcome):
                 resolve(self.change_waiters.pop(change_id, []), outcome)
             case AnswerMembership(error=error):
@@ -182,9 +185,13 @@
         if not self.state.storage_fault:
             self.give(LogSynced(sequence))
 
-    def take_catalogue(self) -> None:
-        """Publish the newest committed catalogue."""
+    def take_catalogue(self, changes: tuple[CommittedChange, ...]) -> None:
+        """Publish the newest committed catalogue and the changes that made it."""
         self.control.catalogue = self.state.committed.catalogue
+        for item in changes:
+            record_change(self.control.delivery, item.version, item.change)
+        now = self.control.clock.monotonic()
+        observe_catalogue(self.control.allocator, self.control.catalogue, now)
         self.control.log.write(Event.CHANGE_ACCEPTED, version=self.control.catalogue.version)
         self.control.changed.set()
         self.control.changed = asyncio.Event()
@@ -344,6 +351,7 @@
     if state.log.base_index != stored.base_index:
         storage.compact(state.log.base_index, state.log.base_term, tuple(state.log.entries))
     control.catalogue = state.committed.catalogue
+    observe_catalogue(control.allocator, control.catalogue, now)
     shell = ReplicaShell(control, state, storage)
     shell.wake()
     return shell
--- a/camphorspread/version/replica_events.py
+++ b/camphorspread/version/replica_events.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from camphorspread.version.changes import ChangeError, ChangeRequest
+from camphorspread.version.changes import Change, ChangeError, ChangeRequest
 from camphorspread.version.replica_messages import (
     ChangeOutcome,
     LogEntry,
@@ -16,6 +16,7 @@
     "AnswerMembership",
     "CatalogueCommitted",
     "ChangeProposed",
+    "CommittedChange",
     "CompactLog",
     "Effect",
     "EncodeSnapshot",
@@ -168,9 +169,23 @@
     message: Message
 
 
+@attrs.frozen
+class CommittedChange:
+    """A change and the catalogue version that it made."""
+
+    version: int
+    change: Change
+
+
 @attrs.frozen
 class CatalogueCommitted:
-    """The committed catalogue has a new version."""
+    """The committed catalogue has a new version.
+
+    Attributes:
+        changes: The changes since the version before, empty if a snapshot was installed.
+    """
+
+    changes: tuple[CommittedChange, ...] = ()
 
 
 @attrs.frozen
