--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -18,6 +18,7 @@
 from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.process.peer_listener import handle_peer
 from camphorspread.process.share_renewal import renew_periodically
+from camphorspread.process.shift_shell import run_shifts
 from camphorspread.process.slots import forget_endpoint
 from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
@@ -67,6 +68,7 @@
         asyncio.create_task(run_membership(state)),
         asyncio.create_task(renew_periodically(state)),
         asyncio.create_task(expire_periodically(state)),
+        asyncio.create_task(run_shifts(state)),
     )
     state.log.write(Event.PROCESS_STARTED, role="entry")
     return EntryNode(state, listeners, tasks)
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -17,6 +17,7 @@
 from camphorspread.process.liveness import Membership
 from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
+from camphorspread.process.offered import OfferedRates
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.share_demand import ShareDemand
 from camphorspread.process.shift import ShiftPlan
@@ -64,6 +65,7 @@
         blocks: Blocks of client addresses and their site numbers.
         sites: Places by site number.
         shift_plan: Shifts between regions that are under way.
+        offered: Requests of callers of this region in the last second.
     """
 
     settings: EntrySettings
@@ -93,6 +95,7 @@
     blocks: BlockTable = attrs.field(factory=BlockTable)
     sites: list[Place] = attrs.field(factory=list)
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
+    offered: OfferedRates = attrs.field(factory=OfferedRates)
 
     def __attrs_post_init__(self) -> None:
         """Let admission share the registry, measurements and demand of the process."""
--- a/camphorspread/process/liveness.py
+++ b/camphorspread/process/liveness.py
@@ -210,6 +210,17 @@
     return state.own_vm
 
 
+def measured_at(state: Membership, vm: str, now: timedelta) -> timedelta | None:
+    """Return when the load of a VM was last known to be current, None if it never was."""
+    member = state.members[vm]
+    if vm == state.own_vm:
+        return now
+    if member.record.availability_zone == state.zone:
+        return member.heard
+    # Summaries hold a load only if it has changed, so each of them confirms the others.
+    return state.zones_heard.get(member.record.availability_zone)
+
+
 def list_records(state: Membership, vms: Iterable[str], now: timedelta) -> dict[str, VmRecord]:
     """Return the records of some VMs as seen from this one."""
     return {
@@ -219,6 +230,7 @@
             uptime_s=max(int((now - member.started).total_seconds()), 0)
             if member.record.incarnation
             else 0,
+            measured=measured_at(state, vm, now),
         )
         for vm in vms
     }
--- a/camphorspread/process/membership_codec.py
+++ b/camphorspread/process/membership_codec.py
@@ -27,7 +27,11 @@
         "state": record.state.value,
         "uptime_ms": int((now - stated.started).total_seconds() * 1000),
         "slots": {
-            service: [record.free_slots.get(service, 0), total]
+            service: [
+                record.free_slots.get(service, 0),
+                total,
+                record.offered_per_second.get(service, 0),
+            ]
             for service, total in record.total_slots.items()
         },
         "catalogue_version": record.catalogue_version,
@@ -61,9 +65,10 @@
                 Address(peers_host, peers_port),
                 incarnation,
                 VmState(state),
-                free_slots={service: int(free) for service, (free, _) in slots.items()},
-                total_slots={service: int(total) for service, (_, total) in slots.items()},
+                free_slots={service: int(load[0]) for service, load in slots.items()},
+                total_slots={service: int(load[1]) for service, load in slots.items()},
                 catalogue_version=version,
+                offered_per_second={service: int(load[2]) for service, load in slots.items()},
             )
             uptime = timedelta(milliseconds=uptime_ms)
             return Stated(record, now - uptime), uptime
--- a/camphorspread/process/membership_exchange.py
+++ b/camphorspread/process/membership_exchange.py
@@ -226,16 +226,20 @@
 
 
 def without_load(record: VmRecord) -> VmRecord:
-    """Return the record without its free slots."""
-    return attrs.evolve(record, free_slots={})
+    """Return the record without its load."""
+    return attrs.evolve(record, free_slots={}, offered_per_second={}, measured=None)
 
 
 def is_other_load(before: VmRecord, after: VmRecord) -> bool:
-    """Return True if the free slots of a service differ by a step or reached or left zero."""
+    """Return True if the load of a service differs by a step or reached or left zero."""
     for service, total in after.total_slots.items():
         old, new = before.free_slots.get(service, 0), after.free_slots.get(service, 0)
         if abs(new - old) >= max(total // LOAD_STEPS, 1) or (new == 0) != (old == 0):
             return True
+        old = before.offered_per_second.get(service, 0)
+        new = after.offered_per_second.get(service, 0)
+        if abs(new - old) > max(old, new) // LOAD_STEPS:
+            return True
     return False
 
 
--- a/camphorspread/process/membership_shell.py
+++ b/camphorspread/process/membership_shell.py
@@ -22,6 +22,7 @@
     WholeWanted,
     apply_event,
 )
+from camphorspread.process.offered import read_rates
 
 __all__ = ["handle_membership_event", "run_membership"]
 
@@ -82,6 +83,8 @@
         free_slots=free,
         total_slots=total,
         catalogue_version=state.catalogue.version if state.catalogue else 0,
+        offered_per_second=read_rates(state.offered, now),
+        measured=now,
     )
 
 
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -9,6 +9,7 @@
 from camphorspread.connection.server import Exchange, refuse_or_abort
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.offered import record_offered
 from camphorspread.request.attempt import (
     Attempts,
     Ending,
@@ -45,6 +46,8 @@
         target: Path and query at the backend server.
         caller_region: Region of the caller.
     """
+    if caller_region == state.settings.place.region:
+        record_offered(state.offered, service, state.clock.monotonic())
     await start(state, exchange, service, target, caller_region, is_passed=False)
 
 
