--- /dev/null
+++ b/features/process/sessions.feature
@@ -0,0 +1,55 @@
+Feature: Whole sessions of the two deployments
+  Each session runs a deployment at its own size and delays under load and brings a failure about.
+  It guards against promises that hold part by part and break when all parts act together.
+
+  Scenario: An entry VM dies in the middle of payments
+    Given the deployment "vodna-vrazka" with requests of 1000 ms
+    When callers send 60 percent of what the slots of "filing-svc, status-svc" bear
+    And 3 seconds of the session pass
+    And the entry VM "plovdiv-a-1" dies
+    And 10 seconds of the session pass
+    Then the promises held
+    And every caller of another VM than "plovdiv-a-1" was served
+    And the session matches the golden file "lost_entry_vm.txt"
+
+  Scenario: An availability zone is cut off for 10 minutes and returns
+    Given the deployment "le-goff" with only "commandes" on 6 endpoints, with requests of 500 ms
+    When the availability zone "londres-b" is cut off
+    And callers inside "londres-b" and outside send 1 request a second each for 600 seconds
+    And the cut ends
+    And 10 seconds of the session pass
+    Then the promises held
+    And the session matches the golden file "cut_off_zone.txt"
+
+  Scenario Outline: A region is lost at 70 percent load
+    Given the deployment "<deployment>" with requests of 1000 ms
+    When callers send 70 percent of what the slots of "<services>" bear
+    And 3 seconds of the session pass
+    And the region "<region>" is lost
+    And 10 seconds of the session pass
+    Then the promises held
+    And the session matches the golden file "lost_region_<deployment>.txt"
+
+    Examples:
+      | deployment   | services                        | region        |
+      | vodna-vrazka | filing-svc, docs-svc, gis-svc   | varna         |
+      | le-goff      | commandes, croquis, nuancier    | ile-de-france |
+
+  Scenario: An availability zone is drained under load
+    Given the deployment "vodna-vrazka" with requests of 1000 ms
+    When callers send 40 percent of what the slots of "filing-svc, gis-svc" bear
+    And 3 seconds of the session pass
+    And the operator drains the availability zone "sofia-b"
+    And 15 seconds of the session pass
+    Then the promises held
+    And no request failed
+    And the session matches the golden file "drained_zone.txt"
+
+  Scenario: Half of the endpoints refuse connections
+    Given the deployment "le-goff" with requests of 1000 ms
+    When callers send 40 percent of what the slots of "vitrine" bear
+    And 3 seconds of the session pass
+    And every second endpoint of "vitrine" refuses connections
+    And 10 seconds of the session pass
+    Then the promises held
+    And the session matches the golden file "half_refuse.txt"
