--- a/camphorspread/process/region_share.py
+++ b/camphorspread/process/region_share.py
@@ -38,7 +38,10 @@
 
     def share(kind: ShareKind, limit: int, service: str = "") -> int:
         key = ShareKey(kind, region, service)
-        return permanent_part(limit, vms) + state.held_shares.amount(key, now)
+        if key in state.held_shares.permanent:
+            return state.held_shares.total(key, now)
+        # No entry names the VMs of the region, so none is granted a share.
+        return permanent_part(limit, vms)
 
     names = {service, *(req.service for req in state.admission.waiting)}
     services = [item for name in sorted(names) if (item := catalogue.find_service(name))]
--- a/camphorspread/version/replica_state.py
+++ b/camphorspread/version/replica_state.py
@@ -214,6 +214,7 @@
         role: What it does at present.
         leader_heard: When it last heard a leader; its start counts, because it may have heard
             one just before.
+        current_at: When it last heard a leader and held everything committed by then.
         quorum_heard: When it last heard from a leader or, as the leader, from a majority.
         election_due: When it asks for votes unless it hears a leader.
         jitter: Newest random number, from 0 to 1.
@@ -242,7 +243,7 @@
     members: tuple[Member, ...] = ()
     role: Role = attrs.field(factory=Follower)
     leader_heard: timedelta = timedelta(0)
-    has_heard_leader: bool = False
+    current_at: timedelta | None = None
     quorum_heard: timedelta = timedelta(0)
     election_due: timedelta = timedelta(0)
     jitter: float = 0.0
