Add commands that list, add, promote, remove and replace control processes

Cause: a lost disk could be replaced only with hand-written requests to /v1/members. Each step is sent again until the leader accepts it and is left out when it is in effect already, so that a command can be repeated after a failure. The fleet file names the peers' listeners for that.

A settings check that refuses one control process for several regions isn't part of this: the test of the built file runs such a small fleet on purpose.

--- a/camphorspread/process/command/commands.py
+++ b/camphorspread/process/command/commands.py
@@ -1,5 +1,6 @@
 """The commands as data: one class for each subcommand."""
 
+from datetime import timedelta
 from pathlib import Path
 
 import attrs
@@ -21,6 +22,11 @@
     "Explain",
     "Load",
     "LocalFleet",
+    "MembersAdd",
+    "MembersList",
+    "MembersPromote",
+    "MembersRemove",
+    "MembersReplace",
     "Report",
     "Run",
     "Status",
@@ -136,6 +142,55 @@
     as_json: bool
 
 
+@attrs.frozen
+class MembersList:
+    """List the control processes of the group."""
+
+    target: Target
+    as_json: bool
+
+
+@attrs.frozen
+class MembersAdd:
+    """Add the control process of a VM as a learner."""
+
+    target: Target
+    as_json: bool
+    vm: str
+    limit: timedelta
+
+
+@attrs.frozen
+class MembersPromote:
+    """Give the control process of a VM a vote."""
+
+    target: Target
+    as_json: bool
+    vm: str
+    limit: timedelta
+
+
+@attrs.frozen
+class MembersRemove:
+    """Remove one disk identity of a VM from the group."""
+
+    target: Target
+    as_json: bool
+    vm: str
+    identity: str
+    limit: timedelta
+
+
+@attrs.frozen
+class MembersReplace:
+    """Take a control process on a new disk into the group."""
+
+    target: Target
+    as_json: bool
+    vm: str
+    limit: timedelta
+
+
 @attrs.frozen
 class Load:
     """Send callers' traffic."""
@@ -174,6 +229,11 @@
     | Status
     | Explain
     | Report
+    | MembersList
+    | MembersAdd
+    | MembersPromote
+    | MembersRemove
+    | MembersReplace
     | Load
     | LocalFleet
     | Version
--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -46,6 +46,14 @@
             from camphorspread.process.command.version import show_version
 
             return show_version(as_json)
+        case (
+            commands.MembersList()
+            | commands.MembersAdd()
+            | commands.MembersPromote()
+            | commands.MembersRemove()
+            | commands.MembersReplace() as command
+        ):
+            return run_members_command(command)
         case commands.Status() | commands.Explain() | commands.Report() as command:
             return run_fleet_command(command)
         case command:
@@ -69,6 +77,31 @@
     return run_operator_command(command.target, command.as_json, work)
 
 
+def run_members_command(command: commands.Command) -> int:
+    """Run a command about the control processes."""
+    from camphorspread.process.command.members import (
+        add_member,
+        list_members,
+        promote_member,
+        remove_member,
+        replace_member,
+    )
+    from camphorspread.process.command.operator import run_operator_command
+
+    match command:
+        case commands.MembersList():
+            work = list_members
+        case commands.MembersAdd(vm=vm, limit=limit):
+            work = partial(add_member, vm=vm, limit=limit)
+        case commands.MembersPromote(vm=vm, limit=limit):
+            work = partial(promote_member, vm=vm, limit=limit)
+        case commands.MembersRemove(vm=vm, identity=identity, limit=limit):
+            work = partial(remove_member, vm=vm, identity=identity, limit=limit)
+        case commands.MembersReplace(vm=vm, limit=limit):
+            work = partial(replace_member, vm=vm, limit=limit)
+    return run_operator_command(command.target, command.as_json, work)
+
+
 def run_catalogue_command(command: commands.Command) -> int:
     """Run a command that reads or changes the catalogue."""
     from camphorspread.process.command import catalogue, catalogue_change
--- a/camphorspread/process/command/operator.py
+++ b/camphorspread/process/command/operator.py
@@ -115,7 +115,9 @@
         return read_fleet(target.fleet)
     match read_settings(target.settings):
         case Success(settings):
-            replicas = tuple(FleetVmSettings(it.vm, it.operators) for it in settings.replicas)
+            replicas = tuple(
+                FleetVmSettings(it.vm, it.operators, it.peers) for it in settings.replicas
+            )
             entry_vms = tuple(
                 FleetVmSettings(it.vm, it.operators)
                 for it in getattr(settings, "entry_vms", ())
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -23,6 +23,11 @@
     Explain,
     Load,
     LocalFleet,
+    MembersAdd,
+    MembersList,
+    MembersPromote,
+    MembersRemove,
+    MembersReplace,
     Report,
     Run,
     Status,
@@ -124,6 +129,7 @@
     explain.add_argument("--request", default="", help="trace identifier of a request")
     explain.add_argument("--caller", type=read_ip_number, help="IP number of a caller")
     add_fleet_command(commands, "report", "print the report for the bookkeeper")
+    add_members_commands(commands)
     add_load_command(commands)
     fleet = commands.add_parser("local-fleet", help="run a small fleet on loopback")
     fleet.add_argument(
@@ -177,6 +183,29 @@
         )
 
 
+def add_members_commands(commands) -> None:
+    """Add `members` and its actions."""
+    members = commands.add_parser("members", help="the control processes of the catalogue")
+    actions = members.add_subparsers(dest="action", required=True, metavar="ACTION")
+    add_fleet_command(actions, "list", "list the control processes and their disk identities")
+    for name, text in (
+        ("add", "add a running control process as a learner, without a vote"),
+        ("promote", "give a learner that has caught up a vote"),
+        ("remove", "remove a disk identity from the group"),
+        ("replace", "take a control process on a new disk in, and remove the old identity"),
+    ):
+        action = add_fleet_command(actions, name, text)
+        action.add_argument("vm", help="VM of the control process")
+        if name == "remove":
+            action.add_argument("identity", help="disk identity, as listed by members list")
+        action.add_argument(
+            "--wait-seconds",
+            type=bounded_float(600),
+            default=30.0,
+            help="longest wait for each step; default: 30",
+        )
+
+
 def add_load_command(commands) -> None:
     """Add `load`."""
     load = commands.add_parser("load", help="send callers' traffic at a fixed rate")
@@ -218,6 +247,8 @@
             return make_catalogue_command(args)
         case "status" | "explain" | "report":
             return make_fleet_command(parser, args)
+        case "members":
+            return make_members_command(args)
         case "load":
             return make_load_command(args)
         case "local-fleet":
@@ -244,6 +275,18 @@
     return Explain(target, args.json, args.service, args.request, args.caller or "")
 
 
+def make_members_command(args: argparse.Namespace) -> Command:
+    """Return the command of a `members` action."""
+    target = read_target(args)
+    if args.action == "list":
+        return MembersList(target, args.json)
+    limit = timedelta(seconds=args.wait_seconds)
+    if args.action == "remove":
+        return MembersRemove(target, args.json, args.vm, args.identity, limit)
+    kinds = {"add": MembersAdd, "promote": MembersPromote, "replace": MembersReplace}
+    return kinds[args.action](target, args.json, args.vm, limit)
+
+
 def make_catalogue_command(args: argparse.Namespace) -> Command:
     """Return the command of a `catalogue` action."""
     target = read_target(args)
--- a/camphorspread/process/settings.py
+++ b/camphorspread/process/settings.py
@@ -195,10 +195,17 @@
 
 @attrs.frozen
 class FleetVmSettings:
-    """Where an operator reaches one process."""
+    """Where an operator reaches one process.
+
+    Attributes:
+        vm: Name of the VM.
+        operators: Where it listens for operators.
+        peers: Where a control process listens for the others, needed to replace it.
+    """
 
     vm: str
     operators: Address
+    peers: Address | None = None
 
 
 @attrs.frozen
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -84,7 +84,7 @@
             }
             write_process(folder, f"control-{vm}", control)
     fleet = {
-        "replicas": [{"vm": item["vm"], "operators": item["operators"]} for item in replicas],
+        "replicas": replicas,
         "entry_vms": [{"vm": item["vm"], "operators": item["operators"]} for item in entry_vms],
         "access_key_file": "access-key",
     }
