--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_operators.py
@@ -5,9 +5,9 @@
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.connection.server import Exchange
-from camphorspread.process.control_records import describe_acknowledgements
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.poll_listener import serve_acknowledgements
 from camphorspread.process.replica_shell import ANSWER_LIMIT, ReplicaShell
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.changes import ChangeError, ChangeErrorKind
@@ -33,7 +33,7 @@
         case b"GET", b"/v1/catalogue/history":
             await exchange.respond_json(200, list_history(shell))
         case b"GET", b"/v1/acknowledgements":
-            await exchange.respond_json(200, describe_acknowledgements(control.records))
+            await serve_acknowledgements(control, exchange)
         case b"GET", b"/v1/status":
             await exchange.respond_json(200, describe_status(control, shell))
         case b"POST", b"/v1/catalogue/changes":
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -8,12 +8,13 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
-from camphorspread.process.control_records import ControlRecords
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.delivery import Delivery
 from camphorspread.version.log_file import FileCalls
 from camphorspread.version.replica_view import ReplicaView
+from camphorspread.version.share_allocator import Allocator
 
 __all__ = ["ControlState"]
 
@@ -33,8 +34,9 @@
         catalogue: The newest accepted catalogue.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
+        delivery: History of changes and acknowledgements of entry VMs.
+        allocator: Shares granted to entry VMs while this replica leads.
         file_calls: How files in the data folder are written and synced.
-        records: Acknowledgements since the start.
     """
 
     settings: ControlSettings
@@ -47,7 +49,6 @@
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
+    delivery: Delivery = attrs.field(factory=Delivery)
+    allocator: Allocator = attrs.field(factory=Allocator)
     file_calls: FileCalls = attrs.field(factory=FileCalls)
-    records: ControlRecords = attrs.field(
-        default=attrs.Factory(lambda self: ControlRecords(self.clock), takes_self=True)
-    )
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -10,12 +10,15 @@
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
-from camphorspread.process.catalogue_poll import poll_catalogue
+from camphorspread.process.catalogue_poll import poll_catalogue, watch_lease
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.membership_shell import run_membership
 from camphorspread.process.operator_listener import handle_entry_operator
-from camphorspread.process.pass_handler import handle_peer
+from camphorspread.process.peer_listener import handle_peer
+from camphorspread.process.share_renewal import renew_periodically
+from camphorspread.process.shift_shell import run_shifts
 from camphorspread.process.slots import forget_endpoint
 from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
@@ -61,7 +64,11 @@
     )
     tasks = (
         asyncio.create_task(poll_catalogue(state)),
+        asyncio.create_task(watch_lease(state)),
+        asyncio.create_task(run_membership(state)),
+        asyncio.create_task(renew_periodically(state)),
         asyncio.create_task(expire_periodically(state)),
+        asyncio.create_task(run_shifts(state)),
     )
     state.log.write(Event.PROCESS_STARTED, role="entry")
     return EntryNode(state, listeners, tasks)
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -14,7 +14,10 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.liveness import Membership
+from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
+from camphorspread.process.offered import OfferedRates
 from camphorspread.process.settings import EntrySettings
 from camphorspread.process.share_demand import ShareDemand
 from camphorspread.process.shift import ShiftPlan
@@ -23,7 +26,7 @@
 from camphorspread.request.lookup import Place
 from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import HeldShares
+from camphorspread.version.shares import HeldShares, Renewal
 
 __all__ = ["EntryState", "make_entry_state"]
 
@@ -43,6 +46,7 @@
         pool: Idle connections to backend servers and other VMs.
         link: Messages to other processes.
         catalogue: The catalogue in force, or None before the first poll.
+        membership: Heartbeats and summaries, from which `fleet` is made.
         fleet: Known entry VMs.
         observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
@@ -50,6 +54,7 @@
         started: Instant of the start.
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
+        renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
         slots: Measurements at the endpoints.
         share_demand: What this VM used and refused of each share.
@@ -60,6 +65,7 @@
         blocks: Blocks of client addresses and their site numbers.
         sites: Places by site number.
         shift_plan: Shifts between regions that are under way.
+        offered: Requests of callers of this region in the last second.
     """
 
     settings: EntrySettings
@@ -70,6 +76,7 @@
     pool: ConnectionPool
     link: JsonLink
     fleet: FleetView
+    membership: Membership
     observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
@@ -77,6 +84,7 @@
     started: timedelta = timedelta(0)
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
+    renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
     slots: SlotTable = attrs.field(factory=SlotTable)
     share_demand: ShareDemand = attrs.field(factory=ShareDemand)
@@ -87,6 +95,7 @@
     blocks: BlockTable = attrs.field(factory=BlockTable)
     sites: list[Place] = attrs.field(factory=list)
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
+    offered: OfferedRates = attrs.field(factory=OfferedRates)
 
     def __attrs_post_init__(self) -> None:
         """Let admission share the registry, measurements and demand of the process."""
@@ -109,9 +118,10 @@
     }
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
+    membership = make_membership(settings.place.vm, vms, clock.monotonic())
     incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     observer = make_observer(settings, clock, incarnation)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, observer)
+    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership, observer)
     state.incarnation = incarnation
     state.started = clock.monotonic()
     load_client_blocks(state)
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -19,13 +19,16 @@
     ChangeErrorKind,
     ChangeRequest,
 )
+from camphorspread.version.delivery import Delta
 
 __all__ = [
     "CONVERTER",
     "decode_catalogue",
     "decode_change_request",
+    "decode_deltas",
     "describe_fault",
     "encode",
+    "encode_deltas",
     "make_catalogue_converter",
 ]
 
@@ -123,3 +126,17 @@
         elif isinstance(value, list) and part.isdigit() and int(part) < len(value):
             value = value[int(part)]
     return value
+
+
+def encode_deltas(deltas: tuple[Delta, ...]) -> object:
+    """Return the JSON form of changes that an entry VM lacks."""
+    return CONVERTER.unstructure(deltas, unstructure_as=tuple[Delta, ...])
+
+
+def decode_deltas(value: object) -> tuple[Delta, ...]:
+    """Read changes that this program wrote.
+
+    Raises:
+        cattrs.errors.IterableValidationError: The value holds no changes.
+    """
+    return CONVERTER.structure(value, tuple[Delta, ...])
--- a/camphorspread/version/replica.py
+++ b/camphorspread/version/replica.py
@@ -246,7 +246,7 @@
 
 def make_view(state: ReplicaState, now: timedelta) -> ReplicaView:
     """Return what this replica knows about the leader."""
-    heard = state.leader_heard if state.has_heard_leader else None
+    heard = state.current_at
     match state.role:
         case Leader(first_index=first_index) as leader:
             return ReplicaView(
@@ -255,8 +255,9 @@
                 quorum_contact(state, leader, now) + LEADER_LEASE,
                 state.committed.index >= first_index,
                 now,
+                state.term,
             )
         case Follower(leader=str(name)):
-            return ReplicaView(name.partition("/")[0], leader_heard=heard)
+            return ReplicaView(name.partition("/")[0], leader_heard=heard, term=state.term)
         case _:
-            return ReplicaView(leader_heard=heard)
+            return ReplicaView(leader_heard=heard, term=state.term)
--- a/camphorspread/version/replica_state.py
+++ b/camphorspread/version/replica_state.py
@@ -214,6 +214,7 @@
         role: What it does at present.
         leader_heard: When it last heard a leader; its start counts, because it may have heard
             one just before.
+        current_at: When it last heard a leader and held everything committed by then.
         quorum_heard: When it last heard from a leader or, as the leader, from a majority.
         election_due: When it asks for votes unless it hears a leader.
         given_way: Replicas whose pre-vote has put off its own since it last heard a leader.
@@ -243,7 +244,7 @@
     members: tuple[Member, ...] = ()
     role: Role = attrs.field(factory=Follower)
     leader_heard: timedelta = timedelta(0)
-    has_heard_leader: bool = False
+    current_at: timedelta | None = None
     quorum_heard: timedelta = timedelta(0)
     election_due: timedelta = timedelta(0)
     given_way: set[str] = attrs.field(factory=set)
--- a/camphorspread/version/replication.py
+++ b/camphorspread/version/replication.py
@@ -7,6 +7,7 @@
     AnswerChange,
     AnswerMembership,
     CatalogueCommitted,
+    CommittedChange,
     Effect,
     EncodeSnapshot,
     Send,
@@ -87,7 +88,6 @@
         effects += stop_leading(state, leader)
         state.incoming.clear()
     state.leader_heard = state.quorum_heard = now
-    state.has_heard_leader = True
     state.election_due = now + ELECTION_WAIT + ELECTION_SPREAD * state.jitter
     state.given_way.clear()
     return effects
@@ -191,6 +191,8 @@
     end = request.previous_index + len(request.entries)
     state.verified_index = max(state.verified_index, end)
     effects += commit_to(state, min(request.commit_index, state.verified_index))
+    if state.committed.index >= request.commit_index:
+        state.current_at = now
     index = min(state.verified_index, state.synced_index)
     return [*effects, Send(source, AppendResponse(state.term, True, index, request.sent_at))]
 
@@ -253,13 +255,17 @@
 
 def commit_to(state: ReplicaState, index: int) -> list[Effect]:
     """Apply the entries up to `index`."""
-    version = state.committed.catalogue.version
+    changes: list[CommittedChange] = []
     effects: list[Effect] = []
     for entry in state.log.slice(state.committed.index + 1, index):
+        version = state.committed.catalogue.version
         state.committed.apply(entry)
+        newest = state.committed.catalogue.version
+        if newest > version:
+            changes.append(CommittedChange(newest, entry.payload.request.change))
         effects += answer_committed(state, entry)
-    if state.committed.catalogue.version > version:
-        effects.insert(0, CatalogueCommitted())
+    if changes:
+        effects.insert(0, CatalogueCommitted(tuple(changes)))
     if state.committed.index - state.snapshot_index >= state.limits.interval:
         effects.append(EncodeSnapshot(state.committed.make_snapshot()))
     return effects
