--- a/benchmarks/stops.py
+++ b/benchmarks/stops.py
@@ -17,7 +17,6 @@
 
 from camphorspread.connection.messages import find_header
 from camphorspread.process.drain_watch import receive_signal
-from camphorspread.process.fleet import FleetView, VmState
 from camphorspread.process.ownership import list_owners
 from features.fixtures.entry_fleet import VM_NAMES, EntryFleet, make_service, open_entry_fleet
 
@@ -26,7 +25,6 @@
 WARM_UP_S, LOAD_S, CLOSE_S = 4.0, 12.0, 12.0
 # A sixth of the slots is in use on average, as on an ordinary day.
 RATE_PER_VM, BACKENDS, SLOTS, SERVICE_S = 33.0, 2, 10, 0.1
-HEARTBEAT_S, LOST_S = 1.5, 3.0
 
 
 @attrs.define(eq=False)
@@ -84,14 +82,6 @@
         self.counts[name + (" to a repeat" if repeats else "")] += 1
 
 
-def spread_state(fleet, vm, state):
-    """Tell all VMs the state of one, as heartbeats do."""
-    for node in fleet.nodes.values():
-        view = node.state.fleet
-        record = attrs.evolve(view.vms[vm], state=state)
-        node.state.fleet = FleetView(view.own_vm, {**view.vms, vm: record})
-
-
 async def start_backends(fleet):
     """Start two backend servers for each VM, with names that hashing assigns to it."""
     fleet.put_service(make_service(SERVICE, lookup_ttl_ms=LOOKUP_TTL_MS))
@@ -123,18 +113,14 @@
 
 
 async def kill(fleet):
-    """Kill the first VM; the others see it as lost after 3 s."""
+    """Kill the first VM; the others find out by its silence."""
     await fleet.kill_vm(VM_NAMES[0])
-    loop = asyncio.get_running_loop()
-    loop.call_later(LOST_S, spread_state, fleet, VM_NAMES[0], VmState.LOST)
 
 
 async def drain(fleet):
     """Drain the first VM and stop it when the drain has ended."""
     node = fleet.nodes[VM_NAMES[0]]
     receive_signal(node.watch)
-    loop = asyncio.get_running_loop()
-    loop.call_later(HEARTBEAT_S, spread_state, fleet, VM_NAMES[0], VmState.LEAVING)
 
     async def stop_at_end():
         await node.watch.ended
--- a/camphorspread/process/drain_watch.py
+++ b/camphorspread/process/drain_watch.py
@@ -26,6 +26,7 @@
 from camphorspread.process.fleet import FleetView, VmState
 from camphorspread.process.handover import hand_over
 from camphorspread.process.ledger import expire_keys
+from camphorspread.process.share_renewal import return_shares
 from camphorspread.request.lookup import is_vm_drained
 
 __all__ = ["DrainWatch", "receive_signal", "watch_drain"]
@@ -124,6 +125,7 @@
 async def finish_handover(watch: DrainWatch) -> None:
     """Hand over and go on with the drain, whether a successor was found or not."""
     await hand_over(watch.state)
+    await return_shares(watch.state)
     take_event(watch, HandoverEnded())
 
 
--- a/camphorspread/process/endpoints.py
+++ b/camphorspread/process/endpoints.py
@@ -138,26 +138,18 @@
     reports: ReportHistory = attrs.field(factory=ReportHistory)
     is_given_up: bool = False
 
-    def count_free_slots(self, now: timedelta) -> int:
-        """Return the slots to which a request may be sent now."""
+    def admitted_slots(self, now: timedelta) -> int:
+        """Return the slots that ramp-up and requests of the former owner allow at this instant."""
+        if self.lease_end <= now or self.is_given_up:
+            return 0
         former = self.former_in_use if self.former_until > now else 0
-        free = self.announcement.slots - former - self.in_use
-        return max(min(free, self.ramp_slots - self.in_use), 0)
+        return max(min(self.announcement.slots - former, self.ramp_slots), 0)
 
     def is_sendable(self, now: timedelta) -> bool:
         """Return True if this VM may send a request to it now."""
         is_active = self.announcement.state is EndpointState.ACTIVE
         return is_active and self.lease_end > now and not self.is_given_up
 
-    def rank(self, now: timedelta) -> float:
-        """Return the share of slots in use after one more request; lower is better.
-
-        A load report may only raise it, so that a false report draws no traffic.
-        """
-        weight = report_weight(self.reports, self.last_error, now)
-        hinted = weight * self.reports.report.busy_slots
-        return (max(float(self.in_use), hinted) + 1) / self.announcement.slots
-
 
 @attrs.define(eq=False)
 class Registry:
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -10,13 +10,18 @@
 from camphorspread.connection.server import Exchange, HttpServer
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
-from camphorspread.process.catalogue_poll import poll_catalogue
+from camphorspread.process.catalogue_poll import poll_catalogue, watch_lease
 from camphorspread.process.drain_watch import DrainWatch, receive_signal, watch_drain
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
+from camphorspread.process.membership_shell import run_membership
 from camphorspread.process.operator_listener import handle_entry_operator
 from camphorspread.process.peer_listener import handle_peer
+from camphorspread.process.share_renewal import renew_periodically
+from camphorspread.process.shift_shell import run_shifts
+from camphorspread.process.slots import forget_endpoint
+from camphorspread.request.admission_shell import grant_free_slots
 from camphorspread.request.errors import Refusal
 
 __all__ = ["EntryNode", "run_entry_node", "start_entry_node"]
@@ -80,7 +85,11 @@
     tasks = (
         asyncio.create_task(watch_drain(watch)),
         asyncio.create_task(poll_catalogue(state)),
+        asyncio.create_task(watch_lease(state)),
+        asyncio.create_task(run_membership(state)),
+        asyncio.create_task(renew_periodically(state)),
         asyncio.create_task(expire_periodically(state)),
+        asyncio.create_task(run_shifts(state)),
     )
     on_signal(lambda: receive_signal(watch))
     state.log.write(Event.PROCESS_STARTED, role="entry")
@@ -133,9 +142,12 @@
     """Remove endpoints whose lease has ended, until cancelled."""
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL.total_seconds())
-        for endpoint in expire_endpoints(state.registry, state.clock.monotonic()):
+        expired = expire_endpoints(state.registry, state.clock.monotonic())
+        grant_free_slots(state)
+        for endpoint in expired:
             announcement = endpoint.announcement
             state.pool.close_address(announcement.address)
+            forget_endpoint(state.slots, announcement.service, announcement.endpoint)
             state.log.write(
                 Event.ENDPOINT_EXPIRED,
                 service=announcement.service,
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -15,13 +15,20 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.ledger import Ending, Ledger
+from camphorspread.process.liveness import Membership
+from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
+from camphorspread.process.offered import OfferedRates
 from camphorspread.process.settings import EntrySettings
+from camphorspread.process.share_demand import ShareDemand
 from camphorspread.process.shift import ShiftPlan
+from camphorspread.process.slots import SlotTable
+from camphorspread.request.admission import AdmissionQueue
 from camphorspread.request.lookup import Place
 from camphorspread.request.once_key import HomeIdentity, OnceKey
+from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import HeldShares
+from camphorspread.version.shares import HeldShares, Renewal
 
 __all__ = ["EntryState", "make_entry_state"]
 
@@ -41,6 +48,7 @@
         pool: Idle connections to backend servers and other VMs.
         link: Messages to other processes.
         catalogue: The catalogue in force, or None before the first poll.
+        membership: Heartbeats and summaries, from which `fleet` is made.
         fleet: Known entry VMs.
         observer: Decision records, metrics and spans.
         registry: Endpoints that backend servers announced here.
@@ -48,6 +56,7 @@
         started: Instant of the start.
         catalogue_lease_end: Until when the catalogue is known to be the newest.
         held_shares: Shares of limits and caps that this VM holds.
+        renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
         ledger: Once keys of this VM.
         running_keys: Ending of each request with a once key that runs here.
@@ -56,9 +65,16 @@
         handed_endpoints: Slots in use by service, endpoint and former owner, from handovers.
         is_handed_over: True once a leaving VM has handed its endpoints over.
         last_named: When a lookup response last named this VM.
+        slots: Measurements at the endpoints.
+        share_demand: What this VM used and refused of each share.
+        admission: Requests that wait or run at the endpoints of this VM.
+        waiting: Futures of the waiting requests by ticket.
+        next_ticket: Ticket of the next request.
+        retry_budget: Recent requests and retries.
         blocks: Blocks of client addresses and their site numbers.
         sites: Places by site number.
         shift_plan: Shifts between regions that are under way.
+        offered: Requests of callers of this region in the last second.
     """
 
     settings: EntrySettings
@@ -69,6 +85,7 @@
     pool: ConnectionPool
     link: JsonLink
     fleet: FleetView
+    membership: Membership
     ledger: Ledger
     observer: Observer
     catalogue: Catalogue | None = None
@@ -77,6 +94,7 @@
     started: timedelta = timedelta(0)
     catalogue_lease_end: timedelta = timedelta(0)
     held_shares: HeldShares = attrs.field(factory=HeldShares)
+    renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
     running_keys: dict[OnceKey, asyncio.Future[Ending]] = attrs.field(factory=dict)
     successors: dict[HomeIdentity, str] = attrs.field(factory=dict)
@@ -84,9 +102,20 @@
     last_named: timedelta = timedelta(0)
     handed_endpoints: dict[tuple[str, str, str], int] = attrs.field(factory=dict)
     is_handed_over: bool = False
+    slots: SlotTable = attrs.field(factory=SlotTable)
+    share_demand: ShareDemand = attrs.field(factory=ShareDemand)
+    admission: AdmissionQueue = attrs.field(init=False)
+    waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    next_ticket: int = 0
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     blocks: BlockTable = attrs.field(factory=BlockTable)
     sites: list[Place] = attrs.field(factory=list)
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
+    offered: OfferedRates = attrs.field(factory=OfferedRates)
+
+    def __attrs_post_init__(self) -> None:
+        """Let admission share the registry, measurements and demand of the process."""
+        self.admission = AdmissionQueue(self.registry, self.slots, self.share_demand)
 
     @property
     def owner_name(self) -> str:
@@ -118,11 +147,14 @@
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
     place, started = settings.place, clock.monotonic()
+    membership = make_membership(place.vm, vms, started)
     incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
     home = HomeIdentity(place.availability_zone, place.vm, incarnation)
     ledger = Ledger(home, started)
     observer = make_observer(settings, clock, incarnation)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, ledger, observer)
+    state = EntryState(
+        settings, clock, network, log, rng, pool, link, fleet, membership, ledger, observer
+    )
     state.incarnation = incarnation
     state.started = started
     load_client_blocks(state)
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -9,7 +9,7 @@
 from camphorspread.connection.link import JsonLink, LinkError
 from camphorspread.connection.messages import RequestHead, ResponseHead, find_header
 from camphorspread.connection.network import Address, Listener, Network
-from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.connection.server import CallerGoneError, Exchange, HttpServer
 from camphorspread.process.backend_listener import encode_announcement
 from camphorspread.process.endpoints import (
     RENEWAL_INTERVAL,
@@ -36,6 +36,8 @@
 class StubBackendServer:
     """A backend server that answers each request after a fixed time.
 
+    A request ends at once when its connection is closed or reset.
+
     Attributes:
         announcement: What it announces.
         owner: Where the entry VM that is asked first listens for backend servers.
@@ -62,7 +64,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin with the entry VM that is asked first."""
-        self.choice = OwnerChoice((OwnerTarget("", self.owner),), read_time())
+        self.choice = OwnerChoice((OwnerTarget("", self.owner),), timedelta(0))
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request with its size."""
@@ -76,7 +78,7 @@
             size = 0
             while data := await exchange.read_body():
                 size += len(data)
-            await asyncio.sleep(self.service_time.total_seconds())
+            await work(exchange, self.service_time)
             self.served.append(request)
             body = f"{self.announcement.endpoint} received {size} bytes\n".encode()
             await exchange.respond(ResponseHead(200, ((b"content-type", b"text/plain"),)), body)
@@ -120,6 +122,22 @@
         await self.announce()
 
 
+async def work(exchange: Exchange, service_time: timedelta) -> None:
+    """Take the time of a request whose body has been read.
+
+    Raises:
+        CallerGoneError: The connection ended, which cancels the request.
+    """
+    gone = asyncio.create_task(exchange.wait_until_gone())
+    try:
+        await asyncio.wait({gone}, timeout=service_time.total_seconds())
+        if gone.done():
+            raise CallerGoneError
+    finally:
+        gone.cancel()
+        await asyncio.gather(gone, return_exceptions=True)
+
+
 def read_time() -> timedelta:
     """Return the time of the event loop."""
     return timedelta(seconds=asyncio.get_running_loop().time())
--- a/camphorspread/request/once.py
+++ b/camphorspread/request/once.py
@@ -27,8 +27,8 @@
 )
 from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
+from camphorspread.request.forwarding import ONCE_KEY_HEADER
 from camphorspread.request.once_key import (
-    ONCE_KEY_HEADER,
     HomeIdentity,
     OnceKey,
     format_once_key_prefix,
@@ -37,8 +37,14 @@
 from camphorspread.request.passing import PassedRequest, pass_request
 from camphorspread.request.reasons import Reason
 from camphorspread.request.recorder import ResponseRecorder
-from camphorspread.request.relay import BodyLimitPassed, NoResponse, UploadStalled
-from camphorspread.version.catalogue import Catalogue, is_never_repeated
+from camphorspread.request.relay import (
+    BodyLimitPassed,
+    NoResponse,
+    NotSent,
+    OwnerRefused,
+    UploadStalled,
+)
+from camphorspread.version.catalogue import ServiceEntry, is_never_repeated
 
 __all__ = [
     "OnceAttempt",
@@ -74,21 +80,17 @@
 RunAttempt = Callable[[EntryState, Exchange, str, bytes, OnceAttempt], Awaitable[None]]
 
 
-def check_once_rule(
-    catalogue: Catalogue, service: str, method: bytes, target: bytes, has_key: bool
-) -> Refusal | None:
+def check_once_rule(entry: ServiceEntry, method: str, path: str, has_key: bool) -> Refusal | None:
     """Return the refusal of a request that needs a once key and has none.
 
-    It is asked before each attempt with the newest catalogue, so that a request that became
-    "never repeated" while it was served isn't sent again.
+    It is asked before each attempt with the newest entry, so that a request that became "never
+    repeated" while it was served isn't sent again.
     """
-    entry = catalogue.find_service(service)
-    path = target.partition(b"?")[0].decode("latin-1")
-    if has_key or entry is None or not is_never_repeated(entry, method.decode(), path):
+    if has_key or not is_never_repeated(entry, method, path):
         return None
     message = (
         f"this request runs at most once and needs the header {ONCE_KEY_HEADER.decode()}: take "
-        f"once_key_prefix from GET /v1/lookup?service={service} and append .<own unique id>"
+        f"once_key_prefix from GET /v1/lookup?service={entry.name} and append .<own unique id>"
     )
     return Refusal(ErrorKind.ONCE_KEY_REQUIRED, message)
 
@@ -122,7 +124,12 @@
 
 
 async def serve_keyed(
-    state: EntryState, exchange: Exchange, service: str, target: bytes, run: RunAttempt
+    state: EntryState,
+    exchange: Exchange,
+    service: str,
+    target: bytes,
+    caller_region: str,
+    run: RunAttempt,
 ) -> None:
     """Serve a caller's request with a once key, here or through its home.
 
@@ -131,6 +138,7 @@
         exchange: The caller's exchange.
         service: Name of the service.
         target: Path and query at the backend server.
+        caller_region: Region of the caller.
         run: Steers the request once it is claimed.
     """
     header = find_header(exchange.head.headers, ONCE_KEY_HEADER) or b""
@@ -140,7 +148,7 @@
         case Success(key) if is_served_here(state, key):
             await serve_at_home(state, exchange, service, target, run)
         case Success(key):
-            await pass_to_home(state, exchange, service, target, key)
+            await pass_to_home(state, exchange, service, target, caller_region, key)
 
 
 def is_served_here(state: EntryState, key: OnceKey) -> bool:
@@ -156,7 +164,12 @@
 
 
 async def pass_to_home(
-    state: EntryState, exchange: Exchange, service: str, target: bytes, key: OnceKey
+    state: EntryState,
+    exchange: Exchange,
+    service: str,
+    target: bytes,
+    caller_region: str,
+    key: OnceKey,
 ) -> None:
     """Pass a request on to its home; only the home can say that it wasn't run."""
     record = find_home(state, key)
@@ -167,7 +180,7 @@
     limit = entry.body_limit_bytes if entry else DEFAULT_BODY_LIMIT_BYTES
     deadline = find_deadline(state, exchange, service)
     try:
-        passed = PassedRequest(exchange, service, target, record, deadline, limit)
+        passed = PassedRequest(exchange, service, target, caller_region, record, deadline, limit)
         async with asyncio.timeout((deadline - state.clock.monotonic()).total_seconds()):
             result = await pass_request(state, passed)
     except TimeoutError:
@@ -178,7 +191,9 @@
         await refuse_unreachable(state, exchange, key, str(exc))
         return
     match result:
-        case NoResponse(detail=detail):
+        case OwnerRefused(refusal=refusal):
+            await refuse_keyed(state, exchange, refusal)
+        case NoResponse(detail=detail) | NotSent(detail=detail):
             await refuse_unreachable(state, exchange, key, detail)
         case UploadStalled():
             refusal = Refusal(ErrorKind.UPLOAD_STALLED, "the body made no progress")
--- a/camphorspread/request/once_key.py
+++ b/camphorspread/request/once_key.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.forwarding import ONCE_KEY_HEADER
 
 __all__ = [
     "ONCE_KEY_HEADER",
@@ -17,7 +18,6 @@
     "parse_once_key",
 ]
 
-ONCE_KEY_HEADER = b"camphorspread-once-key"
 NAME_PART = r"[A-Za-z0-9_-]{1,64}"
 KEY_PATTERN = re.compile(
     rf"(?P<zone>{NAME_PART})\.(?P<vm>{NAME_PART})\.(?P<incarnation>[0-9a-f]{{1,16}})"
--- a/camphorspread/request/passing.py
+++ b/camphorspread/request/passing.py
@@ -5,16 +5,15 @@
 import attrs
 
 from camphorspread.connection.access_key import ACCESS_KEY_HEADER
-from camphorspread.connection.messages import RequestHead, without_headers
+from camphorspread.connection.messages import Headers, has_body
 from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.fleet import VmRecord
-from camphorspread.request.forwarding import make_forward_head
+from camphorspread.process.observer import trace_headers
+from camphorspread.request.forwarding import CALLER_REGION_HEADER, PASS_PREFIX, make_forward_head
 from camphorspread.request.relay import RelayResult, relay
 
-__all__ = ["PASS_PREFIX", "PassedRequest", "pass_request"]
-
-PASS_PREFIX = "/v1/pass/"
+__all__ = ["PassedRequest", "pass_request"]
 
 
 @attrs.frozen
@@ -25,6 +24,7 @@
         exchange: The caller's exchange.
         service: Name of the service.
         target: Path and query at the backend server.
+        caller_region: Region of the caller.
         vm: The entry VM that shall serve it.
         deadline: Instant by which it must be answered.
         body_limit_bytes: Largest body.
@@ -33,6 +33,7 @@
     exchange: Exchange
     service: str
     target: bytes
+    caller_region: str
     vm: VmRecord
     deadline: timedelta
     body_limit_bytes: int
@@ -45,19 +46,18 @@
         OSError: No connection can be opened, so that nothing was sent.
     """
     conn = await state.pool.acquire(passed.vm.peers)
-    target = f"{PASS_PREFIX}{passed.service}".encode() + passed.target
-    now = state.clock.monotonic()
-    received = passed.exchange.head
-    kept = without_headers(received.headers, frozenset({ACCESS_KEY_HEADER}))
-    head = make_forward_head(
-        RequestHead(received.method, received.target, kept),
-        target,
-        str(passed.vm.peers).encode(),
-        passed.deadline,
-        now,
-        ((ACCESS_KEY_HEADER, state.link.access_key),),
+    target = PASS_PREFIX + passed.service.encode() + passed.target
+    extra: Headers = (
+        (CALLER_REGION_HEADER, passed.caller_region.encode()),
+        (ACCESS_KEY_HEADER, state.link.access_key),
+        *trace_headers(state.observer, passed.exchange),
     )
-    result = await relay(passed.exchange, conn, head, passed.body_limit_bytes)
+    if has_body(passed.exchange.head.headers):
+        extra += ((b"expect", b"100-continue"),)
+    host = str(passed.vm.peers).encode()
+    now = state.clock.monotonic()
+    head = make_forward_head(passed.exchange.head, target, host, passed.deadline, now, extra)
+    result = await relay(passed.exchange, conn, head, passed.body_limit_bytes, is_pass=True)
     if conn.is_reusable:
         state.pool.release(conn)
     return result
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -5,16 +5,24 @@
 
 import attrs
 
-from camphorspread.connection.client import ClientConnection, ResponseBrokenError
+from camphorspread.connection.client import ClientConnection, NotSentError, ResponseBrokenError
 from camphorspread.connection.messages import RequestHead, ResponseHead
-from camphorspread.connection.server import CallerGoneError, Exchange, StalledError
-from camphorspread.request.forwarding import is_framed, make_response_head
+from camphorspread.connection.server import (
+    CallerGoneError,
+    Exchange,
+    RefusedError,
+    StalledError,
+)
+from camphorspread.request.errors import Refusal
+from camphorspread.request.forwarding import is_framed, make_response_head, read_refusal
 from camphorspread.request.recorder import ResponseRecorder
 
 __all__ = [
     "BodyLimitPassed",
     "CallerGone",
     "NoResponse",
+    "NotSent",
+    "OwnerRefused",
     "RelayResult",
     "Relayed",
     "ResponseCut",
@@ -22,6 +30,8 @@
     "relay",
 ]
 
+CONTINUE_STATUS = 100
+
 
 @attrs.frozen
 class Relayed:
@@ -30,6 +40,24 @@
     status: int
 
 
+@attrs.frozen
+class NotSent:
+    """The connection had ended before any byte of the request was sent.
+
+    Attributes:
+        detail: What the connection reported.
+    """
+
+    detail: str
+
+
+@attrs.frozen
+class OwnerRefused:
+    """The entry VM that owns the endpoints refused; the request was not run."""
+
+    refusal: Refusal
+
+
 @attrs.frozen
 class NoResponse:
     """The request was sent, at least in part, and no response began.
@@ -54,7 +82,7 @@
 
 @attrs.frozen
 class CallerGone:
-    """The caller closed its connection, which cancels the request."""
+    """The caller closed its connection or broke the framing, which cancels the request."""
 
 
 @attrs.frozen
@@ -67,7 +95,16 @@
     """The caller's body went over the limit of the catalogue entry."""
 
 
-RelayResult = Relayed | NoResponse | ResponseCut | CallerGone | UploadStalled | BodyLimitPassed
+RelayResult = (
+    Relayed
+    | NotSent
+    | OwnerRefused
+    | NoResponse
+    | ResponseCut
+    | CallerGone
+    | UploadStalled
+    | BodyLimitPassed
+)
 
 
 class BodyLimitError(Exception):
@@ -79,6 +116,7 @@
     conn: ClientConnection,
     head: RequestHead,
     body_limit: int,
+    is_pass: bool = False,
     recorder: ResponseRecorder | None = None,
 ) -> RelayResult:
     """Send the request on `conn` and stream its response to the caller.
@@ -91,26 +129,68 @@
         conn: A connection without a request.
         head: Head to send.
         body_limit: Largest body, in bytes.
+        is_pass: True if the next hop is an entry VM: the body waits until that VM asks for it,
+            and the response may be its refusal.
         recorder: Gets a copy of the response. With it, a caller that goes away after its whole
             body has arrived doesn't cancel the request, so that a repeat finds the response.
 
     Returns:
         How it ended.
     """
-    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit, recorder is None))
-    download = asyncio.create_task(send_response(exchange, conn, head, recorder))
+    try:
+        failure = await send_request_head(conn, head)
+        if failure is not None:
+            return failure
+        return await relay_bodies(exchange, conn, head, body_limit, is_pass, recorder)
+    finally:
+        if not conn.is_reusable:
+            conn.abort()
+
+
+async def send_request_head(conn: ClientConnection, head: RequestHead) -> RelayResult | None:
+    """Send the head of the request; return how it failed, or None.
+
+    This happens before any task is created, which saves a turn of the loop before the request
+    leaves.
+    """
+    try:
+        await conn.send_head(head)
+    except NotSentError as exc:
+        return NotSent(str(exc))
+    except ConnectionError as exc:
+        return NoResponse(str(exc))
+    return None
+
+
+async def relay_bodies(
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    body_limit: int,
+    is_pass: bool,
+    recorder: ResponseRecorder | None,
+) -> RelayResult:
+    """Stream the body of the request and the response, until either ends the request."""
+    body_wanted = asyncio.Event()
+    if (b"expect", b"100-continue") not in head.headers:
+        body_wanted.set()
+    is_cancellable = recorder is None
+    upload = asyncio.create_task(
+        watch_caller(exchange, conn, body_limit, body_wanted, is_cancellable)
+    )
+    download = asyncio.create_task(
+        send_response(exchange, conn, head, is_pass, body_wanted, recorder)
+    )
     try:
         await asyncio.wait({upload, download}, return_when=asyncio.FIRST_COMPLETED)
         if not download.done():
             result = read_upload_fault(upload)
             is_uploaded = upload.exception() is None
-            if result is not None and not (recorder is not None and is_uploaded):
+            if result is not None and (is_cancellable or not is_uploaded):
                 return result
         return await download
     finally:
         await cancel_tasks(upload, download)
-        if not conn.is_reusable:
-            conn.abort()
 
 
 async def cancel_tasks(*tasks: asyncio.Task) -> None:
@@ -129,18 +209,23 @@
             return BodyLimitPassed()
         case ConnectionError():
             return None
-        case None | CallerGoneError():
+        # A refusal would say "not run", but a part of the body may have been sent.
+        case None | CallerGoneError() | RefusedError():
             return CallerGone()
         case exc:
             raise exc
 
 
 async def watch_caller(
-    exchange: Exchange, conn: ClientConnection, body_limit: int, is_cancellable: bool
+    exchange: Exchange,
+    conn: ClientConnection,
+    body_limit: int,
+    body_wanted: asyncio.Event,
+    is_cancellable: bool,
 ) -> None:
     """Stream the request body, then wait until the caller is gone if that cancels the request."""
     size = 0
-    await conn.head_sent.wait()
+    await body_wanted.wait()
     while data := await exchange.read_body():
         size += len(data)
         if size > body_limit:
@@ -155,21 +240,48 @@
     exchange: Exchange,
     conn: ClientConnection,
     head: RequestHead,
+    is_pass: bool,
+    body_wanted: asyncio.Event,
     recorder: ResponseRecorder | None,
 ) -> RelayResult:
-    """Send the request head and stream the response to the caller."""
+    """Wait for the response and stream it to the caller."""
     try:
-        await conn.send_head(head)
-        response = await conn.read_final_head()
+        response = await read_final_head(conn, body_wanted)
+        refusal = read_refusal(response) if is_pass else None
+        if refusal is not None:
+            while await conn.read_body():
+                pass
+            return OwnerRefused(refusal)
     except (ResponseBrokenError, ConnectionError) as exc:
         return NoResponse(str(exc))
     if not is_framed(head.method, response):
         return NoResponse("the response has neither a length nor chunks")
+    forwarded = make_response_head(response, is_pass)
     if recorder is not None:
-        return await record_response(exchange, conn, make_response_head(response), recorder)
+        return await record_response(exchange, conn, forwarded, recorder)
+    return await stream_response(exchange, conn, forwarded)
+
+
+async def read_final_head(conn: ClientConnection, body_wanted: asyncio.Event) -> ResponseHead:
+    """Return the head of the final response; status 100 lets the body go."""
+    while True:
+        response = await conn.read_head()
+        if response.status != CONTINUE_STATUS:
+            return response
+        body_wanted.set()
+
+
+async def stream_response(
+    exchange: Exchange, conn: ClientConnection, head: ResponseHead
+) -> RelayResult:
+    """Stream a response that has begun to the caller.
+
+    The head leaves in one write with the part of the body that has arrived with it, and at once
+    if there is none.
+    """
     try:
-        await exchange.send_head(make_response_head(response))
-        while data := await conn.read_body():
+        exchange.start_response(head)
+        while data := await conn.read_body(before_wait=exchange.flush):
             await exchange.send_body(data)
         await exchange.finish()
     except ResponseBrokenError as exc:
@@ -180,7 +292,7 @@
     except StalledError:
         exchange.abort()
         return CallerGone()
-    return Relayed(response.status)
+    return Relayed(head.status)
 
 
 async def record_response(
--- a/features/environment.py
+++ b/features/environment.py
@@ -4,12 +4,16 @@
 
 from features.fixtures.audit import start_audit
 from features.fixtures.command_line import settings_folder
+from features.fixtures.control_group import control_group
+from features.fixtures.data_folder import data_folder
 from features.fixtures.entry_fleet import entry_fleet
 from features.fixtures.session import session
 from features.fixtures.virtual_time import virtual_loop
 
 FIXTURES = {
     "fixture.entry_fleet": entry_fleet,
+    "fixture.control_group": control_group,
+    "fixture.data_folder": data_folder,
     "fixture.audit": start_audit,
     "fixture.session": session,
     "fixture.settings_folder": settings_folder,
--- a/features/process/drain.feature
+++ b/features/process/drain.feature
@@ -3,13 +3,18 @@
   and slots that are lost when an entry VM drains.
 
   @fixture.entry_fleet
-  Scenario: A leaving backend server gets no new work and ends what is in flight
+  Scenario Outline: A leaving backend server gets no new work and ends what is in flight
     Given two drain-test backends with 3 slots and requests of 3 s beside "sofia-b-1"
-    And a steady load of drain-test requests through "sofia-b-1"
+    And a steady load of drain-test requests through "<vm>"
     When the first drain-test backend says that it is leaving
     Then it gets no request after 2 s and ends those in flight
     And no drain-test request has ended with an error other than "overloaded"
 
+    Examples: Queue of the owner, and passes to it
+      | vm        |
+      | sofia-b-1 |
+      | sofia-a-1 |
+
   @fixture.entry_fleet
   Scenario: A backend server that leaves while a connection opens gets nothing
     Given two drain-test backends with 3 slots and requests of 0.1 s beside "sofia-b-1"
--- a/features/process/endpoints.feature
+++ b/features/process/endpoints.feature
@@ -18,6 +18,12 @@
     Then after 20 s the endpoint has a new owner that serves requests
     And the endpoint never ran more requests than it has slots
 
+  @fixture.entry_fleet
+  Scenario: A request that is cut at its deadline ends at the backend server too
+    Given an endpoint with 1 slots and requests of 8 s owned by the first VM of "sofia-a"
+    And a steady load of requests through both VMs of "sofia-a"
+    Then within 30 s requests are cut at their deadline and never 2 run at once
+
   @fixture.entry_fleet
   Scenario: A handover needs no quarantine
     Given an endpoint with 3 slots and requests of 0.1 s owned by the first VM of "sofia-a"
--- a/features/process/ledger.feature
+++ b/features/process/ledger.feature
@@ -52,6 +52,22 @@
     Then all repeats end as "once_key_expired" with outcome "unknown"
     And each once key has run 1 time
 
+  @fixture.entry_fleet
+  Scenario: Keyed requests wait for a slot and pass from a home without endpoints to the owner
+    Given once-key backends with 1 slots beside "sofia-b-1"
+    And 3 s passes in the entry fleet
+    When 6 keyed payments with home "plovdiv-a-1" start through "sofia-a-1" one every 5 ms
+    And 0.45 s passes in the entry fleet
+    And a new payment "fee-late" with home "sofia-b-1" is sent with a deadline of 60 ms to "sofia-b-1"
+    Then the keyed response is refused for its deadline with outcome "not_run"
+    When all started keyed payments are repeated through "sofia-a-2"
+    Then all repeats are the whole responses of the started payments
+    And each once key has run 1 time
+    And the backend server has run 1 request at once
+    When payment "fee-late" is sent again to "sofia-b-1"
+    Then the keyed response is whole
+    And each once key has run 1 time
+
   @fixture.entry_fleet
   Scenario: The rules of the catalogue change while requests are in flight
     Given a service without never-repeated rules and a backend with 5 slots beside "sofia-b-1"
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -20,7 +20,6 @@
 from camphorspread.process import drain as drains
 from camphorspread.process import ledger as ledgers
 from camphorspread.process.drain_watch import receive_signal
-from camphorspread.process.fleet import FleetView, VmState
 from camphorspread.process.handover import (
     HandedEndpoint,
     Handover,
@@ -32,7 +31,7 @@
 from camphorspread.process.settings import EntrySettings, PlaceSettings, ReplicaSettings
 from camphorspread.request.once_key import HomeIdentity, OnceKey
 from camphorspread.version.catalogue import DrainEntry, DrainKind, Versioned
-from features.fixtures.entry_fleet import make_service
+from features.fixtures.entry_fleet import SPREAD_S, make_service
 
 SERVICE = "filing-svc"
 
@@ -51,7 +50,8 @@
 @given('two drain-test backends with {slots:d} slots and requests of {time:g} s beside "{vm}"')
 def step_two_backends(context, slots, time, vm):
     fleet = context.entry_fleet
-    fleet.put_service(make_service(SERVICE))
+    # Requests wait in the queue throughout, and none reaches its deadline.
+    fleet.put_service(make_service(SERVICE, request_time_limit_ms=60000))
     for name in ("filing-1", "filing-2"):
         run(context, fleet.start_backend(SERVICE, name, vm, slots, time))
     run(context, asyncio.sleep(0.1))
@@ -62,6 +62,8 @@
 def step_load(context, vm):
     fleet = context.entry_fleet
     context.results = []
+    # Until summaries say so, another VM doesn't know who owns the endpoints.
+    run(context, asyncio.sleep(SPREAD_S))
 
     async def ask():
         context.results.append(await fleet.request(vm, "GET", f"/s/{SERVICE}/status"))
@@ -184,15 +186,6 @@
 def step_signal(context, vm):
     context.vm = vm
     receive_signal(context.entry_fleet.nodes[vm].watch)
-    context.loop.call_later(1.5, spread_leaving, context.entry_fleet, vm)
-
-
-def spread_leaving(fleet, vm):
-    """Tell the other VMs, as heartbeats do."""
-    for node in fleet.nodes.values():
-        view = node.state.fleet
-        record = attrs.evolve(view.vms[vm], state=VmState.LEAVING)
-        node.state.fleet = FleetView(view.own_vm, {**view.vms, vm: record})
 
 
 @when('a drain entry names "{vm}"')
--- a/features/steps/endpoints_steps.py
+++ b/features/steps/endpoints_steps.py
@@ -29,6 +29,7 @@
     take_response,
 )
 from camphorspread.process.ownership import Accepted, decide_ownership, list_owners
+from camphorspread.process.slots import SlotTable, count_free_slots, rank_endpoint
 from features.fixtures.entry_fleet import make_service
 
 SERVICE = "status-svc"
@@ -49,7 +50,9 @@
 )
 def step_endpoint(context, slots, time):
     fleet = context.entry_fleet
-    fleet.put_service(make_service(SERVICE, ()))
+    # Long enough for a wait in the queue, so that no request is cut at its deadline and counted
+    # as a failure, which would hold up the ramp-up.
+    fleet.put_service(make_service(SERVICE, (), request_time_limit_ms=10000))
     view = fleet.state("sofia-a-1").fleet
     name = next(
         name
@@ -141,6 +144,14 @@
     assert context.backend.most_busy == 3, context.backend.most_busy
 
 
+@then("within {time:g} s requests are cut at their deadline and never {count:d} run at once")
+def step_check_cut(context, time, count):
+    run(context, asyncio.sleep(time))
+    backend = context.backend
+    assert len(backend.started) - len(backend.served) > 2, backend.started
+    assert backend.most_busy < count, backend.most_busy
+
+
 @then("after {time:g} s the endpoint has a new owner without reserved slots")
 def step_check_handover(context, time):
     run(context, asyncio.sleep(time))
@@ -231,8 +242,9 @@
     )
     endpoint.ramp_slots = 4
     assert endpoint.former_until == seconds(until), endpoint
-    assert endpoint.count_free_slots(seconds(0)) == 4 - reserved, endpoint
-    assert endpoint.count_free_slots(seconds(until)) == 4, endpoint
+    assert count_free_slots(endpoint, seconds(0)) == 4 - reserved, endpoint
+    endpoint.lease_end = seconds(until + 1)
+    assert count_free_slots(endpoint, seconds(until)) == 4, endpoint
 
 
 def weigh(case):
@@ -260,8 +272,9 @@
 
 def rank(in_use, busy):
     reports = ReportHistory(LoadReport(1, busy))
-    endpoint = Endpoint(make_announcement(), seconds(2), in_use=in_use, reports=reports)
-    return endpoint.rank(seconds(0))
+    announcement = make_announcement(report=reports.report)
+    endpoint = Endpoint(announcement, seconds(2), in_use=in_use, ramp_slots=4, reports=reports)
+    return rank_endpoint(SlotTable(), endpoint, seconds(0))
 
 
 @then("an endpoint with 3 of 4 slots in use ranks the same whether it reports 0 or 1 busy slots")
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -12,9 +12,11 @@
 from camphorspread.process import ledger as ledgers
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.once_key import HomeIdentity, OnceKey, parse_once_key
+from camphorspread.version.shares import Grant, ShareKey, ShareKind
 from features.fixtures.entry_fleet import make_key, make_service
 
 PAYMENT = b"amount=17"
+MINUTE = timedelta(minutes=1)
 SHAPE = ledgers.RequestShape("filing-svc", b"POST", b"/fees", 9)
 
 
@@ -44,6 +46,14 @@
     for node in context.entry_fleet.nodes.values():
         for endpoint in node.state.registry.services.get("filing-svc", {}).values():
             endpoint.ramp_slots = slots
+    grant_shifts(context.entry_fleet, context.clock.monotonic())
+
+
+def grant_shifts(fleet, now):
+    """Grant each VM a share of the shift cap, as the control leader does."""
+    key = ShareKey(ShareKind.SHIFT_CAP, service="filing-svc")
+    for node in fleet.nodes.values():
+        node.state.held_shares.grants[key] = Grant(100, now + MINUTE)
 
 
 @given('once-key backends with {slots:d} slots beside "{vm}"')
@@ -92,6 +102,38 @@
     context.results.append(run(context, pay(context, vm, find_key(context, name), deadline)))
 
 
+@when(
+    'a new payment "{name}" with home "{home}" is sent with a deadline of {deadline:d} ms to "{vm}"'
+)
+def step_pay_first_deadline(context, name, home, deadline, vm):
+    key = make_key(context.entry_fleet, home, name)
+    context.results.append(run(context, pay(context, vm, key, deadline)))
+    # Kept for a repeat of this payment alone.
+    context.late = {name: key}
+
+
+@then('the keyed response is refused for its deadline with outcome "{outcome}"')
+def step_check_deadline(context, outcome):
+    kinds = ("deadline_too_short", "deadline_passed_in_queue")
+    kind, shown = read_error(context.results[-1])
+    assert kind in kinds, context.results[-1]
+    assert shown == outcome, context.results[-1]
+
+
+@then("all repeats are the whole responses of the started payments")
+def step_check_whole_repeats(context):
+    started = run(context, asyncio.gather(*context.started))
+    assert [item.head.status for item in started] == [200] * len(context.keys), started
+    for first, repeat in zip(started, context.results, strict=True):
+        assert (first.head, first.body) == (repeat.head, repeat.body), (first, repeat)
+    context.keys |= context.late
+
+
+@then("the backend server has run {count:d} request at once")
+def step_check_most_busy(context, count):
+    assert context.backend.most_busy == count, context.backend.most_busy
+
+
 @when('a new payment "{name}" with home "{home}" is sent to "{vm}"')
 def step_pay_first(context, name, home, vm):
     context.results.append(run(context, pay(context, vm, find_key(context, name, home))))
@@ -206,6 +248,8 @@
     run(context, fleet.start_backend("filing-svc", "a-filing", "sofia-b-1", 50))
     del fleet.network.listeners[fleet.backends[-1].announcement.address]
     run(context, asyncio.sleep(0.1))
+    # Without ramp-up it has the lowest share of slots in use and so the best rank.
+    fleet.state("sofia-b-1").registry.find("filing-svc", "a-filing").ramp_slots = 50
 
 
 @when('the rule "{rule}" comes into force during a payment without key at "{vm}"')
@@ -244,7 +288,7 @@
 def step_check_both(context, outcome):
     assert [read_error(item)[1] for item in context.results] == [outcome] * 2, context.results
     log = context.entry_fleet.logs["sofia-b-1"].getvalue()
-    assert log.count('"request_retried"') == 1, log
+    assert log.count('"connect_failed"') == 1, log
 
 
 @given("the backend server answers with 70000 bytes")
@@ -288,7 +332,6 @@
 
 
 HOME = HomeIdentity("sofia-a", "sofia-a-1", "ab")
-MINUTE = timedelta(minutes=1)
 
 
 def decide(case):
