--- /dev/null
+++ b/benchmarks/control_load.py
@@ -0,0 +1,353 @@
+"""Measures one control process under the polls and share renewals of many entry VMs on loopback.
+
+Processor time is that of the control process alone, from `/proc`; entry VMs are asyncio clients in
+three processes of their own. Each run is bounded in count and time.
+
+    python -m benchmarks.control_load load VMS...          polls, changes and renewals
+    python -m benchmarks.control_load catalogue ENTRIES... memory, change, first polls of 34 VMs
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from pathlib import Path
+
+import attrs
+
+from benchmarks.request_overhead import (
+    CONTROL_OPERATORS,
+    CONTROL_PEERS,
+    KEY,
+    ROOT,
+    Ports,
+    cpu_seconds,
+    start,
+    write_settings,
+)
+from camphorspread.connection.link import JsonLink, LinkError
+from camphorspread.connection.network import TcpNetwork, TcpStream
+from camphorspread.connection.pool import ConnectionPool
+from camphorspread.process.catalogue_poll import HOLD, POLL_LIMIT
+from camphorspread.process.clock import SystemClock
+from camphorspread.process.share_renewal import RENEWAL_INTERVAL, RENEWAL_LIMIT
+from camphorspread.version.catalogue import (
+    AvailabilityZoneEntry,
+    RegionEntry,
+    ServiceClass,
+    ServiceEntry,
+)
+from camphorspread.version.changes import Change, ChangeRequest, PutRegion, PutService
+from camphorspread.version.codec import encode
+from camphorspread.version.delivery import FIRST_POLL
+from camphorspread.version.share_allocator import RenewalRequest
+from camphorspread.version.share_codec import encode_renewal
+from camphorspread.version.shares import RenewalDemand, ShareKey, ShareKind
+
+CLIENT_PROCESSES = 3
+WINDOW_S = 8.0
+# Time for the clients to start and to open their connections before the window begins.
+LEAD_S = 3.0
+CHANGES = 40
+VMS, REGIONS, ZONE_VMS, SERVICES = 720, 8, 34, 16
+PATIENCE = timedelta(seconds=20)
+
+
+def vm_name(number: int) -> str:
+    """Return the name of an entry VM."""
+    return f"vm-{number:03d}"
+
+
+def make_region(number: int) -> PutRegion:
+    """Return a region with an eighth of the VMs, in one entry of an availability zone each 30."""
+    names = [vm_name(vm) for vm in range(number, VMS, REGIONS)]
+    zones = tuple(
+        AvailabilityZoneEntry(f"zone-{number}-{first}", tuple(names[first : first + 30]))
+        for first in range(0, len(names), 30)
+    )
+    return PutRegion(RegionEntry(f"region-{number}", "network", 4000, zones))
+
+
+def make_service(number: int, owner: str = "network") -> PutService:
+    """Return the entry of a service."""
+    rules = ("POST /orders", "POST /payments")
+    entry = ServiceEntry(f"service-{number:05d}", owner, ServiceClass.INTERACTIVE, 500, 1000, rules)
+    return PutService(entry)
+
+
+async def send_change(link: JsonLink, ports: Ports, version: int, change: Change) -> int:
+    """Send a change and return the new version of its entry."""
+    request = encode(ChangeRequest(f"c-{time.monotonic_ns()}-{id(change)}", version, "b", change))
+    address = ports.address(CONTROL_OPERATORS)
+    response = await link.call(address, "POST", "/v1/catalogue/changes", request, PATIENCE)
+    if response.status != 200:
+        raise SystemExit(f"a change was refused: {response.value}")
+    return response.value["version"]
+
+
+async def fill_catalogue(link: JsonLink, ports: Ports, services: int) -> None:
+    """Wait for a leader and add all regions and the services, 20 changes at a time."""
+    address = ports.address(CONTROL_OPERATORS)
+    for _ in range(100):
+        with contextlib.suppress(LinkError):
+            if (await link.call(address, "GET", "/v1/status")).value.get("role") == "leader":
+                break
+        await asyncio.sleep(0.1)
+    changes = [make_region(number) for number in range(REGIONS)]
+    changes += [make_service(number) for number in range(services)]
+    for first in range(0, len(changes), 20):
+        group = changes[first : first + 20]
+        await asyncio.gather(*(send_change(link, ports, 0, change) for change in group))
+
+
+def make_renewal(vm: int, number: int, region: int) -> dict[str, object]:
+    """Return the request of a VM with demand for its region and two of its services."""
+    name = f"region-{region}"
+    demand = {ShareKey(ShareKind.REGION_LIMIT, name): RenewalDemand(20, 0, 12)}
+    for service in ("service-00000", "service-00001"):
+        demand[ShareKey(ShareKind.SERVICE_REGION_LIMIT, name, service)] = RenewalDemand(10, 0, 6)
+    request = RenewalRequest(vm_name(vm), f"{vm:016x}", number, max(number - 1, 0), demand)
+    return encode_renewal(request)
+
+
+def make_message(kind: str, vm: int, number: int, version: int) -> tuple[str, object, timedelta]:
+    """Return path, body and time limit of one message of an entry VM."""
+    match kind:
+        case "renew":
+            body = make_renewal(vm, number, vm % REGIONS)
+            return "/v1/shares/renew", body, RENEWAL_LIMIT
+        case "first":
+            body = {"vm": vm_name(vm), "version": FIRST_POLL, "hold_ms": 0}
+        case "move":
+            body = {"vm": vm_name(vm), "version": version, "hold_ms": 0}
+        case _:
+            hold = int(HOLD.total_seconds() * 1000)
+            body = {"vm": vm_name(vm), "version": version, "hold_ms": hold}
+    return "/v1/catalogue/poll", body, POLL_LIMIT
+
+
+def count_bytes() -> Counter:
+    """Count the bytes that the streams of this process write and read."""
+    counted: Counter = Counter()
+    write, update = TcpStream.write, TcpStream.buffer_updated
+
+    async def write_counted(self: TcpStream, data: bytes) -> None:
+        counted["sent"] += len(data)
+        await write(self, data)
+
+    def update_counted(self: TcpStream, nbytes: int) -> None:
+        counted["received"] += nbytes
+        update(self, nbytes)
+
+    TcpStream.write, TcpStream.buffer_updated = write_counted, update_counted
+    return counted
+
+
+def newest_version(value: dict, known: int) -> int:
+    """Return the version that an entry VM runs after a response to a poll."""
+    return max([known, *(delta["version"] for delta in value.get("deltas", ()))])
+
+
+async def run_clients(arguments: argparse.Namespace) -> None:
+    """Be a third of the entry VMs for one window and print what they counted."""
+    counted, ports = count_bytes(), Ports(arguments.base_port)
+    vms = range(arguments.part, arguments.vms, CLIENT_PROCESSES)
+    times: list[float] = []
+    late = failed = 0
+
+    async def run_vm(vm: int) -> None:
+        nonlocal late, failed
+        link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), KEY)
+        version = arguments.version
+        # A burst begins at once for all; otherwise the VMs are spread over an interval.
+        begin = arguments.begin - (0 if arguments.burst else 2 - 0.5 * vm / arguments.vms)
+        await asyncio.sleep(begin - time.monotonic())
+        number = 0
+        while not number or (not arguments.burst and time.monotonic() < arguments.end):
+            number += 1
+            path, body, limit = make_message(arguments.kind, vm, number, version)
+            sent = time.monotonic()
+            try:
+                response = await link.call(
+                    ports.address(CONTROL_PEERS), "POST", path, body, PATIENCE
+                )
+            except LinkError:
+                failed += 1
+                await asyncio.sleep(0.2)
+                continue
+            now = time.monotonic()
+            if arguments.begin <= now < arguments.end:
+                times.append(now - sent)
+                late += now - sent > limit.total_seconds()
+            version = newest_version(response.value, version)
+            if arguments.kind == "renew":
+                rest = RENEWAL_INTERVAL.total_seconds() - (now - sent)
+                await asyncio.sleep(max(rest, 0))
+
+    async def snapshot() -> tuple[float, int, int]:
+        await asyncio.sleep(arguments.begin - time.monotonic())
+        return time.process_time(), counted["sent"], counted["received"]
+
+    before, *_ = await asyncio.gather(snapshot(), *(run_vm(vm) for vm in vms))
+    result = {
+        "count": len(times),
+        "slowest_s": max(times, default=0),
+        "late": late,
+        "failed": failed,
+        "client_cpu_s": time.process_time() - before[0],
+        "sent": counted["sent"] - before[1],
+        "received": counted["received"] - before[2],
+    }
+    print(json.dumps(result))
+
+
+@attrs.frozen
+class Target:
+    """The control process that is measured, and how it is reached."""
+
+    ports: Ports
+    link: JsonLink
+    pid: object
+
+
+async def run_window(
+    target: Target, kind: str, vms: int, window_s: float, version: int, is_burst=False, during=None
+) -> dict[str, float]:
+    """Let entry VMs send messages for one window; return counts and processor time."""
+    begin = time.monotonic() + LEAD_S
+    command = [sys.executable, "-m", "benchmarks.control_load", "clients", "--kind", kind]
+    command += ["--vms", str(vms), "--version", str(version), "--begin", str(begin)]
+    command += ["--end", str(begin + window_s), "--base-port", str(target.ports.base)]
+    command += ["--burst"] if is_burst else []
+    children = [
+        await asyncio.create_subprocess_exec(
+            *command, "--part", str(part), cwd=ROOT, stdout=asyncio.subprocess.PIPE
+        )
+        for part in range(CLIENT_PROCESSES)
+    ]
+    await asyncio.sleep(begin - time.monotonic())
+    cpu = cpu_seconds(target.pid)
+    if during:
+        await during(begin + window_s)
+    await asyncio.sleep(begin + window_s - time.monotonic())
+    # A burst may outlast its window; its processor time counts until the last response.
+    outputs = await asyncio.gather(*(child.communicate() for child in children)) if is_burst else []
+    cpu = cpu_seconds(target.pid) - cpu
+    outputs = outputs or await asyncio.gather(*(child.communicate() for child in children))
+    parts = [json.loads(output) for output, _ in outputs]
+    total = {name: sum(part[name] for part in parts) for name in parts[0]}
+    total["slowest_s"] = max(part["slowest_s"] for part in parts)
+    return {**total, "cpu_s": cpu, "window_s": window_s}
+
+
+def show(title: str, vms: int, result: dict[str, float]) -> None:
+    """Print one line."""
+    count = max(result["count"], 1)
+    share = result["cpu_s"] / result["window_s"]
+    each_us = {name: result[name] / count * 1e6 for name in ("cpu_s", "client_cpu_s")}
+    print(
+        f"{title:9} {vms:4d} VMs  {result['count']:6.0f} answered  control CPU {share:5.3f} core, "
+        f"{each_us['cpu_s']:6.0f} us each; VM CPU {each_us['client_cpu_s']:5.0f} us each; bytes of "
+        f"a VM {result['sent'] / count:4.0f} out {result['received'] / count:7.0f} in each; "
+        f"slowest {result['slowest_s'] * 1000:6.0f} ms, over limit {result['late']:.0f}, "
+        f"failed {result['failed']:.0f}",
+        flush=True,
+    )
+
+
+async def measure_load(target: Target, numbers: list[int]) -> None:
+    """Measure polls, changes, renewals and bursts at several numbers of entry VMs."""
+    await fill_catalogue(target.link, target.ports, SERVICES)
+    changed = PutService(make_service(0).entry)
+    entry_version = await send_change(target.link, target.ports, REGIONS + 1, changed)
+    for vms in numbers:
+        version = entry_version
+        rest = await run_window(target, "poll", vms, WINDOW_S, version)
+        show("polls", vms, rest)
+
+        async def send_changes(end: float) -> None:
+            nonlocal entry_version
+            for number in range(CHANGES):
+                change = make_service(0, f"owner {number}")
+                entry_version = await send_change(target.link, target.ports, entry_version, change)
+                await asyncio.sleep(min(WINDOW_S / CHANGES, max(end - time.monotonic(), 0)) * 0.9)
+
+        loaded = await run_window(target, "poll", vms, WINDOW_S, version, during=send_changes)
+        show("changes", vms, loaded)
+        show("move", vms, await run_window(target, "move", vms, 2, entry_version, True))
+        show("renewals", vms, await run_window(target, "renew", vms, WINDOW_S, entry_version))
+        show("shares", vms, await run_window(target, "renew", vms, 2, entry_version, True))
+
+
+async def measure_catalogue(target: Target, entries: int) -> None:
+    """Measure memory and the first polls of an availability zone with a large catalogue."""
+    await asyncio.sleep(2)
+    before, cpu = resident_mb(target.pid), cpu_seconds(target.pid)
+    await fill_catalogue(target.link, target.ports, entries)
+    cpu = cpu_seconds(target.pid) - cpu
+    print(
+        f"catalogue of {entries} services: resident {before:.1f} MB before, "
+        f"{resident_mb(target.pid):.1f} MB after, CPU of an accepted change "
+        f"{cpu / (entries + REGIONS) * 1e6:.0f} us"
+    )
+    show("first", ZONE_VMS, await run_window(target, "first", ZONE_VMS, 2, 0, True))
+    print(f"resident after the first polls: {resident_mb(target.pid):.1f} MB", flush=True)
+
+
+def resident_mb(process: object) -> float:
+    """Return the resident memory of a process that this benchmark started."""
+    pages = Path(f"/proc/{process.pid}/statm").read_text().split()[1]
+    return int(pages) * 4096 / 1e6
+
+
+@contextlib.asynccontextmanager
+async def run_control(base_port: int) -> AsyncIterator[Target]:
+    """Run a control process until the end of the block."""
+    ports = Ports(base_port)
+    with tempfile.TemporaryDirectory() as folder:
+        path, _ = write_settings(Path(folder), ports)
+        value = json.loads(path.read_text())
+        # All clients share one IP number here, unlike VMs.
+        path.write_text(json.dumps({**value, "limits": {"connections_per_peer": 2000}}))
+        with start(["-m", "camphorspread", "run", str(path)], ROOT) as process:
+            link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), KEY)
+            yield Target(ports, link, process)
+
+
+async def measure(arguments: argparse.Namespace) -> None:
+    """Run one of the measurements."""
+    if arguments.what == "load":
+        async with run_control(arguments.base_port) as target:
+            await measure_load(target, arguments.sizes)
+        return
+    for entries in arguments.sizes:
+        async with run_control(arguments.base_port) as target:
+            await measure_catalogue(target, entries)
+
+
+def main() -> None:
+    """Read the command line and measure."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("what", choices=("load", "catalogue", "clients"))
+    parser.add_argument("sizes", nargs="*", type=int)
+    parser.add_argument("--base-port", type=int, default=18600)
+    for name, kind in (("vms", int), ("part", int), ("version", int), ("kind", str)):
+        parser.add_argument(f"--{name}", type=kind, help=argparse.SUPPRESS)
+    for name in ("begin", "end"):
+        parser.add_argument(f"--{name}", type=float, help=argparse.SUPPRESS)
+    parser.add_argument("--burst", action="store_true", help=argparse.SUPPRESS)
+    arguments = parser.parse_args()
+    if arguments.what == "clients":
+        asyncio.run(run_clients(arguments))
+        return
+    asyncio.run(measure(arguments))
+
+
+if __name__ == "__main__":
+    main()
