Sort the VMs of a region once and compute permanent parts once for a division

Each renewal of shares sorted the VMs of a region for every VM and key, which took more processor time than all the rest of the leader.

--- a/camphorspread/version/catalogue.py
+++ b/camphorspread/version/catalogue.py
@@ -2,6 +2,7 @@
 
 import enum
 from datetime import timedelta
+from functools import cached_property
 
 import attrs
 
@@ -99,9 +100,9 @@
     delays_ms: dict[str, float] = attrs.field(factory=dict)
     link_bytes_per_second: int = 500000000
 
-    @property
+    @cached_property
     def vms(self) -> tuple[str, ...]:
-        """Names of all entry VMs of the region, sorted."""
+        """Names of all entry VMs of the region; sorted once, as each renewal needs them."""
         return tuple(sorted(vm for zone in self.availability_zones for vm in zone.vms))
 
 
--- a/camphorspread/version/share_allocator.py
+++ b/camphorspread/version/share_allocator.py
@@ -209,7 +209,9 @@
 
 def wanted_amount(allocator: Allocator, key: ShareKey, holder: Holder) -> int:
     """Return what a holder needs of the leased part for its demand."""
-    demand = holder.demand.get(key, RenewalDemand())
+    demand = holder.demand.get(key)
+    if demand is None:
+        return 0
     return max(demand.used + demand.refused - own_part(allocator.newest, key, holder.vm), 0)
 
 
@@ -224,8 +226,10 @@
     )
     if now - holder.heard >= SHARE_LEASE:
         return granted
-    running = holder.demand.get(key, RenewalDemand()).running
-    return max(granted, running - own_part(allocator.newest, key, holder.vm))
+    demand = holder.demand.get(key)
+    if demand is None:
+        return granted
+    return max(granted, demand.running - own_part(allocator.newest, key, holder.vm))
 
 
 def own_part(catalogue: Catalogue, key: ShareKey, vm: str) -> int:
@@ -246,9 +250,16 @@
     catalogues = [*(item for item in recent if has_key(item, key)), allocator.newest]
     if key.kind is ShareKind.SHIFT_CAP:
         return limit_of(allocator.newest, key)
-    vms = {vm for item in catalogues if (entry := item.find_region(key.region)) for vm in entry.vms}
-    permanent = sum(max(own_part(item, key, vm) for item in catalogues) for vm in vms)
-    return max(min(limit_of(item, key) for item in catalogues) - permanent, 0)
+    largest: dict[str, int] = {}
+    for item in catalogues:
+        entry = item.find_region(key.region)
+        if entry is None or not entry.vms:
+            continue
+        # All VMs of an entry have the same part.
+        part = own_part(item, key, entry.vms[0])
+        for vm in entry.vms:
+            largest[vm] = max(largest.get(vm, 0), part)
+    return max(min(limit_of(item, key) for item in catalogues) - sum(largest.values()), 0)
 
 
 def has_key(catalogue: Catalogue, key: ShareKey) -> bool:
--- a/camphorspread/version/shares.py
+++ b/camphorspread/version/shares.py
@@ -37,7 +37,8 @@
     SHIFT_CAP = "shift_cap"
 
 
-@attrs.frozen
+# The leader looks each key up for each holder, so the hash is computed once.
+@attrs.frozen(cache_hash=True)
 class ShareKey:
     """The limit or cap that is shared.
 
