Encode the whole catalogue once for each version

Each first poll encoded the whole catalogue on the leader's loop, so that an availability zone that returns with 34 VMs held the loop.

--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -32,6 +32,7 @@
         link: Messages to other processes.
         access_key: Key of operators and own processes.
         catalogue: The newest accepted catalogue.
+        encoded: The catalogue last sent whole and its JSON.
         changed: Set and replaced at each accepted change.
         view: What this replica knows about the leader.
         delivery: History of changes and acknowledgements of entry VMs.
@@ -47,6 +48,7 @@
     link: JsonLink
     access_key: bytes
     catalogue: Catalogue = attrs.field(factory=Catalogue)
+    encoded: tuple[Catalogue, bytes] | None = None
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
     delivery: Delivery = attrs.field(factory=Delivery)
--- a/camphorspread/process/poll_listener.py
+++ b/camphorspread/process/poll_listener.py
@@ -1,8 +1,10 @@
 """Serves the polls of entry VMs and the operators' list of acknowledgements."""
 
 import asyncio
+import json
 from datetime import timedelta
 
+from camphorspread.connection.messages import ResponseHead
 from camphorspread.connection.server import Exchange
 from camphorspread.process.control_state import ControlState
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -35,7 +37,8 @@
     acknowledge(state.delivery, poll, state.clock.monotonic())
     hold = max(min(timedelta(milliseconds=hold_ms), HOLD_LIMIT), timedelta(0))
     await hold_poll(state, poll, state.clock.monotonic() + hold)
-    await exchange.respond_json(200, make_poll_response(state, poll))
+    head = ResponseHead(200, ((b"content-type", b"application/json"),))
+    await exchange.respond(head, make_poll_response(state, poll))
 
 
 async def hold_poll(state: ControlState, poll: Poll, end: timedelta) -> None:
@@ -52,20 +55,37 @@
             return
 
 
-def make_poll_response(state: ControlState, poll: Poll) -> dict[str, object]:
-    """Return the JSON form of the response to a poll."""
+def make_poll_response(state: ControlState, poll: Poll) -> bytes:
+    """Return the body of the response to a poll."""
     now, newest = state.clock.monotonic(), state.catalogue.version
     # A replica that is behind the entry VM can't vouch for the version that the VM runs.
     lease = has_catalogue_lease(state.view, now) and newest >= poll.version
     match decide_poll(state.delivery, newest, state.view, poll, now):
         case AskLeader(leader=leader):
-            return {"leader": leader}
+            return encode_json({"leader": leader})
         case SendWhole():
-            return {"lease": lease, "catalogue": encode(state.catalogue)}
+            return b'{"lease":%b,"catalogue":%b}' % (encode_json(lease), encode_whole(state))
         case SendDeltas(deltas=deltas):
-            return {"lease": lease, "deltas": encode_deltas(deltas)}
+            return encode_json({"lease": lease, "deltas": encode_deltas(deltas)})
         case Hold():
-            return {"lease": lease}
+            return encode_json({"lease": lease})
+
+
+def encode_whole(state: ControlState) -> bytes:
+    """Return the JSON of the catalogue.
+
+    It is encoded once for each version: the first polls of an availability zone that returns come
+    together, and with a large catalogue their encoding held the loop beyond the leader lease.
+    """
+    catalogue = state.catalogue
+    if state.encoded is None or state.encoded[0] is not catalogue:
+        state.encoded = catalogue, encode_json(encode(catalogue))
+    return state.encoded[1]
+
+
+def encode_json(value: object) -> bytes:
+    """Return compact JSON."""
+    return json.dumps(value, separators=(",", ":")).encode()
 
 
 async def serve_acknowledgements(state: ControlState, exchange: Exchange) -> None:
