--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -71,6 +71,7 @@
     limits: ConnectionLimits
     response_started: bool = False
     aborted: bool = False
+    is_last: bool = False
     status: int = 0
     is_complete: bool = False
     refusal: Refusal | None = None
@@ -78,6 +79,11 @@
     sent_bytes: int = 0
     unsent_head: bytes = b""
 
+    @property
+    def has_whole_body(self) -> bool:
+        """True once the request body has been read to its end."""
+        return self.state.their_state is not h11.SEND_BODY
+
     async def read_body(self) -> bytes:
         """Return the next part of the request body, or `b""` at its end.
 
@@ -140,7 +146,8 @@
 
     def start_response(self, head: ResponseHead) -> None:
         """Begin the response; its head leaves with the first part of the body or on `flush`."""
-        event = h11.Response(status_code=head.status, headers=list(head.headers))
+        headers = [*head.headers, *self._closing_headers()]
+        event = h11.Response(status_code=head.status, headers=headers)
         self.unsent_head = self.state.send(event)
         self.response_started = True
         self.status = head.status
@@ -169,8 +176,8 @@
     async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send a whole response with a body of known length."""
         headers = [*head.headers, (b"content-length", b"%d" % len(body))]
-        if self.state.their_state not in ENDED_STATES:
-            # The rest of the request body stays unread, so that no request can follow it.
+        if self.is_last or self.state.their_state not in ENDED_STATES:
+            # The process is leaving, or the rest of the request body stays unread.
             headers.append((b"connection", b"close"))
         event = h11.Response(status_code=head.status, headers=headers)
         parts = [self.state.send(event)]
@@ -232,6 +239,9 @@
         self.state.receive_data(self.head.method + b" / HTTP/1.0\r\n\r\n")
         self.state.next_event()
 
+    def _closing_headers(self) -> tuple:
+        return ((b"connection", b"close"),) if self.is_last else ()
+
     def _next_event(self) -> object:
         try:
             return self.state.next_event()
@@ -346,8 +356,10 @@
                 # Takes the end of the request, which needs no further byte.
                 state.next_event()
             exchange = Exchange(head, stream.peer, stream, state, self.limits)
+            # The header tells the other end, so that it sends nothing more on this connection.
+            exchange.is_last = self.draining
             await self._handle(exchange)
-            if exchange.aborted or self.draining or state.our_state is h11.MUST_CLOSE:
+            if exchange.aborted or exchange.is_last or state.our_state is h11.MUST_CLOSE:
                 return
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
--- a/camphorspread/process/membership_shell.py
+++ b/camphorspread/process/membership_shell.py
@@ -23,6 +23,7 @@
     apply_event,
 )
 from camphorspread.process.offered import read_rates
+from camphorspread.process.slots import count_free_slots
 
 __all__ = ["handle_membership_event", "run_membership"]
 
@@ -70,7 +71,7 @@
     free, total = {}, {}
     for service in sorted(state.registry.services):
         endpoints = state.registry.list_live(service, now)
-        free[service] = sum(item.free_slots for item in endpoints)
+        free[service] = sum(count_free_slots(item, now) for item in endpoints)
         total[service] = sum(item.announcement.slots for item in endpoints)
     return VmRecord(
         place.vm,
@@ -83,6 +84,7 @@
         free_slots=free,
         total_slots=total,
         catalogue_version=state.catalogue.version if state.catalogue else 0,
+        backend_servers=settings.backend_servers,
         offered_per_second=read_rates(state.offered, now),
         measured=now,
     )
--- a/camphorspread/process/slots.py
+++ b/camphorspread/process/slots.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from camphorspread.process.endpoints import Endpoint
+from camphorspread.process.endpoints import Endpoint, report_weight
 
 __all__ = [
     "EndpointHealth",
@@ -119,7 +119,7 @@
     slots = max(min(endpoint.admitted_slots(now), endpoint.announcement.slots), 1)
     share = (endpoint.in_use + 1) / slots
     failures = recent_failures(health, now)
-    share = max(share, reported_share(health, endpoint, failures))
+    share = max(share, reported_share(health, endpoint, failures, now))
     mean_s = service_time(table, endpoint.announcement.service, now).total_seconds()
     factor = 1.0
     if mean_s and health.latency_s is not None and now - health.measured <= MEASUREMENT_LIFE:
@@ -127,7 +127,9 @@
     return share * factor + failures
 
 
-def reported_share(health: EndpointHealth, endpoint: Endpoint, failures: float) -> float:
+def reported_share(
+    health: EndpointHealth, endpoint: Endpoint, failures: float, now: timedelta
+) -> float:
     """Return the share of slots that the load report calls busy, 0 if it has no weight."""
     report = endpoint.announcement.report
     if report.busy_slots != health.reported_slots or report.sequence < health.report_since:
@@ -137,4 +139,5 @@
         return NO_WEIGHT
     if not report.busy_slots and failures >= 1:
         return NO_WEIGHT
-    return report.busy_slots / endpoint.announcement.slots
+    weight = report_weight(endpoint.reports, endpoint.last_error, now)
+    return weight * report.busy_slots / endpoint.announcement.slots
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -10,7 +10,7 @@
 from camphorspread.connection.messages import Headers, RequestHead, has_body
 from camphorspread.connection.network import Address
 from camphorspread.connection.server import Exchange
-from camphorspread.process.endpoints import Endpoint, EndpointState
+from camphorspread.process.endpoints import Endpoint, record_failure, record_success
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import VmRecord
@@ -21,9 +21,11 @@
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import (
     CALLER_REGION_HEADER,
+    ONCE_CLAIMED_HEADER,
     PASS_PREFIX,
     make_forward_head,
 )
+from camphorspread.request.once import OnceAttempt
 from camphorspread.request.reasons import Reason
 from camphorspread.request.relay import (
     BodyLimitPassed,
@@ -55,6 +57,7 @@
         deadline: Instant by which it must be answered.
         caller_region: Region of the caller.
         is_passed: True if another entry VM passed it here.
+        once: The claim of its once key at this home, or None.
     """
 
     exchange: Exchange
@@ -63,6 +66,7 @@
     deadline: timedelta
     caller_region: str
     is_passed: bool
+    once: OnceAttempt | None = None
 
     @property
     def method(self) -> str:
@@ -190,6 +194,10 @@
         if not isinstance(ending, CallerGone | UploadStalled | BodyLimitPassed):
             is_failure = not isinstance(ending, Relayed)
             record_result(state.slots, endpoint, now - began, is_failure, now)
+            if is_failure:
+                record_failure(endpoint, now)
+            else:
+                record_success(endpoint, now)
         release_slot(state, endpoint)
     return ending
 
@@ -208,7 +216,7 @@
     if isinstance(conn, Failed):
         return conn
     # It may have begun to leave, or its lease may have ended, while the connection was opened.
-    if not is_sendable(endpoint, state.clock.monotonic()):
+    if not endpoint.is_sendable(state.clock.monotonic()):
         state.pool.release_unused(conn)
         message = "the backend server is leaving"
         return Failed(Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.LEAVING))
@@ -224,11 +232,6 @@
         return await send(state, req, attempts, entry, conn, head, is_pass=False)
 
 
-def is_sendable(endpoint: Endpoint, now: timedelta) -> bool:
-    """Return True if new requests may be sent to the endpoint."""
-    return endpoint.lease_end > now and endpoint.announcement.state is EndpointState.ACTIVE
-
-
 async def attempt_pass(
     state: EntryState,
     req: SteeredRequest,
@@ -246,6 +249,8 @@
         (CALLER_REGION_HEADER, req.caller_region.encode()),
         (ACCESS_KEY_HEADER, state.link.access_key),
     )
+    if req.once is not None:
+        extra += ((ONCE_CLAIMED_HEADER, b"1"),)
     if has_body(req.exchange.head.headers):
         extra += ((b"expect", b"100-continue"),)
     target = PASS_PREFIX + req.service.encode() + req.target
@@ -292,7 +297,8 @@
     """Relay the request on a connection and classify the result."""
     may_have_run_before = attempts.may_have_run
     attempts.may_have_run = True
-    result = await relay(req.exchange, conn, head, entry.body_limit_bytes, is_pass)
+    recorder = req.once.recorder if req.once else None
+    result = await relay(req.exchange, conn, head, entry.body_limit_bytes, is_pass, recorder)
     if conn.is_reusable:
         state.pool.release(conn)
     ending = classify(state, req, result)
--- a/camphorspread/request/forwarding.py
+++ b/camphorspread/request/forwarding.py
@@ -16,6 +16,7 @@
 __all__ = [
     "CALLER_REGION_HEADER",
     "ERROR_HEADER",
+    "ONCE_CLAIMED_HEADER",
     "ONCE_KEY_HEADER",
     "OUTCOME_HEADER",
     "PASS_PREFIX",
@@ -31,6 +32,8 @@
 # Headers with this prefix are between own processes; only a once key comes from callers.
 OWN_PREFIX = b"camphorspread-"
 CALLER_REGION_HEADER = b"camphorspread-caller-region"
+# Marks a request whose home passes it to the owner of slots; others go through the ledger.
+ONCE_CLAIMED_HEADER = b"camphorspread-once-claimed"
 ONCE_KEY_HEADER = b"camphorspread-once-key"
 ERROR_HEADER = b"camphorspread-error"
 OUTCOME_HEADER = b"camphorspread-outcome"
--- /dev/null
+++ b/camphorspread/request/passing.py
@@ -0,0 +1,63 @@
+"""Passes a request on to another entry VM."""
+
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.access_key import ACCESS_KEY_HEADER
+from camphorspread.connection.messages import Headers, has_body
+from camphorspread.connection.server import Exchange
+from camphorspread.process.entry_state import EntryState
+from camphorspread.process.fleet import VmRecord
+from camphorspread.process.observer import trace_headers
+from camphorspread.request.forwarding import CALLER_REGION_HEADER, PASS_PREFIX, make_forward_head
+from camphorspread.request.relay import RelayResult, relay
+
+__all__ = ["PassedRequest", "pass_request"]
+
+
+@attrs.frozen
+class PassedRequest:
+    """A request on its way to another entry VM.
+
+    Attributes:
+        exchange: The caller's exchange.
+        service: Name of the service.
+        target: Path and query at the backend server.
+        caller_region: Region of the caller.
+        vm: The entry VM that shall serve it.
+        deadline: Instant by which it must be answered.
+        body_limit_bytes: Largest body.
+    """
+
+    exchange: Exchange
+    service: str
+    target: bytes
+    caller_region: str
+    vm: VmRecord
+    deadline: timedelta
+    body_limit_bytes: int
+
+
+async def pass_request(state: EntryState, passed: PassedRequest) -> RelayResult:
+    """Send a request to another entry VM and stream its response to the caller.
+
+    Raises:
+        OSError: No connection can be opened, so that nothing was sent.
+    """
+    conn = await state.pool.acquire(passed.vm.peers)
+    target = PASS_PREFIX + passed.service.encode() + passed.target
+    extra: Headers = (
+        (CALLER_REGION_HEADER, passed.caller_region.encode()),
+        (ACCESS_KEY_HEADER, state.link.access_key),
+        *trace_headers(state.observer, passed.exchange),
+    )
+    if has_body(passed.exchange.head.headers):
+        extra += ((b"expect", b"100-continue"),)
+    host = str(passed.vm.peers).encode()
+    now = state.clock.monotonic()
+    head = make_forward_head(passed.exchange.head, target, host, passed.deadline, now, extra)
+    result = await relay(passed.exchange, conn, head, passed.body_limit_bytes, is_pass=True)
+    if conn.is_reusable:
+        state.pool.release(conn)
+    return result
--- a/camphorspread/request/steer.py
+++ b/camphorspread/request/steer.py
@@ -1,6 +1,7 @@
 """Serves one steered request: from the choice of a candidate to the end of its response."""
 
 import asyncio
+from functools import partial
 
 import attrs
 from returns.result import Failure, Success
@@ -19,6 +20,14 @@
 )
 from camphorspread.request.deadline import DEADLINE_HEADER, parse_deadline, time_left
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
+from camphorspread.request.forwarding import ONCE_CLAIMED_HEADER, ONCE_KEY_HEADER
+from camphorspread.request.once import (
+    OnceAttempt,
+    check_once_rule,
+    keep_outcome_true,
+    serve_at_home,
+    serve_keyed,
+)
 from camphorspread.request.reasons import Reason
 from camphorspread.request.relay import (
     BodyLimitPassed,
@@ -48,14 +57,28 @@
     """
     if caller_region == state.settings.place.region:
         record_offered(state.offered, service, state.clock.monotonic())
-    await start(state, exchange, service, target, caller_region, is_passed=False)
+    if find_header(exchange.head.headers, ONCE_KEY_HEADER) is not None:
+        run = partial(start, caller_region=caller_region, is_passed=False)
+        await serve_keyed(state, exchange, service, target, caller_region, run)
+    else:
+        await start(state, exchange, service, target, None, caller_region, is_passed=False)
 
 
 async def steer_passed_request(
     state: EntryState, exchange: Exchange, service: str, target: bytes, caller_region: str
 ) -> None:
-    """Serve a request that another entry VM passed here, with this VM's endpoints only."""
-    await start(state, exchange, service, target, caller_region, is_passed=True)
+    """Serve a request that another entry VM passed here.
+
+    One that its home has claimed, or that has no once key, gets this VM's endpoints only. Another
+    one with a once key has been passed to its home, which is this VM.
+    """
+    headers = exchange.head.headers
+    is_claimed = find_header(headers, ONCE_CLAIMED_HEADER) is not None
+    if find_header(headers, ONCE_KEY_HEADER) is not None and not is_claimed:
+        run = partial(start, caller_region=caller_region, is_passed=False)
+        await serve_at_home(state, exchange, service, target, run)
+    else:
+        await start(state, exchange, service, target, None, caller_region, is_passed=True)
 
 
 async def start(
@@ -63,30 +86,33 @@
     exchange: Exchange,
     service: str,
     target: bytes,
+    once: OnceAttempt | None,
     caller_region: str,
     is_passed: bool,
 ) -> None:
     """Check a request and serve it until its deadline."""
     if state.catalogue is None:
         message = "this VM has no catalogue yet"
-        await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message))
+        await refuse(state, exchange, Refusal(ErrorKind.NOT_READY, message), once)
         return
     entry = state.catalogue.find_service(service)
     if entry is None:
-        await refuse(state, exchange, refuse_unknown(service))
+        await refuse(state, exchange, refuse_unknown(service), once)
         return
     length = find_header(exchange.head.headers, b"content-length")
     if length is not None and int(length) > entry.body_limit_bytes:
         message = f"the body is over {entry.body_limit_bytes} bytes"
-        await refuse(state, exchange, Refusal(ErrorKind.BODY_TOO_LARGE, message))
+        await refuse(state, exchange, Refusal(ErrorKind.BODY_TOO_LARGE, message), once)
         return
     now = state.clock.monotonic()
     header = find_header(exchange.head.headers, DEADLINE_HEADER)
     match parse_deadline(header, now, entry.request_time_limit):
         case Failure(refusal):
-            await refuse(state, exchange, refusal)
+            await refuse(state, exchange, refusal, once)
         case Success(deadline):
-            req = SteeredRequest(exchange, service, target, deadline, caller_region, is_passed)
+            req = SteeredRequest(
+                exchange, service, target, deadline, caller_region, is_passed, once
+            )
             await serve(state, req)
 
 
@@ -105,6 +131,9 @@
             ending = await try_candidates(state, req, attempts)
     except TimeoutError:
         ending = Failed(refuse_late(attempts), may_have_run=attempts.may_have_run)
+    finally:
+        if req.once is not None:
+            req.once.was_sent = attempts.may_have_run
     await finish(state, req, ending)
 
 
@@ -126,6 +155,11 @@
         entry = state.catalogue.find_service(req.service)
         if entry is None:
             return give_up(attempts, Failed(refuse_unknown(req.service)))
+        # The newest rules count at each attempt: they may have changed since the request came.
+        has_key = find_header(req.exchange.head.headers, ONCE_KEY_HEADER) is not None
+        rule = check_once_rule(entry, req.method, req.path, has_key)
+        if rule is not None:
+            return give_up(attempts, Failed(rule))
         candidate = next_candidate(state, req, attempts)
         if candidate is None:
             return give_up(attempts, Failed(refuse_no_candidate(req.service)))
@@ -167,7 +201,7 @@
     state: EntryState, req: SteeredRequest, attempts: Attempts, ending: Failed
 ) -> Refusal | None:
     """Return None if another candidate may be tried, else the refusal with the reason."""
-    if ending.is_final:
+    if ending.is_final or (req.once is not None and ending.may_have_run):
         return ending.refusal
     if not attempts.is_sent:
         # Nothing has left this VM yet, so that the next candidate is a first attempt.
@@ -224,7 +258,7 @@
             if may_have_run and refusal.response.outcome is Outcome.NOT_RUN:
                 message = "an attempt may have run before this refusal: " + refusal.message
                 refusal = Refusal(ErrorKind.BACKEND_FAILED, message, refusal.reason)
-            await refuse(state, req.exchange, refusal)
+            await refuse(state, req.exchange, refusal, req.once)
         case ResponseCut(detail=detail):
             state.log.write(Event.RESPONSE_CUT, service=service, cause=detail)
         case CallerGone():
@@ -232,13 +266,17 @@
             state.log.write(Event.CALLER_GONE, service=service)
         case UploadStalled():
             message = "the body made no progress"
-            await refuse(state, req.exchange, Refusal(ErrorKind.UPLOAD_STALLED, message))
+            await refuse(state, req.exchange, Refusal(ErrorKind.UPLOAD_STALLED, message), req.once)
         case BodyLimitPassed():
             message = "the body is over the limit of the catalogue entry"
-            await refuse(state, req.exchange, Refusal(ErrorKind.BODY_LIMIT_PASSED, message))
+            refusal = Refusal(ErrorKind.BODY_LIMIT_PASSED, message)
+            await refuse(state, req.exchange, refusal, req.once)
 
 
-async def refuse(state: EntryState, exchange: Exchange, refusal: Refusal) -> None:
+async def refuse(
+    state: EntryState, exchange: Exchange, refusal: Refusal, once: OnceAttempt | None = None
+) -> None:
     """Send a refusal, or reset the connection if a response has begun, and log it."""
+    refusal = keep_outcome_true(once, refusal)
     state.log.write(Event.REQUEST_REFUSED, kind=refusal.kind.value, reason=refusal.reason.value)
     await refuse_or_abort(exchange, refusal)
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -1,5 +1,6 @@
 """Steps of the delivery of the catalogue."""
 
+import asyncio
 import random
 from datetime import timedelta
 
@@ -13,11 +14,11 @@
     order_replicas,
     take_response,
 )
+from camphorspread.process.drain_watch import receive_signal
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import FleetView, VmRecord
 from camphorspread.process.region_share import find_limits
 from camphorspread.process.settings import ReplicaSettings
-from camphorspread.process.share_renewal import return_shares
 from camphorspread.version.catalogue import (
     AvailabilityZoneEntry,
     Catalogue,
@@ -218,9 +219,11 @@
     assert min(amounts) > 0, amounts
 
 
-@when("{vm} returns its shares")
-def step_return(context, vm):
-    run(context, return_shares(find_entry(context, vm).state))
+@when("{vm} drains until it has ended")
+def step_drain(context, vm):
+    watch = find_entry(context, vm).watch
+    receive_signal(watch)
+    assert run(context, asyncio.wait_for(asyncio.shield(watch.ended), 30)) == 0
 
 
 @then('the other entry VMs hold the shift cap of "{service}" together')
