Count a follower's lease from an echoed time, not from the arrival of an append

A follower gave catalogue leases for 0.6 s after an append had arrived. A partition may hold an append and deliver it late, so that the 3 s bound on a change didn't hold. A response now carries the time on the follower's own clock and a random number of its process, the leader echoes the newest one, and the follower counts from there. A restarted VM whose clock starts at 0 again doesn't take an echo of its former process for its own.

Test: an append held for 10 s gives no lease.

--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -347,7 +347,8 @@
     own = Member(settings.place.vm, stored.identity, settings.peers, settings.operators)
     initial = tuple(Member(item.vm, "", item.peers, item.operators) for item in settings.replicas)
     now = control.clock.monotonic()
-    state = make_replica(own, initial, stored, control.rng.random(), now)
+    jitter, incarnation = control.rng.random(), control.rng.getrandbits(32)
+    state = make_replica(own, initial, stored, jitter, now, incarnation)
     if state.log.base_index != stored.base_index:
         storage.compact(state.log.base_index, state.log.base_term, tuple(state.log.entries))
     control.catalogue = state.committed.catalogue
--- a/camphorspread/version/delivery.py
+++ b/camphorspread/version/delivery.py
@@ -128,7 +128,8 @@
 def has_catalogue_lease(view: ReplicaView, now: timedelta) -> bool:
     """Return True if the catalogue of this replica counts as current for entry VMs."""
     if view.is_leader:
-        return view.lease_end > now
+        # Before that, earlier leaders may have committed changes that this one doesn't know of.
+        return view.has_own_term_entry and view.lease_end > now
     return view.leader_heard is not None and now - view.leader_heard <= FOLLOWER_LIMIT
 
 
--- a/camphorspread/version/replica.py
+++ b/camphorspread/version/replica.py
@@ -102,7 +102,12 @@
 
 
 def make_replica(
-    own: Member, initial: tuple[Member, ...], stored: Stored, jitter: float, now: timedelta
+    own: Member,
+    initial: tuple[Member, ...],
+    stored: Stored,
+    jitter: float,
+    now: timedelta,
+    incarnation: int,
 ) -> ReplicaState:
     """Return the state of a replica at the start of its process.
 
@@ -112,8 +117,11 @@
         stored: What the data folder holds.
         jitter: Random number from 0 to 1.
         now: The present instant.
+        incarnation: Random number of its process.
     """
-    state = ReplicaState(own, initial, now, stored.term, stored.vote, jitter=jitter)
+    state = ReplicaState(
+        own, initial, now, stored.term, stored.vote, jitter=jitter, incarnation=incarnation
+    )
     state.log = MemoryLog(stored.base_index, stored.base_term, list(stored.entries))
     if stored.snapshot is not None:
         load_snapshot(state, stored.snapshot, stored.snapshot_data)
--- a/camphorspread/version/replica_messages.py
+++ b/camphorspread/version/replica_messages.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "AddLearner",
+    "AnswerTime",
     "AppendRequest",
     "AppendResponse",
     "ChangeEntry",
@@ -168,6 +169,19 @@
     is_pre_vote: bool
 
 
+@attrs.frozen
+class AnswerTime:
+    """When a replica sent a response, for itself only.
+
+    Attributes:
+        incarnation: Random number of its process; a restarted VM may count time from 0 again.
+        sent_at: The instant on its own clock.
+    """
+
+    incarnation: int
+    sent_at: timedelta
+
+
 @attrs.frozen
 class AppendRequest:
     """Entries after `previous_index`, or a heartbeat without entries.
@@ -179,6 +193,8 @@
         entries: The entries.
         commit_index: What the leader has committed.
         sent_at: When it was sent, on the leader's clock; the response repeats it.
+        answered: Time in the newest response that the leader had from the receiver, which shows
+            the receiver that `commit_index` isn't older; None if there was none.
     """
 
     term: int
@@ -187,6 +203,7 @@
     entries: tuple[LogEntry, ...]
     commit_index: int
     sent_at: timedelta
+    answered: AnswerTime | None = None
 
 
 @attrs.frozen
@@ -198,12 +215,14 @@
         is_matching: False if the replica lacks the entry before the first one sent.
         index: Last synced entry that matches, or where to go on from after a mismatch.
         sent_at: Of the newest request.
+        answered: When this response was sent; the leader's next request repeats it.
     """
 
     term: int
     is_matching: bool
     index: int
     sent_at: timedelta
+    answered: AnswerTime | None = None
 
 
 @attrs.frozen
--- a/camphorspread/version/replica_state.py
+++ b/camphorspread/version/replica_state.py
@@ -8,6 +8,7 @@
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.changes import apply_change
 from camphorspread.version.replica_messages import (
+    AnswerTime,
     ChangeEntry,
     ChangeOutcome,
     LogEntry,
@@ -124,6 +125,7 @@
         next_index: Next entry to send.
         match_index: Last entry that the replica holds, synced.
         contact: When the newest message that it answered was sent.
+        answered: Time in its newest response, on its own clock.
         chunk_offset: Next byte of the snapshot to send, None while none is being sent.
         chunk_sent: When the last chunk was sent.
     """
@@ -133,6 +135,7 @@
     match_index: int = 0
     chunk_offset: int | None = None
     chunk_sent: timedelta = timedelta(0)
+    answered: AnswerTime | None = None
 
 
 @attrs.define(eq=False)
@@ -214,7 +217,9 @@
         role: What it does at present.
         leader_heard: When it last heard a leader; its start counts, because it may have heard
             one just before.
-        current_at: When it last heard a leader and held everything committed by then.
+        current_at: Newest instant of which it knows that it held everything committed by then:
+            the leader had not yet sent what this replica now holds.
+        incarnation: Random number of its process.
         quorum_heard: When it last heard from a leader or, as the leader, from a majority.
         election_due: When it asks for votes unless it hears a leader.
         given_way: Replicas whose pre-vote has put off its own since it last heard a leader.
@@ -249,6 +254,7 @@
     election_due: timedelta = timedelta(0)
     given_way: set[str] = attrs.field(factory=set)
     jitter: float = 0.0
+    incarnation: int = 0
     written: int = 0
     unsynced: deque[list[int]] = attrs.field(factory=deque)
     synced_index: int = 0
--- a/camphorspread/version/replica_view.py
+++ b/camphorspread/version/replica_view.py
@@ -17,8 +17,8 @@
         lease_end: Until when a leader that has heard from a majority may act as one.
         has_own_term_entry: True once the leader has committed an entry of its own term, so that
             its catalogue holds every change that was ever accepted.
-        leader_heard: When this replica last heard its leader and held everything that the leader
-            had committed by then; None if it never did.
+        leader_heard: Newest instant of which this replica knows, from its leader, that it held
+            everything that was committed by then; None if there is none.
         term: Term of the leader; it grows with each change of leader.
     """
 
--- a/camphorspread/version/replication.py
+++ b/camphorspread/version/replication.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from camphorspread.version.changes import ChangeError, ChangeErrorKind
+from camphorspread.version.freshness import answer_append, count_as_current
 from camphorspread.version.replica_events import (
     AnswerChange,
     AnswerMembership,
@@ -117,7 +118,7 @@
             return advance_commit(state, now)
         case Follower(leader=str(leader)):
             index = min(state.verified_index, state.synced_index)
-            return [Send(leader, AppendResponse(state.term, True, index, state.last_sent_at))]
+            return [answer_append(state, leader, True, index, state.last_sent_at, now)]
     return []
 
 
@@ -157,7 +158,9 @@
         return send_chunk(state, member, progress, now)
     entries = state.log.slice(progress.next_index, previous + ENTRIES_PER_MESSAGE)
     progress.next_index += len(entries)
-    request = AppendRequest(state.term, previous, term, entries, state.committed.index, now)
+    request = AppendRequest(
+        state.term, previous, term, entries, state.committed.index, now, progress.answered
+    )
     return [Send(member, request)]
 
 
@@ -171,8 +174,7 @@
     state.last_sent_at = max(state.last_sent_at, request.sent_at)
     if state.storage_fault:
         index = min(state.verified_index, state.synced_index)
-        response = AppendResponse(state.term, True, index, request.sent_at)
-        return [*effects, Send(source, response)]
+        return [*effects, answer_append(state, source, True, index, request.sent_at, now)]
     log = state.log
     known_term = log.term_at(request.previous_index)
     if request.previous_index >= log.base_index and known_term != request.previous_term:
@@ -180,7 +182,7 @@
         hint = min(log.last_index, request.previous_index - 1)
         if known_term is not None:
             hint = state.committed.index
-        return [*effects, Send(source, AppendResponse(state.term, False, hint, request.sent_at))]
+        return [*effects, answer_append(state, source, False, hint, request.sent_at, now)]
     fresh = tuple(
         entry
         for entry in request.entries
@@ -191,10 +193,9 @@
     end = request.previous_index + len(request.entries)
     state.verified_index = max(state.verified_index, end)
     effects += commit_to(state, min(request.commit_index, state.verified_index))
-    if state.committed.index >= request.commit_index:
-        state.current_at = now
+    count_as_current(state, request)
     index = min(state.verified_index, state.synced_index)
-    return [*effects, Send(source, AppendResponse(state.term, True, index, request.sent_at))]
+    return [*effects, answer_append(state, source, True, index, request.sent_at, now)]
 
 
 def take_progress(
@@ -210,6 +211,8 @@
     if progress is None:
         return []
     progress.contact = max(progress.contact, response.sent_at)
+    if response.answered is not None:
+        progress.answered = response.answered
     if response.is_matching:
         progress.match_index = max(progress.match_index, response.index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/features/version/delivery.feature
+++ b/features/version/delivery.feature
@@ -29,10 +29,18 @@
       | role                             | lease    |
       | a leader                         | a lease  |
       | a leader whose lease ended       | no lease |
+      | a leader without an entry of its term | no lease |
       | a follower                       | a lease  |
       | a follower that heard 0.7 s ago  | no lease |
       | a follower that never heard      | no lease |
 
+  Scenario: A held append and a held response make nothing current
+    Given a group of 3 replicas with an accepted change
+    When an append to a follower is held for 10 seconds and the later ones are lost
+    Then the follower gives no lease when it arrives, and gives one again within 0.5 seconds
+    And the follower's lease at rest is 150 to 300 ms old, or 450 ms after a lost heartbeat
+    And responses that arrive 0.4 seconds late don't extend the leader's lease
+
   Scenario: Versions never decrease and deltas end at the same catalogue as the whole
     Then 30 seeds of polls to replicas that lag differently never lower a version
 
