Ignore unknown fields of own processes and refuse another format version

A different version is refused with the event format_refused (424), once for each host and version, and at the start for a file. Operators' requests stay strict.

Test: 'Added fields are ignored and another major version is refused' in features/process/replicated_catalogue.feature; with the strict converter it failed with 'extra fields found (added)'.

--- a/camphorspread/connection/link.py
+++ b/camphorspread/connection/link.py
@@ -11,9 +11,11 @@
 from camphorspread.connection.messages import RequestHead
 from camphorspread.connection.network import Address
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.version.format import FORMAT
 
-__all__ = ["JsonLink", "JsonResponse", "LinkError"]
+__all__ = ["FORMAT_HEADER", "JsonLink", "JsonResponse", "LinkError"]
 
+FORMAT_HEADER = b"camphorspread-format"
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
@@ -31,10 +33,11 @@
 
 @attrs.define(eq=False)
 class JsonLink:
-    """Sends JSON messages to other processes, with the access key."""
+    """Sends JSON messages to other processes, with access key and format version."""
 
     pool: ConnectionPool
     access_key: bytes = b""
+    format_version: int = FORMAT
 
     async def call(
         self,
@@ -79,6 +82,7 @@
         headers = (
             (b"host", str(address).encode()),
             (ACCESS_KEY_HEADER, self.access_key),
+            (FORMAT_HEADER, b"%d" % self.format_version),
             (b"content-length", b"%d" % len(body)),
         )
         await conn.send_head(RequestHead(method.encode(), target.encode(), headers))
--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -21,6 +21,7 @@
 from camphorspread.process.entry_state import make_entry_state
 from camphorspread.process.events import make_event_log
 from camphorspread.process.settings import ControlSettings, EntrySettings, Settings, read_settings
+from camphorspread.version.format import FormatError
 from camphorspread.version.log_file import LogDamagedError
 
 __all__ = ["run_node"]
@@ -35,7 +36,7 @@
             pass
     try:
         return asyncio.run(run_until_signal(settings))
-    except (OSError, LogDamagedError) as exc:
+    except (OSError, FormatError, LogDamagedError) as exc:
         print(f"the process stops: {exc}", file=sys.stderr)
         return FAILURE
 
@@ -45,6 +46,7 @@
 
     Raises:
         OSError: A listener can't be opened, or the data folder can't be used.
+        FormatError: A file in the data folder has another major version of the format.
         LogDamagedError: A file in the data folder is damaged.
     """
     clock, network, rng = SystemClock(), TcpNetwork(), random.Random()
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -10,6 +10,7 @@
 from camphorspread.process.control_operators import serve_operator
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.message_format import check_message_format
 from camphorspread.process.poll_listener import serve_poll
 from camphorspread.process.replica_shell import ReplicaShell, start_replica
 from camphorspread.process.shares_listener import serve_renewal
@@ -56,6 +57,10 @@
         case Failure(refusal):
             await exchange.refuse(refusal)
             return
+    match check_message_format(exchange, state.log, state.refused_formats):
+        case Failure(refusal):
+            await exchange.refuse(refusal)
+            return
     match exchange.head.method, exchange.head.target:
         case b"POST", b"/v1/catalogue/poll":
             await serve_poll(state, exchange)
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -36,6 +36,7 @@
         view: What this replica knows about the leader.
         delivery: History of changes and acknowledgements of entry VMs.
         allocator: Shares granted to entry VMs while this replica leads.
+        refused_formats: Hosts and format versions of refused messages.
         file_calls: How files in the data folder are written and synced.
     """
 
@@ -51,4 +52,5 @@
     view: ReplicaView = attrs.field(factory=ReplicaView)
     delivery: Delivery = attrs.field(factory=Delivery)
     allocator: Allocator = attrs.field(factory=Allocator)
+    refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
     file_calls: FileCalls = attrs.field(factory=FileCalls)
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -65,6 +65,7 @@
         blocks: Blocks of client addresses and their site numbers.
         sites: Places by site number.
         shift_plan: Shifts between regions that are under way.
+        refused_formats: Hosts and format versions of refused messages.
         offered: Requests of callers of this region in the last second.
     """
 
@@ -95,6 +96,7 @@
     blocks: BlockTable = attrs.field(factory=BlockTable)
     sites: list[Place] = attrs.field(factory=list)
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
+    refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
     offered: OfferedRates = attrs.field(factory=OfferedRates)
 
     def __attrs_post_init__(self) -> None:
--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -44,6 +44,7 @@
     QUORUM_LOST = 421
     QUORUM_REGAINED = 422
     STORAGE_FAILED = 423
+    FORMAT_REFUSED = 424
 
 
 # Events that an operator should look into soon, and events that show a fault.
@@ -57,6 +58,7 @@
         Event.CATALOGUE_POLL_FAILED,
         Event.QUORUM_LOST,
         Event.STORAGE_FAILED,
+        Event.FORMAT_REFUSED,
         Event.CATALOGUE_LEASE_ENDED,
         Event.SHARE_RENEWAL_FAILED,
     }
--- /dev/null
+++ b/camphorspread/process/message_format.py
@@ -0,0 +1,37 @@
+"""Refuses messages of own processes in another major version of the format."""
+
+from returns.result import Failure, Result, Success
+
+from camphorspread.connection.link import FORMAT_HEADER
+from camphorspread.connection.messages import find_header
+from camphorspread.connection.server import Exchange
+from camphorspread.process.events import Event, EventLog
+from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.version.format import FORMAT, FormatError, check_format
+
+__all__ = ["check_message_format"]
+
+
+def check_message_format(
+    exchange: Exchange, log: EventLog, seen: set[tuple[str, str]]
+) -> Result[None, Refusal]:
+    """Check the version that a message states.
+
+    Only the sending of a message is checked: a process of another version refuses it, so that
+    no response of another version is read.
+
+    Args:
+        exchange: The exchange, whose access key was checked.
+        log: Where a refusal is written, once for each host and version.
+        seen: Hosts and versions that were refused before.
+    """
+    stated = find_header(exchange.head.headers, FORMAT_HEADER)
+    given = None if stated is None else stated.decode("latin-1")
+    try:
+        check_format(int(given) if given is not None and given.isdecimal() else given)
+    except FormatError as exc:
+        if (exchange.peer.host, given) not in seen:
+            seen.add((exchange.peer.host, given))
+            log.write(Event.FORMAT_REFUSED, source=exchange.peer.host, given=given, read=FORMAT)
+        return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, str(exc)))
+    return Success(None)
--- a/camphorspread/process/peer_listener.py
+++ b/camphorspread/process/peer_listener.py
@@ -8,6 +8,7 @@
 from camphorspread.process.membership_codec import decode_digest, decode_heartbeat
 from camphorspread.process.membership_exchange import AskWhole, DigestArrived, HeartbeatArrived
 from camphorspread.process.membership_shell import carry_out, handle_membership_event
+from camphorspread.process.message_format import check_message_format
 from camphorspread.process.pass_handler import handle_pass
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import PASS_PREFIX
@@ -24,6 +25,10 @@
     if exchange.head.target.startswith(PASS_PREFIX):
         await handle_pass(state, exchange)
         return
+    match check_message_format(exchange, state.log, state.refused_formats):
+        case Failure(refusal):
+            await exchange.refuse(refusal)
+            return
     match exchange.head.method, exchange.head.target:
         case b"POST", b"/v1/peer/heartbeat":
             await serve_heartbeat(state, exchange)
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -13,6 +13,7 @@
 from camphorspread.process.events import Event
 from camphorspread.version.changes import ChangeError, ChangeErrorKind, ChangeRequest
 from camphorspread.version.delivery import record_change
+from camphorspread.version.format import FORMAT, FormatError
 from camphorspread.version.log_file import LogDamagedError
 from camphorspread.version.replica import (
     Stored,
@@ -331,6 +332,7 @@
         control: The control process.
 
     Raises:
+        FormatError: A file in the data folder has another major version of the format.
         LogDamagedError: A file in the data folder is damaged.
         OSError: The data folder can't be used.
     """
@@ -341,6 +343,10 @@
     if settings.data_folder:
         try:
             storage, stored = open_folder(Path(settings.data_folder), identity, control.file_calls)
+        except FormatError as exc:
+            folder = settings.data_folder
+            control.log.write(Event.FORMAT_REFUSED, source=folder, given=exc.given, read=FORMAT)
+            raise
         except (LogDamagedError, OSError) as exc:
             control.log.write(Event.STORAGE_FAILED, cause=str(exc))
             raise
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -62,9 +62,14 @@
     return value
 
 
-def make_catalogue_converter() -> cattrs.Converter:
-    """Return the converter, which refuses unknown fields and values of another type."""
-    converter = make_converter(forbid_extra_keys=True)
+def make_catalogue_converter(is_strict: bool = True) -> cattrs.Converter:
+    """Return a converter that refuses values of another type.
+
+    Args:
+        is_strict: Refuse unknown fields too, as in operators' requests. What own processes
+            write may have fields of a newer version, which are ignored.
+    """
+    converter = make_converter(forbid_extra_keys=is_strict)
     converter.register_structure_hook(int, structure_whole_number)
     converter.register_structure_hook(str, structure_text)
     converter.register_structure_hook(bool, structure_truth_value)
@@ -74,6 +79,7 @@
 
 
 CONVERTER = make_catalogue_converter()
+TOLERANT_CONVERTER = make_catalogue_converter(is_strict=False)
 
 
 def encode(value: object, kind: type | None = None) -> object:
@@ -95,7 +101,7 @@
     Raises:
         cattrs.errors.ClassValidationError: The value is no catalogue.
     """
-    return CONVERTER.structure(value, Catalogue)
+    return TOLERANT_CONVERTER.structure(value, Catalogue)
 
 
 def describe_fault(exc: Exception, value: object) -> ChangeError:
@@ -139,4 +145,4 @@
     Raises:
         cattrs.errors.IterableValidationError: The value holds no changes.
     """
-    return CONVERTER.structure(value, tuple[Delta, ...])
+    return TOLERANT_CONVERTER.structure(value, tuple[Delta, ...])
--- a/camphorspread/version/replica_codec.py
+++ b/camphorspread/version/replica_codec.py
@@ -9,6 +9,7 @@
 
 from camphorspread.version.changes import ChangeError
 from camphorspread.version.codec import describe_fault, make_catalogue_converter
+from camphorspread.version.format import FORMAT, check_format
 from camphorspread.version.replica_messages import (
     ChangeEntry,
     Envelope,
@@ -33,9 +34,9 @@
 MICROSECOND = timedelta(microseconds=1)
 
 
-def make_replica_converter() -> cattrs.Converter:
-    """Return the converter, which refuses unknown fields and writes instants in microseconds."""
-    converter = make_catalogue_converter()
+def make_replica_converter(is_strict: bool) -> cattrs.Converter:
+    """Return a converter that writes instants in microseconds."""
+    converter = make_catalogue_converter(is_strict)
     converter.register_unstructure_hook(timedelta, lambda value: value // MICROSECOND)
     converter.register_structure_hook(timedelta, lambda value, _: int(value) * MICROSECOND)
     # The payloads come first: the hooks of messages are made from those of their fields.
@@ -44,7 +45,8 @@
     return converter
 
 
-CONVERTER = make_replica_converter()
+CONVERTER = make_replica_converter(is_strict=False)
+OPERATOR_CONVERTER = make_replica_converter(is_strict=True)
 
 
 def encode_replica_value(value: object) -> object:
@@ -53,8 +55,17 @@
 
 
 def to_bytes(value: object) -> bytes:
-    """Return compact JSON text."""
-    return json.dumps(CONVERTER.unstructure(value), separators=(",", ":")).encode()
+    """Return compact JSON text that states the format version."""
+    stated = {"format": FORMAT, **CONVERTER.unstructure(value)}
+    return json.dumps(stated, separators=(",", ":")).encode()
+
+
+def from_bytes(data: bytes, kind: type) -> object:
+    """Read JSON text that states the format version."""
+    value = json.loads(data)
+    if isinstance(value, dict):
+        check_format(value.get("format"))
+    return structure(value, kind)
 
 
 def encode_entry(entry: LogEntry) -> bytes:
@@ -66,9 +77,10 @@
     """Read the payload of a log record.
 
     Raises:
+        FormatError: It has another major version.
         ValueError: The bytes are no log entry.
     """
-    return structure(json.loads(data), LogEntry)
+    return from_bytes(data, LogEntry)
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
@@ -80,9 +92,10 @@
     """Read the bytes of a snapshot.
 
     Raises:
+        FormatError: It has another major version.
         ValueError: The bytes are no snapshot.
     """
-    return structure(json.loads(data), Snapshot)
+    return from_bytes(data, Snapshot)
 
 
 def decode_envelope(value: object) -> Envelope:
@@ -105,6 +118,6 @@
 def decode_membership_change(value: object) -> Result[MembershipChange, ChangeError]:
     """Read a change of the members, naming the first field at fault."""
     try:
-        return Success(CONVERTER.structure(value, MembershipChange))
+        return Success(OPERATOR_CONVERTER.structure(value, MembershipChange))
     except Exception as exc:
         return Failure(describe_fault(exc, value))
--- a/camphorspread/version/replica_storage.py
+++ b/camphorspread/version/replica_storage.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from camphorspread.version.format import FormatError
 from camphorspread.version.log_file import (
     FileCalls,
     LogDamagedError,
@@ -147,6 +148,7 @@
         calls: How files are written and synced.
 
     Raises:
+        FormatError: A file has another major version of the format.
         LogDamagedError: A file is damaged.
         OSError: The folder can't be used, or another process uses it.
     """
@@ -213,6 +215,8 @@
     for number, (offset, payload) in enumerate(records, start=1):
         try:
             entry = decode_entry(payload)
+        except FormatError:
+            raise
         except ValueError as exc:
             raise LogDamagedError(path, offset, f"the record is no log entry: {exc}") from exc
         if entry.index != base_index + number:
--- a/features/process/replicated_catalogue.feature
+++ b/features/process/replicated_catalogue.feature
@@ -9,6 +9,15 @@
     Then all control processes have version 1 and list the change in their history
     And the status of the leader lists all members as up to date
 
+  @fixture.control_group @fixture.data_folder
+  Scenario: Added fields are ignored and another major version is refused
+    Given three control processes with a leader
+    When a replica message, a poll response and a log record have an added field
+    Then all three are read as without it, but an operator's request with one is refused
+    When another process sends messages in format version 2 to all listeners for own processes
+    Then each is refused and logged once with source and version
+    And a log record and a snapshot in format version 2 stop the start with that event
+
   @fixture.control_group
   Scenario: The leader's process ends and the change is sent again
     Given three control processes with a leader
