Add metrics of control processes

Whole-numbered gauges are written out, as six digits would hide small steps.

Test: 'The metrics of a control process show what an operator has to act on' in features/process/replicated_catalogue.feature.

--- /dev/null
+++ b/camphorspread/process/control_metrics.py
@@ -0,0 +1,116 @@
+"""Counters, histogram and gauges of a control process."""
+
+from collections import Counter
+from datetime import timedelta
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from camphorspread.process.metrics import (
+    format_counter,
+    format_gauges,
+    format_labels,
+    format_summary,
+    make_histogram,
+    to_microseconds,
+)
+from camphorspread.version.delivery import (
+    AcknowledgementState,
+    Delivery,
+    list_acknowledgements,
+)
+from camphorspread.version.replica_state import ReplicaState, Role
+
+__all__ = ["ControlMetrics", "format_control_metrics", "record_poll", "record_sync"]
+
+SECOND = timedelta(seconds=1)
+
+
+@attrs.define(eq=False)
+class ControlMetrics:
+    """What a control process counts.
+
+    Attributes:
+        sync_times: Times of the syncs of the log, in microseconds.
+        polls: Answered polls by result.
+    """
+
+    sync_times: HdrHistogram = attrs.field(factory=make_histogram)
+    polls: Counter = attrs.field(factory=Counter)
+
+
+def record_sync(metrics: ControlMetrics, duration: timedelta) -> None:
+    """Record the time of one sync of the log."""
+    metrics.sync_times.record_value(to_microseconds(duration))
+
+
+def record_poll(metrics: ControlMetrics, response: dict[str, object]) -> None:
+    """Count an answered poll as `lease`, `no_lease`, or `leader` if the leader was named."""
+    match response:
+        case {"leader": _}:
+            result = "leader"
+        case {"lease": True}:
+            result = "lease"
+        case _:
+            result = "no_lease"
+    metrics.polls[(result,)] += 1
+
+
+def format_control_metrics(
+    metrics: ControlMetrics,
+    state: ReplicaState,
+    delivery: Delivery,
+    log_bytes: int,
+    now: timedelta,
+) -> str:
+    """Return all metrics of a control process in the usual text format.
+
+    Args:
+        metrics: Counters and histogram.
+        state: The replica.
+        delivery: Polls of the entry VMs.
+        log_bytes: Size of the log's file.
+        now: The present instant.
+    """
+    version = state.committed.catalogue.version
+    states = Counter(item for _, item in list_acknowledgements(delivery, version, now))
+    gauges = {
+        "term": ("Term of the replicated log.", state.term),
+        "commit_index": ("Last committed entry of the log.", state.committed.index),
+        "catalogue_version": ("Catalogue version of this control process.", version),
+        "quorum_contact_seconds": (
+            "Time since the last contact with a quorum.",
+            (now - state.quorum_heard) / SECOND,
+        ),
+        "log_bytes": ("Size of the log's file; 0 without a data folder.", log_bytes),
+        "storage_fault": ("1 once nothing can be stored any more.", int(bool(state.storage_fault))),
+        "entry_vms_current": (
+            "Entry VMs that poll here and run the newest catalogue.",
+            states[AcknowledgementState.CURRENT],
+        ),
+        "entry_vms_lagging": (
+            "Entry VMs that poll here and run an older catalogue.",
+            states[AcknowledgementState.LAGGING],
+        ),
+        "entry_vms_isolated": (
+            "Entry VMs that polled here, but not within the catalogue lease.",
+            states[AcknowledgementState.ISOLATED],
+        ),
+    }
+    lines = format_gauges(gauges)
+    lines += list(format_role(state))
+    lines += format_counter("polls", ("result",), "Answered polls of entry VMs.", metrics.polls)
+    name = "camphorspread_sync_seconds"
+    lines += [f"# HELP {name} Time of a sync of the log.", f"# TYPE {name} summary"]
+    lines += list(format_summary(name, {}, metrics.sync_times))
+    return "\n".join(lines) + "\n"
+
+
+def format_role(state: ReplicaState) -> list[str]:
+    """Return one line for each role, with the value 1 for the present one."""
+    name = "camphorspread_role"
+    lines = [f"# HELP {name} 1 for the present role of the replica.", f"# TYPE {name} gauge"]
+    for role in Role.__args__:
+        labels = format_labels({"role": role.__name__.lower()})
+        lines.append(f"{name}{labels} {int(isinstance(state.role, role))}")
+    return lines
--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_operators.py
@@ -3,10 +3,13 @@
 from returns.result import Failure, Success
 
 from camphorspread.connection.link import LinkError
+from camphorspread.connection.messages import ResponseHead
 from camphorspread.connection.network import Address
 from camphorspread.connection.server import Exchange
+from camphorspread.process.control_metrics import format_control_metrics
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.metrics import METRICS_TYPE
 from camphorspread.process.poll_listener import serve_acknowledgements
 from camphorspread.process.replica_shell import ANSWER_LIMIT, ReplicaShell
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -36,6 +39,8 @@
             await serve_acknowledgements(control, exchange)
         case b"GET", b"/v1/status":
             await exchange.respond_json(200, describe_status(control, shell))
+        case b"GET", b"/metrics":
+            await serve_metrics(control, shell, exchange)
         case b"POST", b"/v1/catalogue/changes":
             await serve_change(control, shell, exchange)
         case b"POST", b"/v1/members":
@@ -44,6 +49,19 @@
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
 
+async def serve_metrics(control: ControlState, shell: ReplicaShell, exchange: Exchange) -> None:
+    """Serve `GET /metrics`."""
+    text = format_control_metrics(
+        control.metrics,
+        shell.state,
+        control.delivery,
+        shell.storage.log_bytes,
+        control.clock.monotonic(),
+    )
+    head = ResponseHead(200, ((b"content-type", METRICS_TYPE),))
+    await exchange.respond(head, text.encode())
+
+
 async def serve_change(control: ControlState, shell: ReplicaShell, exchange: Exchange) -> None:
     """Accept or refuse a change, or forward it to the leader."""
     value = await exchange.read_json()
--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.link import JsonLink
 from camphorspread.connection.network import Network
 from camphorspread.process.clock import Clock
+from camphorspread.process.control_metrics import ControlMetrics
 from camphorspread.process.events import EventLog
 from camphorspread.process.settings import ControlSettings
 from camphorspread.version.catalogue import Catalogue
@@ -37,6 +38,7 @@
         delivery: History of changes and acknowledgements of entry VMs.
         allocator: Shares granted to entry VMs while this replica leads.
         refused_formats: Hosts and format versions of refused messages.
+        metrics: Counted polls and times of syncs.
         file_calls: How files in the data folder are written and synced.
     """
 
@@ -53,4 +55,5 @@
     delivery: Delivery = attrs.field(factory=Delivery)
     allocator: Allocator = attrs.field(factory=Allocator)
     refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
+    metrics: ControlMetrics = attrs.field(factory=ControlMetrics)
     file_calls: FileCalls = attrs.field(factory=FileCalls)
--- a/camphorspread/process/metrics.py
+++ b/camphorspread/process/metrics.py
@@ -9,18 +9,24 @@
 from hdrh.histogram import HdrHistogram
 
 __all__ = [
+    "METRICS_TYPE",
     "Hop",
     "Metrics",
     "RequestKind",
     "ServedRequest",
     "Weight",
+    "format_counter",
+    "format_gauges",
+    "format_labels",
     "format_metrics",
+    "format_summary",
     "make_histogram",
     "record_attempt",
     "record_request",
     "to_microseconds",
 ]
 
+METRICS_TYPE = b"text/plain; version=0.0.4"
 LONGEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 2
 HEAVY_BYTES = 65536
@@ -177,16 +183,9 @@
         metrics: Counters and histograms.
         gauges: Description and value of further gauges, by name.
     """
-    lines: list[str] = []
-    for name, (description, value) in gauges.items():
-        lines += [f"# HELP camphorspread_{name} {description}"]
-        lines += [f"# TYPE camphorspread_{name} gauge", f"camphorspread_{name} {value:g}"]
+    lines = format_gauges(gauges)
     for name, labels, description in COUNTERS:
-        lines += [f"# HELP camphorspread_{name}_total {description}"]
-        lines += [f"# TYPE camphorspread_{name}_total counter"]
-        for key, value in sorted(getattr(metrics, name).items()):
-            pairs = format_labels(dict(zip(labels, key, strict=True)))
-            lines.append(f"camphorspread_{name}_total{pairs} {value}")
+        lines += format_counter(name, labels, description, getattr(metrics, name))
     lines += ["# HELP camphorspread_in_flight Requests in flight."]
     lines += ["# TYPE camphorspread_in_flight gauge"]
     for service, value in sorted(metrics.in_flight.items()):
@@ -195,6 +194,41 @@
     return "\n".join(lines) + "\n"
 
 
+def format_gauges(gauges: dict[str, tuple[str, float]]) -> list[str]:
+    """Return the lines of gauges without labels, given by name as description and value."""
+    lines: list[str] = []
+    for name, (description, value) in gauges.items():
+        # Whole numbers are written out, as rounded ones would hide small steps.
+        text = str(value) if isinstance(value, int) else f"{value:g}"
+        lines += [f"# HELP camphorspread_{name} {description}"]
+        lines += [f"# TYPE camphorspread_{name} gauge", f"camphorspread_{name} {text}"]
+    return lines
+
+
+def format_counter(
+    name: str, labels: tuple[str, ...], description: str, values: Counter
+) -> list[str]:
+    """Return the lines of a counter, whose values are by tuples of label values."""
+    lines = [f"# HELP camphorspread_{name}_total {description}"]
+    lines += [f"# TYPE camphorspread_{name}_total counter"]
+    for key, value in sorted(values.items()):
+        pairs = format_labels(dict(zip(labels, key, strict=True)))
+        lines.append(f"camphorspread_{name}_total{pairs} {value}")
+    return lines
+
+
+def format_summary(name: str, labels: dict[str, object], histogram: HdrHistogram) -> Iterator[str]:
+    """Yield quantiles, sum and count of a histogram of microseconds, in seconds."""
+    for quantile in QUANTILES:
+        value = histogram.get_value_at_percentile(quantile * 100) / 1e6
+        pairs = format_labels({**labels, "quantile": f"{quantile:g}"})
+        yield f"{name}{pairs} {value:g}"
+    total = histogram.get_total_count()
+    mean = histogram.get_mean_value() if total else 0
+    yield f"{name}_sum{format_labels(labels)} {mean * total / 1e6:g}"
+    yield f"{name}_count{format_labels(labels)} {total}"
+
+
 def format_histograms(metrics: Metrics) -> Iterator[str]:
     """Yield the histograms as summaries in seconds."""
     name = "camphorspread_request_seconds"
@@ -205,18 +239,13 @@
     )
     for (service, kind, hop), histogram in ordered:
         labels = {"service": service, "kind": kind.value, "hop": hop.value}
-        for quantile in QUANTILES:
-            value = histogram.get_value_at_percentile(quantile * 100) / 1e6
-            pairs = format_labels({**labels, "quantile": f"{quantile:g}"})
-            yield f"{name}{pairs} {value:g}"
-        total = histogram.get_total_count()
-        mean = histogram.get_mean_value() if total else 0
-        yield f"{name}_sum{format_labels(labels)} {mean * total / 1e6:g}"
-        yield f"{name}_count{format_labels(labels)} {total}"
+        yield from format_summary(name, labels, histogram)
 
 
 def format_labels(labels: dict[str, object]) -> str:
-    """Return labels in braces, with quotes and backslashes escaped."""
+    """Return labels in braces, with quotes and backslashes escaped; nothing without labels."""
+    if not labels:
+        return ""
     escaped = {
         name: str(value).replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
         for name, value in labels.items()
--- a/camphorspread/process/operator_listener.py
+++ b/camphorspread/process/operator_listener.py
@@ -13,7 +13,7 @@
 from camphorspread.process.caller_listener import encode_lookup_response, find_place
 from camphorspread.process.client_blocks import get_block
 from camphorspread.process.entry_state import EntryState
-from camphorspread.process.metrics import format_metrics
+from camphorspread.process.metrics import METRICS_TYPE, format_metrics
 from camphorspread.process.report import make_report
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.lookup import LookupQuery, Place, resolve_lookup
@@ -23,7 +23,6 @@
 
 # The order within a region depends on the caller's block; operators see that of this block.
 OWN_BLOCK = "operators"
-METRICS_TYPE = b"text/plain; version=0.0.4"
 
 
 async def handle_entry_operator(state: EntryState, exchange: Exchange) -> None:
--- a/camphorspread/process/poll_listener.py
+++ b/camphorspread/process/poll_listener.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from camphorspread.connection.server import Exchange
+from camphorspread.process.control_metrics import record_poll
 from camphorspread.process.control_state import ControlState
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.codec import encode, encode_deltas
@@ -35,7 +36,9 @@
     acknowledge(state.delivery, poll, state.clock.monotonic())
     hold = max(min(timedelta(milliseconds=hold_ms), HOLD_LIMIT), timedelta(0))
     await hold_poll(state, poll, state.clock.monotonic() + hold)
-    await exchange.respond_json(200, make_poll_response(state, poll))
+    response = make_poll_response(state, poll)
+    record_poll(state.metrics, response)
+    await exchange.respond_json(200, response)
 
 
 async def hold_poll(state: ControlState, poll: Poll, end: timedelta) -> None:
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -9,6 +9,7 @@
 
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
+from camphorspread.process.control_metrics import record_sync
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
 from camphorspread.version.changes import ChangeError, ChangeErrorKind, ChangeRequest
@@ -178,8 +179,11 @@
         It blocks the loop; changes that arrive meanwhile share the next one.
         """
         sequence, self.sync_sequence = self.sync_sequence, 0
+        clock = self.control.clock
+        started = clock.monotonic()
         try:
             self.storage.sync()
+            record_sync(self.control.metrics, clock.monotonic() - started)
         except OSError as exc:
             self.stop_storing(exc)
             return
--- a/camphorspread/version/replica_storage.py
+++ b/camphorspread/version/replica_storage.py
@@ -30,6 +30,10 @@
 class ReplicaStorage(Protocol):
     """Stores what a replica must not lose; each method may raise `OSError`."""
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log's file."""
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store term and vote, synced."""
 
@@ -53,6 +57,11 @@
 class MemoryStorage:
     """Keeps nothing beyond the process, which then starts as a blank replica."""
 
+    @property
+    def log_bytes(self) -> int:
+        """Return 0, as there is no file."""
+        return 0
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store nothing; the state itself is in memory."""
 
@@ -92,6 +101,11 @@
     base_index: int
     lock: int
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log's file."""
+        return self.log.size
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store term and vote, synced."""
         write_vote(self.folder, self.identity, term, vote, self.calls)
--- a/features/process/replicated_catalogue.feature
+++ b/features/process/replicated_catalogue.feature
@@ -18,6 +18,13 @@
     Then each is refused and logged once with source and version
     And a log record and a snapshot in format version 2 stop the start with that event
 
+  @fixture.control_group @fixture.data_folder
+  Scenario: The metrics of a control process show what an operator has to act on
+    Given three control processes with a leader, each with a data folder
+    When entry VMs poll the leader, one of them then stops and the other one misses a change
+    Then the metrics of the leader tell role, term, versions, syncs, polls and both VMs
+    And those of a control process that was cut off for 5 seconds tell it
+
   @fixture.control_group
   Scenario: The leader's process ends and the change is sent again
     Given three control processes with a leader
