Split the argument parser and the replica's shell by topic

Readers of single arguments and the making of commands from parsed arguments are modules of their own, and so are the start of a replica and its messages under way. Behaviour is unchanged; shown by the features of commands, settings, members and the replicated catalogue.

--- /dev/null
+++ b/camphorspread/process/command/argument_types.py
@@ -0,0 +1,67 @@
+"""Readers of single arguments, which name what is allowed when they refuse one."""
+
+import argparse
+import ipaddress
+import math
+
+from camphorspread.connection.network import Address
+from camphorspread.process.load import parse_template
+
+__all__ = ["bounded_float", "bounded_int", "read_address", "read_ip_number", "read_template"]
+
+
+def read_address(text: str) -> Address:
+    """Read `IP:PORT`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        return Address(host, bounded_int(1, 65535)(port))
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: IP:PORT") from exc
+
+
+def read_ip_number(text: str) -> str:
+    """Read an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: an IP number") from exc
+    return text
+
+
+def bounded_int(low: int, high: int):
+    """Return a reader of whole numbers within bounds, both included."""
+
+    def read_number(text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError as exc:
+            raise argparse.ArgumentTypeError(f"{text!r}; allowed: {low} to {high}") from exc
+        if not low <= value <= high:
+            raise argparse.ArgumentTypeError(f"{value}; allowed: {low} to {high}")
+        return value
+
+    return read_number
+
+
+def bounded_float(high: float):
+    """Return a reader of numbers over 0 up to a bound."""
+
+    def read_number(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError as exc:
+            raise argparse.ArgumentTypeError(f"{text!r}; allowed: a number") from exc
+        if not (math.isfinite(value) and 0 < value <= high):
+            raise argparse.ArgumentTypeError(f"{text}; allowed: over 0, up to {high:g}")
+        return value
+
+    return read_number
+
+
+def read_template(text: str):
+    """Read a request template."""
+    try:
+        return parse_template(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(str(exc)) from exc
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -1,40 +1,30 @@
 """The argument parser: from arguments to a command."""
 
 import argparse
-import getpass
-import ipaddress
-import math
 from collections.abc import Sequence
-from datetime import timedelta
 from pathlib import Path
 
-from camphorspread.connection.network import Address
-from camphorspread.process.command.catalogue_change import ChangeOptions
+from camphorspread.process.command.argument_types import (
+    bounded_float,
+    bounded_int,
+    read_address,
+    read_ip_number,
+    read_template,
+)
 from camphorspread.process.command.commands import (
-    CatalogueApply,
-    CatalogueDrain,
-    CatalogueHistory,
-    CatalogueList,
-    CatalogueShow,
-    CatalogueUndrain,
     CheckCatalogue,
     CheckSettings,
     Command,
-    Explain,
-    Load,
     LocalFleet,
-    MembersAdd,
-    MembersList,
-    MembersPromote,
-    MembersRemove,
-    MembersReplace,
-    Report,
     Run,
-    Status,
     Version,
 )
-from camphorspread.process.command.operator import Target
-from camphorspread.process.load import LoadPlan, parse_template
+from camphorspread.process.command.from_arguments import (
+    make_catalogue_command,
+    make_fleet_command,
+    make_load_command,
+    make_members_command,
+)
 
 __all__ = ["make_parser", "parse_command"]
 
@@ -49,63 +39,6 @@
 MAX_LOAD_SECONDS = 600
 
 
-def read_address(text: str) -> Address:
-    """Read `IP:PORT`."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        return Address(host, bounded_int(1, 65535)(port))
-    except ValueError as exc:
-        raise argparse.ArgumentTypeError(f"{text!r}; allowed: IP:PORT") from exc
-
-
-def read_ip_number(text: str) -> str:
-    """Read an IP number."""
-    try:
-        ipaddress.ip_address(text)
-    except ValueError as exc:
-        raise argparse.ArgumentTypeError(f"{text!r}; allowed: an IP number") from exc
-    return text
-
-
-def bounded_int(low: int, high: int):
-    """Return a reader of whole numbers within bounds, both included."""
-
-    def read_number(text: str) -> int:
-        try:
-            value = int(text)
-        except ValueError as exc:
-            raise argparse.ArgumentTypeError(f"{text!r}; allowed: {low} to {high}") from exc
-        if not low <= value <= high:
-            raise argparse.ArgumentTypeError(f"{value}; allowed: {low} to {high}")
-        return value
-
-    return read_number
-
-
-def bounded_float(high: float):
-    """Return a reader of numbers over 0 up to a bound."""
-
-    def read_number(text: str) -> float:
-        try:
-            value = float(text)
-        except ValueError as exc:
-            raise argparse.ArgumentTypeError(f"{text!r}; allowed: a number") from exc
-        if not (math.isfinite(value) and 0 < value <= high):
-            raise argparse.ArgumentTypeError(f"{text}; allowed: over 0, up to {high:g}")
-        return value
-
-    return read_number
-
-
-def read_template(text: str):
-    """Read a request template."""
-    try:
-        return parse_template(text)
-    except ValueError as exc:
-        raise argparse.ArgumentTypeError(str(exc)) from exc
-
-
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
     parser = argparse.ArgumentParser(
@@ -255,72 +188,3 @@
             return LocalFleet(args.requests, args.base_port)
         case _:
             return Version(args.json)
-
-
-def read_target(args: argparse.Namespace) -> Target:
-    """Return the file that names the fleet."""
-    return Target(args.settings, args.fleet)
-
-
-def make_fleet_command(parser: argparse.ArgumentParser, args: argparse.Namespace) -> Command:
-    """Return the command that asks all processes of the fleet."""
-    target = read_target(args)
-    match args.command:
-        case "status":
-            return Status(target, args.json)
-        case "report":
-            return Report(target, args.json)
-    if not (args.service or args.request or args.caller):
-        parser.error("explain needs --service, --request or --caller")
-    return Explain(target, args.json, args.service, args.request, args.caller or "")
-
-
-def make_members_command(args: argparse.Namespace) -> Command:
-    """Return the command of a `members` action."""
-    target = read_target(args)
-    if args.action == "list":
-        return MembersList(target, args.json)
-    limit = timedelta(seconds=args.wait_seconds)
-    if args.action == "remove":
-        return MembersRemove(target, args.json, args.vm, args.identity, limit)
-    kinds = {"add": MembersAdd, "promote": MembersPromote, "replace": MembersReplace}
-    return kinds[args.action](target, args.json, args.vm, limit)
-
-
-def make_catalogue_command(args: argparse.Namespace) -> Command:
-    """Return the command of a `catalogue` action."""
-    target = read_target(args)
-    match args.action:
-        case "list":
-            return CatalogueList(target, args.json)
-        case "show":
-            return CatalogueShow(target, args.json, args.kind, args.name)
-        case "history":
-            return CatalogueHistory(target, args.json, args.count)
-    wait = timedelta(seconds=args.wait_seconds) if args.wait else None
-    name = args.operator or getpass.getuser()
-    expected = args.expected_version if args.action == "apply" else None
-    options = ChangeOptions(name, args.change_id, expected, wait)
-    match args.action:
-        case "apply":
-            return CatalogueApply(target, args.json, options, args.file)
-        case "drain":
-            owner = args.owner or name
-            return CatalogueDrain(target, args.json, options, args.kind, args.name, owner)
-        case _:
-            return CatalogueUndrain(target, args.json, options, args.kind, args.name)
-
-
-def make_load_command(args: argparse.Namespace) -> Load:
-    """Return the command of `load`."""
-    templates = tuple(args.request or (parse_template("1 GET /"),))
-    plan = LoadPlan(
-        args.service,
-        tuple(args.lookup),
-        templates,
-        args.rate,
-        args.count,
-        timedelta(seconds=args.seconds),
-        args.max_in_flight,
-    )
-    return Load(plan, args.seed, args.output, args.json)
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -12,7 +12,8 @@
 from camphorspread.process.events import Event
 from camphorspread.process.message_format import check_message_format
 from camphorspread.process.poll_listener import serve_poll
-from camphorspread.process.replica_shell import ReplicaShell, start_replica
+from camphorspread.process.replica_shell import ReplicaShell
+from camphorspread.process.replica_start import start_replica
 from camphorspread.process.shares_listener import serve_renewal
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.replica_codec import encode_replica_value
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -3,30 +3,24 @@
 import asyncio
 import errno
 from datetime import timedelta
-from pathlib import Path
 
 import attrs
 
-from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.process.control_metrics import record_sync
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
+from camphorspread.process.replica_transport import ReplicaTransport
 from camphorspread.version.changes import ChangeError, ChangeErrorKind, ChangeRequest
 from camphorspread.version.delivery import record_change
-from camphorspread.version.format import FORMAT, FormatError
-from camphorspread.version.log_file import LogDamagedError
 from camphorspread.version.replica import (
-    Stored,
     apply_event,
-    make_replica,
     make_view,
     next_wake,
 )
 from camphorspread.version.replica_codec import (
     decode_envelope,
     decode_snapshot,
-    encode_replica_value,
     encode_snapshot,
 )
 from camphorspread.version.replica_events import (
@@ -52,16 +46,13 @@
     WriteEntries,
 )
 from camphorspread.version.replica_events import Event as ReplicaEvent
-from camphorspread.version.replica_messages import ChangeOutcome, Envelope, Member, MembershipChange
+from camphorspread.version.replica_messages import ChangeOutcome, Envelope, MembershipChange
 from camphorspread.version.replica_state import ReplicaState
-from camphorspread.version.replica_storage import MemoryStorage, ReplicaStorage, open_folder
+from camphorspread.version.replica_storage import ReplicaStorage
 from camphorspread.version.share_allocator import observe_catalogue
 
-__all__ = ["ReplicaShell", "start_replica"]
+__all__ = ["ANSWER_LIMIT", "ReplicaShell"]
 
-MESSAGE_LIMIT = timedelta(seconds=1)
-# A replica that doesn't answer would otherwise collect messages until their limit.
-MESSAGES_UNDER_WAY = 32
 ANSWER_LIMIT = timedelta(seconds=3)
 ISOLATION_LIMIT = timedelta(seconds=10)
 # The loop's timer may fire a little early; this keeps it from firing again at once.
@@ -79,10 +70,10 @@
         control: The control process that it is part of.
         state: The state machine.
         storage: Its data folder, or memory.
+        transport: Messages under way to other replicas.
         addresses: Where members listen that sent messages, by member identifier.
         change_waiters: Who waits for the outcome of a change, by its identifier.
         membership_waiters: Who waits for a change of the members.
-        under_way: Number of unanswered messages by target.
         sync_sequence: Newest write that the next sync covers, 0 if none is due.
         is_isolated: True once nothing was heard from a majority for 10 s.
     """
@@ -90,11 +81,10 @@
     control: ControlState
     state: ReplicaState
     storage: ReplicaStorage
+    transport: ReplicaTransport
     addresses: dict[str, Address] = attrs.field(factory=dict)
     change_waiters: dict[str, list[asyncio.Future]] = attrs.field(factory=dict)
     membership_waiters: list[asyncio.Future] = attrs.field(factory=list)
-    tasks: set[asyncio.Task] = attrs.field(factory=set)
-    under_way: dict[str, int] = attrs.field(factory=dict)
     sync_sequence: int = 0
     timer: asyncio.TimerHandle | None = None
     is_isolated: bool = False
@@ -241,30 +231,15 @@
         return next((item.peers for item in self.state.initial if item.vm == vm), None)
 
     def send(self, target: str, envelope: Envelope) -> None:
-        """Send a message on its own, or drop it if too many are under way."""
+        """Send a message on its own and handle the messages in its response."""
         address = self.find_address(target)
-        if address is None or self.under_way.get(target, 0) >= MESSAGES_UNDER_WAY:
-            return
-        self.under_way[target] = self.under_way.get(target, 0) + 1
-        task = asyncio.create_task(self.exchange(target, address, envelope))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def exchange(self, target: str, address: Address, envelope: Envelope) -> None:
-        """Send a message and handle the messages in the response."""
-        value = encode_replica_value(envelope)
-        try:
-            response = await self.control.link.call(
-                address, "POST", "/v1/replica/message", value, MESSAGE_LIMIT
-            )
-        except LinkError:
-            return  # Lost messages are repeated; the loss of a majority is reported by itself.
-        finally:
-            self.under_way[target] -= 1
-        if response.status != 200 or not isinstance(response.value, list):
-            return
+        if address is not None:
+            self.transport.send(target, address, envelope, self.take_replies)
+
+    def take_replies(self, target: str, values: list[object]) -> None:
+        """Handle the messages that answer one."""
         try:
-            for item in response.value:
+            for item in values:
                 self.receive(item)
         except ValueError as exc:
             self.control.log.write(Event.HANDLER_FAILED, cause=f"from {target}: {exc}")
@@ -306,10 +281,7 @@
         """End the timer and the messages under way, and release the storage."""
         if self.timer is not None:
             self.timer.cancel()
-        tasks = tuple(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.transport.stop()
         self.storage.close()
 
 
@@ -327,42 +299,3 @@
             return await fut
     except TimeoutError:
         return CHANGE_UNANSWERED
-
-
-def start_replica(control: ControlState) -> ReplicaShell:
-    """Start the replica of a control process from what its data folder holds.
-
-    Args:
-        control: The control process.
-
-    Raises:
-        FormatError: A file in the data folder has another major version of the format.
-        LogDamagedError: A file in the data folder is damaged.
-        OSError: The data folder can't be used.
-    """
-    settings = control.settings
-    identity = f"{control.rng.getrandbits(64):016x}"
-    storage: ReplicaStorage = MemoryStorage()
-    stored = Stored(identity)
-    if settings.data_folder:
-        try:
-            storage, stored = open_folder(Path(settings.data_folder), identity, control.file_calls)
-        except FormatError as exc:
-            folder = settings.data_folder
-            control.log.write(Event.FORMAT_REFUSED, source=folder, given=exc.given, read=FORMAT)
-            raise
-        except (LogDamagedError, OSError) as exc:
-            control.log.write(Event.STORAGE_FAILED, cause=str(exc))
-            raise
-    own = Member(settings.place.vm, stored.identity, settings.peers, settings.operators)
-    initial = tuple(Member(item.vm, "", item.peers, item.operators) for item in settings.replicas)
-    now = control.clock.monotonic()
-    jitter, incarnation = control.rng.random(), control.rng.getrandbits(32)
-    state = make_replica(own, initial, stored, jitter, now, incarnation)
-    if state.log.base_index != stored.base_index:
-        storage.compact(state.log.base_index, state.log.base_term, tuple(state.log.entries))
-    control.catalogue = state.committed.catalogue
-    observe_catalogue(control.allocator, control.catalogue, now)
-    shell = ReplicaShell(control, state, storage)
-    shell.wake()
-    return shell
