--- a/camphorspread/process/control_metrics.py
+++ b/camphorspread/process/control_metrics.py
@@ -32,16 +32,19 @@
 
     Attributes:
         sync_times: Times of the syncs of the log, in microseconds.
+        sync_time_sum: Sum of the recorded microseconds.
         polls: Answered polls by result.
     """
 
     sync_times: HdrHistogram = attrs.field(factory=make_histogram)
+    sync_time_sum: int = 0
     polls: Counter = attrs.field(factory=Counter)
 
 
 def record_sync(metrics: ControlMetrics, duration: timedelta) -> None:
     """Record the time of one sync of the log."""
     metrics.sync_times.record_value(to_microseconds(duration))
+    metrics.sync_time_sum += to_microseconds(duration)
 
 
 def record_poll(metrics: ControlMetrics, response: dict[str, object]) -> None:
@@ -102,7 +105,7 @@
     lines += format_counter("polls", ("result",), "Answered polls of entry VMs.", metrics.polls)
     name = "camphorspread_sync_seconds"
     lines += [f"# HELP {name} Time of a sync of the log.", f"# TYPE {name} summary"]
-    lines += list(format_summary(name, {}, metrics.sync_times))
+    lines += list(format_summary(name, {}, metrics.sync_times, metrics.sync_time_sum))
     return "\n".join(lines) + "\n"
 
 
--- a/camphorspread/process/metrics.py
+++ b/camphorspread/process/metrics.py
@@ -100,6 +100,7 @@
 
     Attributes:
         histograms: By (service, kind, hop).
+        time_sums: Sum of the recorded microseconds of each histogram.
         requests: By (service, kind, weight).
         good: Served on time and whole, by (service, kind, weight).
         errors: By (service, error kind).
@@ -111,6 +112,7 @@
     """
 
     histograms: dict[tuple[str, RequestKind, Hop], HdrHistogram] = attrs.field(factory=dict)
+    time_sums: Counter[tuple[str, RequestKind, Hop]] = attrs.field(factory=Counter)
     requests: Counter = attrs.field(factory=Counter)
     good: Counter = attrs.field(factory=Counter)
     errors: Counter = attrs.field(factory=Counter)
@@ -164,6 +166,7 @@
     if key not in metrics.histograms:
         metrics.histograms[key] = make_histogram()
     metrics.histograms[key].record_value(to_microseconds(time_spent))
+    metrics.time_sums[key] += to_microseconds(time_spent)
 
 
 COUNTERS = (
@@ -217,15 +220,17 @@
     return lines
 
 
-def format_summary(name: str, labels: dict[str, object], histogram: HdrHistogram) -> Iterator[str]:
-    """Yield quantiles, sum and count of a histogram of microseconds, in seconds."""
+def format_summary(
+    name: str, labels: dict[str, object], histogram: HdrHistogram, time_sum: int
+) -> Iterator[str]:
+    """Yield quantiles, sum and count of a histogram of microseconds and their sum, in seconds."""
     for quantile in QUANTILES:
         value = histogram.get_value_at_percentile(quantile * 100) / 1e6
         pairs = format_labels({**labels, "quantile": f"{quantile:g}"})
         yield f"{name}{pairs} {value:g}"
     total = histogram.get_total_count()
-    mean = histogram.get_mean_value() if total else 0
-    yield f"{name}_sum{format_labels(labels)} {mean * total / 1e6:g}"
+    # The mean of a histogram walks all its counts, which takes about 12 ms.
+    yield f"{name}_sum{format_labels(labels)} {time_sum / 1e6:g}"
     yield f"{name}_count{format_labels(labels)} {total}"
 
 
@@ -239,7 +244,8 @@
     )
     for (service, kind, hop), histogram in ordered:
         labels = {"service": service, "kind": kind.value, "hop": hop.value}
-        yield from format_summary(name, labels, histogram)
+        time_sum = metrics.time_sums[(service, kind, hop)]
+        yield from format_summary(name, labels, histogram, time_sum)
 
 
 def format_labels(labels: dict[str, object]) -> str:
