--- a/camphorspread/process/command/catalogue.py
+++ b/camphorspread/process/command/catalogue.py
@@ -45,17 +45,9 @@
             item["time"],
             item["operator"],
             item["change_id"],
-            describe_change(item.get("change")),
+            item["description"] or "-",
         )
         for item in changes
     ]
     table = format_table(("version", "time", "operator", "change", "what"), rows)
     return CommandResult(changes, table)
-
-
-def describe_change(change: dict | None) -> str:
-    """Return kind and name of a change; not every control process keeps its content."""
-    if change is None:
-        return "-"
-    name = change["entry"]["name"] if "entry" in change else change["name"]
-    return f"{change['type']} {name}"
--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_operators.py
@@ -138,7 +138,7 @@
 def list_history(shell: ReplicaShell) -> list[dict[str, object]]:
     """Return the newest accepted changes, newest first.
 
-    What a change did is listed as long as the log holds it; a snapshot keeps only its outcome.
+    The whole change is listed as long as the log holds it; a snapshot keeps its description.
     """
     payloads = (entry.payload for entry in shell.state.log.entries)
     requests = {
@@ -154,6 +154,7 @@
             "time": outcome.time,
             "operator": outcome.operator,
             "change_id": outcome.change_id,
+            "description": outcome.description,
             **requests.get(outcome.change_id, {}),
         }
         for outcome, _ in zip(accepted, range(HISTORY_LENGTH), strict=False)
--- a/camphorspread/version/replica_messages.py
+++ b/camphorspread/version/replica_messages.py
@@ -108,6 +108,7 @@
         time: When the leader decided on it, for people only.
         version: Catalogue version after it; 0 if it was refused.
         error: Why it was refused, None if it was accepted.
+        description: What the change does, with kind and name of its entry; empty if refused.
     """
 
     change_id: str
@@ -115,6 +116,7 @@
     time: str
     version: int
     error: ChangeError | None = None
+    description: str = ""
 
 
 @attrs.frozen
--- a/camphorspread/version/replica_state.py
+++ b/camphorspread/version/replica_state.py
@@ -6,6 +6,7 @@
 import attrs
 
 from camphorspread.version.catalogue import Catalogue
+from camphorspread.version.change_description import describe_change
 from camphorspread.version.changes import apply_change
 from camphorspread.version.replica_messages import (
     AnswerTime,
@@ -99,8 +100,9 @@
                 if error is None:
                     self.catalogue = apply_change(self.catalogue, request.change)
                 version = self.catalogue.version if error is None else 0
+                description = describe_change(request.change) if error is None else ""
                 self.outcomes[request.change_id] = ChangeOutcome(
-                    request.change_id, request.operator, time, version, error
+                    request.change_id, request.operator, time, version, error, description
                 )
                 if len(self.outcomes) > KEPT_OUTCOMES:
                     del self.outcomes[next(iter(self.outcomes))]
