--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -11,6 +11,7 @@
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.forwarding import split_service
 from camphorspread.request.lookup import LookupQuery, LookupResponse, Place, resolve_lookup
+from camphorspread.request.once import find_once_key_prefixes
 from camphorspread.request.steer import refuse, steer_request
 
 __all__ = ["encode_lookup_response", "find_place", "handle_caller"]
@@ -56,7 +57,14 @@
     lookup = LookupQuery(service, find_place(state, address), get_block(address))
     match resolve_lookup(state.catalogue, state.fleet, lookup, state.shift_plan):
         case Success(response):
-            await exchange.respond_json(200, encode_lookup_response(response))
+            entry = state.catalogue.find_service(service)
+            prefixes: dict[str, str] = {}
+            names = tuple(item.vm for item in response.targets)
+            if state.fleet.own_vm in names:
+                state.last_named = state.clock.monotonic()
+            if entry is not None and entry.never_repeated:
+                prefixes = find_once_key_prefixes(state, names)
+            await exchange.respond_json(200, encode_lookup_response(response, prefixes))
         case Failure(refusal):
             await refuse(state, exchange, refusal)
     count_lookup(state, exchange, service)
@@ -78,8 +86,20 @@
     return state.sites[site]
 
 
-def encode_lookup_response(response: LookupResponse) -> dict[str, object]:
-    """Return the JSON form of a lookup response."""
+def encode_lookup_response(
+    response: LookupResponse, prefixes: dict[str, str] | None = None
+) -> dict[str, object]:
+    """Return the JSON form of a lookup response.
+
+    Each target carries its own once key prefix: a caller that can't connect to the first target
+    has sent nothing, so it may use the next one with a key of that home.
+
+    Args:
+        response: The response.
+        prefixes: Once key prefixes by VM, or None for a service without rules that need them.
+    """
+    prefixes = prefixes or {}
+    first = next(iter(prefixes.values()), None)
     return {
         "service": response.service,
         "version": response.version,
@@ -93,6 +113,7 @@
                 "weight": item.weight,
                 "reason": item.reason.value,
             }
+            | ({"once_key_prefix": prefixes[item.vm]} if item.vm in prefixes else {})
             for item in response.targets
         ],
-    }
+    } | ({"once_key_prefix": first} if first else {})
--- a/camphorspread/process/command/run.py
+++ b/camphorspread/process/command/run.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from returns.result import Failure, Success
@@ -42,7 +43,7 @@
 
 
 async def run_until_signal(settings: Settings) -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code.
+    """Run a node until it has ended after SIGTERM or SIGINT; return the exit code.
 
     Raises:
         OSError: A listener can't be opened, or the data folder can't be used.
@@ -55,14 +56,19 @@
     match settings:
         case EntrySettings():
             state = make_entry_state(settings, clock, network, log, rng, access_key)
-            node = asyncio.create_task(run_entry_node(state))
+            return await run_entry_node(state, handle_signals)
         case ControlSettings():
             link = JsonLink(ConnectionPool(network, clock), access_key)
             control = ControlState(settings, clock, network, log, rng, link, access_key)
             node = asyncio.create_task(run_control_node(control))
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.cancel)
+    handle_signals(node.cancel)
     with contextlib.suppress(asyncio.CancelledError):
         await node
     return SUCCESS
+
+
+def handle_signals(handle: Callable[[], object]) -> None:
+    """Call a function on each SIGTERM and SIGINT."""
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, handle)
--- a/camphorspread/process/control_metrics.py
+++ b/camphorspread/process/control_metrics.py
@@ -16,7 +16,9 @@
 )
 from camphorspread.version.delivery import (
     AcknowledgementState,
+    AskLeader,
     Delivery,
+    PollDecision,
     list_acknowledgements,
 )
 from camphorspread.version.replica_state import ReplicaState, Role
@@ -47,15 +49,13 @@
     metrics.sync_time_sum += to_microseconds(duration)
 
 
-def record_poll(metrics: ControlMetrics, response: dict[str, object]) -> None:
-    """Count an answered poll as `lease`, `no_lease`, or `leader` if the leader was named."""
-    match response:
-        case {"leader": _}:
+def record_poll(metrics: ControlMetrics, decision: PollDecision, has_lease: bool) -> None:
+    """Count an answered poll as `lease`, `no_lease`, or `leader` if only the leader answers it."""
+    match decision:
+        case AskLeader():
             result = "leader"
-        case {"lease": True}:
-            result = "lease"
         case _:
-            result = "no_lease"
+            result = "lease" if has_lease else "no_lease"
     metrics.polls[(result,)] += 1
 
 
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -11,6 +11,7 @@
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
 from camphorspread.process.catalogue_poll import poll_catalogue, watch_lease
+from camphorspread.process.drain_watch import DrainWatch, receive_signal, watch_drain
 from camphorspread.process.endpoints import expire_endpoints
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
@@ -28,6 +29,7 @@
 EXPIRY_INTERVAL = timedelta(milliseconds=250)
 
 EntryHandler = Callable[[EntryState, Exchange], Awaitable[None]]
+SignalInstaller = Callable[[Callable[[], None]], None]
 
 
 @attrs.define(eq=False)
@@ -38,11 +40,13 @@
         state: State of the process.
         listeners: Its open listeners: callers, backend servers, peers, operators.
         tasks: Its periodic tasks.
+        watch: Its drain.
     """
 
     state: EntryState
     listeners: tuple[Listener, ...]
     tasks: tuple[asyncio.Task, ...]
+    watch: DrainWatch
 
     async def stop(self) -> None:
         """Close listeners and tasks at once."""
@@ -54,15 +58,32 @@
         self.state.pool.close()
 
 
-async def start_entry_node(state: EntryState) -> EntryNode:
-    """Open the listeners of an entry process and start its tasks."""
+def ignore_signals(_handle: Callable[[], None]) -> None:
+    """Install no signal handler."""
+
+
+async def start_entry_node(
+    state: EntryState, on_signal: SignalInstaller = ignore_signals
+) -> EntryNode:
+    """Open the listeners of an entry process and start its tasks.
+
+    Args:
+        state: State of the process.
+        on_signal: Called once, before the start is logged, with the function to call on SIGTERM.
+    """
+    callers = make_server(state, handle_caller)
+    backend_servers = make_server(state, handle_backend_server)
+    peers = make_server(state, handle_peer)
+    operators = make_server(state, handle_entry_operator)
     listeners = (
-        await listen(state, state.settings.callers, handle_caller),
-        await listen(state, state.settings.backend_servers, handle_backend_server),
-        await listen(state, state.settings.peers, handle_peer),
-        await listen(state, state.settings.operators, handle_entry_operator),
+        await state.network.listen(state.settings.callers, callers.serve),
+        await state.network.listen(state.settings.backend_servers, backend_servers.serve),
+        await state.network.listen(state.settings.peers, peers.serve),
+        await state.network.listen(state.settings.operators, operators.serve),
     )
+    watch = DrainWatch(state, (callers, peers), asyncio.get_running_loop().create_future())
     tasks = (
+        asyncio.create_task(watch_drain(watch)),
         asyncio.create_task(poll_catalogue(state)),
         asyncio.create_task(watch_lease(state)),
         asyncio.create_task(run_membership(state)),
@@ -70,21 +91,31 @@
         asyncio.create_task(expire_periodically(state)),
         asyncio.create_task(run_shifts(state)),
     )
+    on_signal(lambda: receive_signal(watch))
     state.log.write(Event.PROCESS_STARTED, role="entry")
-    return EntryNode(state, listeners, tasks)
+    return EntryNode(state, listeners, tasks, watch)
 
 
-async def run_entry_node(state: EntryState) -> None:
-    """Run an entry process until cancelled."""
-    node = await start_entry_node(state)
+async def run_entry_node(state: EntryState, on_signal: SignalInstaller = ignore_signals) -> int:
+    """Run an entry process until its drain has ended or it is cancelled.
+
+    Args:
+        state: State of the process.
+        on_signal: Called once with the function to call on each SIGTERM.
+
+    Returns:
+        The exit code.
+    """
+    node = await start_entry_node(state, on_signal)
     try:
-        await asyncio.Event().wait()
+        return await node.watch.ended
     finally:
         await node.stop()
+        state.log.write(Event.PROCESS_STOPPED, role="entry")
 
 
-async def listen(state: EntryState, address: Address, handler: EntryHandler) -> Listener:
-    """Open one listener whose handler gets the state of the process."""
+def make_server(state: EntryState, handler: EntryHandler) -> HttpServer:
+    """Return the server of one listener; its handler gets the state of the process."""
 
     def log_refusal(refusal: Refusal, peer: Address) -> None:
         state.log.write(Event.CONNECTION_REFUSED, kind=refusal.kind.value, peer=peer.host)
@@ -92,13 +123,19 @@
     def log_failure(exc: Exception) -> None:
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
-    server = HttpServer(
-        lambda exchange: handler(state, exchange),
+    async def count(exchange: Exchange) -> None:
+        state.requests_in_flight += 1
+        try:
+            await handler(state, exchange)
+        finally:
+            state.requests_in_flight -= 1
+
+    return HttpServer(
+        count,
         state.settings.limits.connection_limits(),
         on_refused=log_refusal,
         on_failed=log_failure,
     )
-    return await state.network.listen(address, server.serve)
 
 
 async def expire_periodically(state: EntryState) -> None:
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -14,6 +14,7 @@
 from camphorspread.process.endpoints import Registry
 from camphorspread.process.events import EventLog
 from camphorspread.process.fleet import FleetView, VmRecord
+from camphorspread.process.ledger import Ending, Ledger
 from camphorspread.process.liveness import Membership
 from camphorspread.process.membership import make_membership
 from camphorspread.process.observer import Observer, make_observer
@@ -24,6 +25,7 @@
 from camphorspread.process.slots import SlotTable
 from camphorspread.request.admission import AdmissionQueue
 from camphorspread.request.lookup import Place
+from camphorspread.request.once_key import HomeIdentity, OnceKey
 from camphorspread.request.retry import RetryBudget
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares, Renewal
@@ -56,6 +58,13 @@
         held_shares: Shares of limits and caps that this VM holds.
         renewal: Requests for shares to the leader.
         is_leaving: True once a planned stop has begun.
+        ledger: Once keys of this VM.
+        running_keys: Ending of each request with a once key that runs here.
+        successors: VM that took over the ledger of each incarnation that left.
+        requests_in_flight: Exchanges of callers and passed requests that are served now.
+        handed_endpoints: Slots in use by service, endpoint and former owner, from handovers.
+        is_handed_over: True once a leaving VM has handed its endpoints over.
+        last_named: When a lookup response last named this VM.
         slots: Measurements at the endpoints.
         share_demand: What this VM used and refused of each share.
         admission: Requests that wait or run at the endpoints of this VM.
@@ -78,6 +87,7 @@
     link: JsonLink
     fleet: FleetView
     membership: Membership
+    ledger: Ledger
     observer: Observer
     catalogue: Catalogue | None = None
     registry: Registry = attrs.field(factory=Registry)
@@ -87,6 +97,12 @@
     held_shares: HeldShares = attrs.field(factory=HeldShares)
     renewal: Renewal = attrs.field(factory=Renewal)
     is_leaving: bool = False
+    running_keys: dict[OnceKey, asyncio.Future[Ending]] = attrs.field(factory=dict)
+    successors: dict[HomeIdentity, str] = attrs.field(factory=dict)
+    requests_in_flight: int = 0
+    last_named: timedelta = timedelta(0)
+    handed_endpoints: dict[tuple[str, str, str], int] = attrs.field(factory=dict)
+    is_handed_over: bool = False
     slots: SlotTable = attrs.field(factory=SlotTable)
     share_demand: ShareDemand = attrs.field(factory=ShareDemand)
     admission: AdmissionQueue = attrs.field(init=False)
@@ -103,6 +119,11 @@
         """Let admission share the registry, measurements and demand of the process."""
         self.admission = AdmissionQueue(self.registry, self.slots, self.share_demand)
 
+    @property
+    def owner_name(self) -> str:
+        """Name of this incarnation as an owner of endpoints."""
+        return f"{self.settings.place.vm}/{self.incarnation}"
+
 
 def make_entry_state(
     settings: EntrySettings,
@@ -115,17 +136,29 @@
     """Return the state of a process that has just started."""
     pool = ConnectionPool(network, clock)
     vms = {
-        item.vm: VmRecord(item.vm, item.availability_zone, item.region, item.callers, item.peers)
+        item.vm: VmRecord(
+            item.vm,
+            item.availability_zone,
+            item.region,
+            item.callers,
+            item.peers,
+            backend_servers=item.backend_servers,
+        )
         for item in settings.entry_vms
     }
     fleet = FleetView(settings.place.vm, vms)
     link = JsonLink(pool, access_key)
-    membership = make_membership(settings.place.vm, vms, clock.monotonic())
+    place, started = settings.place, clock.monotonic()
+    membership = make_membership(place.vm, vms, started)
     incarnation = f"{rng.getrandbits(INCARNATION_BITS):016x}"
+    home = HomeIdentity(place.availability_zone, place.vm, incarnation)
+    ledger = Ledger(home, started)
     observer = make_observer(settings, clock, incarnation)
-    state = EntryState(settings, clock, network, log, rng, pool, link, fleet, membership, observer)
+    state = EntryState(
+        settings, clock, network, log, rng, pool, link, fleet, membership, ledger, observer
+    )
     state.incarnation = incarnation
-    state.started = clock.monotonic()
+    state.started = started
     load_client_blocks(state)
     return state
 
--- a/camphorspread/process/fleet.py
+++ b/camphorspread/process/fleet.py
@@ -35,6 +35,7 @@
         free_slots: Free slots of live endpoints by service, when last heard.
         total_slots: Slots of live endpoints by service, when last heard.
         catalogue_version: Version it runs, when last heard.
+        backend_servers: Where it listens for backend servers.
         offered_per_second: Requests of callers by service in the last second, when last heard.
         measured: When the numbers were received, or None before the first.
     """
@@ -50,6 +51,7 @@
     free_slots: dict[str, int] = attrs.field(factory=dict)
     total_slots: dict[str, int] = attrs.field(factory=dict)
     catalogue_version: int = 0
+    backend_servers: Address | None = None
     offered_per_second: dict[str, int] = attrs.field(factory=dict)
     measured: timedelta | None = None
 
--- a/camphorspread/process/membership_codec.py
+++ b/camphorspread/process/membership_codec.py
@@ -23,6 +23,7 @@
         "region": record.region,
         "callers": [record.callers.host, record.callers.port],
         "peers": [record.peers.host, record.peers.port],
+        "backend_servers": encode_address(record.backend_servers),
         "incarnation": record.incarnation,
         "state": record.state.value,
         "uptime_ms": int((now - stated.started).total_seconds() * 1000),
@@ -51,6 +52,7 @@
             "region": str(region),
             "callers": [str(callers_host), int(callers_port)],
             "peers": [str(peers_host), int(peers_port)],
+            "backend_servers": backend_servers,
             "incarnation": str(incarnation),
             "state": str(state),
             "uptime_ms": int(uptime_ms),
@@ -68,6 +70,7 @@
                 free_slots={service: int(load[0]) for service, load in slots.items()},
                 total_slots={service: int(load[1]) for service, load in slots.items()},
                 catalogue_version=version,
+                backend_servers=decode_address(backend_servers),
                 offered_per_second={service: int(load[2]) for service, load in slots.items()},
             )
             uptime = timedelta(milliseconds=uptime_ms)
@@ -75,6 +78,25 @@
     raise ValueError("a heartbeat has a missing or wrong field")
 
 
+def encode_address(address: Address | None) -> list | None:
+    """Return the JSON form of an address, None for a VM whose address isn't known."""
+    return None if address is None else [address.host, address.port]
+
+
+def decode_address(value: object) -> Address | None:
+    """Read an address or None.
+
+    Raises:
+        ValueError: The value is neither.
+    """
+    match value:
+        case None:
+            return None
+        case [str(host), int(port)]:
+            return Address(host, port)
+    raise ValueError("a heartbeat has a wrong address")
+
+
 def encode_digest(sender: str, summaries: tuple[Summary, ...], now: timedelta) -> object:
     """Return the JSON form of a digest; each summary is a list, as most of them have no members."""
     return {
--- a/camphorspread/process/peer_listener.py
+++ b/camphorspread/process/peer_listener.py
@@ -5,6 +5,7 @@
 from camphorspread.connection.access_key import check_access_key
 from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
+from camphorspread.process.handover import serve_handover
 from camphorspread.process.membership_codec import decode_digest, decode_heartbeat
 from camphorspread.process.membership_exchange import AskWhole, DigestArrived, HeartbeatArrived
 from camphorspread.process.membership_shell import carry_out, handle_membership_event
@@ -34,6 +35,8 @@
             await serve_heartbeat(state, exchange)
         case b"POST", b"/v1/peer/summary":
             await serve_summary(state, exchange)
+        case b"POST", b"/v1/peer/handover":
+            await serve_handover(state, exchange)
         case _:
             await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
 
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -1,6 +1,7 @@
 """Carries one request and its response between two connections."""
 
 import asyncio
+from collections.abc import Awaitable
 
 import attrs
 
@@ -14,6 +15,7 @@
 )
 from camphorspread.request.errors import Refusal
 from camphorspread.request.forwarding import is_framed, make_response_head, read_refusal
+from camphorspread.request.recorder import ResponseRecorder
 
 __all__ = [
     "BodyLimitPassed",
@@ -115,6 +117,7 @@
     head: RequestHead,
     body_limit: int,
     is_pass: bool = False,
+    recorder: ResponseRecorder | None = None,
 ) -> RelayResult:
     """Send the request on `conn` and stream its response to the caller.
 
@@ -128,6 +131,8 @@
         body_limit: Largest body, in bytes.
         is_pass: True if the next hop is an entry VM: the body waits until that VM asks for it,
             and the response may be its refusal.
+        recorder: Gets a copy of the response. With it, a caller that goes away after its whole
+            body has arrived doesn't cancel the request, so that a repeat finds the response.
 
     Returns:
         How it ended.
@@ -136,7 +141,7 @@
         failure = await send_request_head(conn, head)
         if failure is not None:
             return failure
-        return await relay_bodies(exchange, conn, head, body_limit, is_pass)
+        return await relay_bodies(exchange, conn, head, body_limit, is_pass, recorder)
     finally:
         if not conn.is_reusable:
             conn.abort()
@@ -158,19 +163,30 @@
 
 
 async def relay_bodies(
-    exchange: Exchange, conn: ClientConnection, head: RequestHead, body_limit: int, is_pass: bool
+    exchange: Exchange,
+    conn: ClientConnection,
+    head: RequestHead,
+    body_limit: int,
+    is_pass: bool,
+    recorder: ResponseRecorder | None,
 ) -> RelayResult:
     """Stream the body of the request and the response, until either ends the request."""
     body_wanted = asyncio.Event()
     if (b"expect", b"100-continue") not in head.headers:
         body_wanted.set()
-    upload = asyncio.create_task(watch_caller(exchange, conn, body_limit, body_wanted))
-    download = asyncio.create_task(send_response(exchange, conn, head, is_pass, body_wanted))
+    is_cancellable = recorder is None
+    upload = asyncio.create_task(
+        watch_caller(exchange, conn, body_limit, body_wanted, is_cancellable)
+    )
+    download = asyncio.create_task(
+        send_response(exchange, conn, head, is_pass, body_wanted, recorder)
+    )
     try:
         await asyncio.wait({upload, download}, return_when=asyncio.FIRST_COMPLETED)
         if not download.done():
             result = read_upload_fault(upload)
-            if result is not None:
+            is_uploaded = upload.exception() is None
+            if result is not None and (is_cancellable or not is_uploaded):
                 return result
         return await download
     finally:
@@ -201,9 +217,13 @@
 
 
 async def watch_caller(
-    exchange: Exchange, conn: ClientConnection, body_limit: int, body_wanted: asyncio.Event
+    exchange: Exchange,
+    conn: ClientConnection,
+    body_limit: int,
+    body_wanted: asyncio.Event,
+    is_cancellable: bool,
 ) -> None:
-    """Stream the request body, then wait until the caller is gone."""
+    """Stream the request body, then wait until the caller is gone if that cancels the request."""
     size = 0
     await body_wanted.wait()
     while data := await exchange.read_body():
@@ -212,7 +232,8 @@
             raise BodyLimitError
         await conn.send_body(data)
     await conn.finish_request()
-    await exchange.wait_until_gone()
+    if is_cancellable:
+        await exchange.wait_until_gone()
 
 
 async def send_response(
@@ -221,6 +242,7 @@
     head: RequestHead,
     is_pass: bool,
     body_wanted: asyncio.Event,
+    recorder: ResponseRecorder | None,
 ) -> RelayResult:
     """Wait for the response and stream it to the caller."""
     try:
@@ -234,7 +256,10 @@
         return NoResponse(str(exc))
     if not is_framed(head.method, response):
         return NoResponse("the response has neither a length nor chunks")
-    return await stream_response(exchange, conn, make_response_head(response, is_pass))
+    forwarded = make_response_head(response, is_pass)
+    if recorder is not None:
+        return await record_response(exchange, conn, forwarded, recorder)
+    return await stream_response(exchange, conn, forwarded)
 
 
 async def read_final_head(conn: ClientConnection, body_wanted: asyncio.Event) -> ResponseHead:
@@ -268,3 +293,31 @@
         exchange.abort()
         return CallerGone()
     return Relayed(head.status)
+
+
+async def record_response(
+    exchange: Exchange, conn: ClientConnection, head: ResponseHead, recorder: ResponseRecorder
+) -> RelayResult:
+    """Copy the response and stream it to the caller for as long as the caller is there."""
+    recorder.head = head
+    is_there = await is_delivered(exchange.send_head(head))
+    try:
+        while data := await conn.read_body():
+            recorder.add(data)
+            is_there = is_there and await is_delivered(exchange.send_body(data))
+    except ResponseBrokenError as exc:
+        exchange.abort()
+        return ResponseCut(str(exc))
+    # The copy is whole before the caller can see the end, so that a repeat always finds it.
+    recorder.is_whole = True
+    is_there = is_there and await is_delivered(exchange.finish())
+    return Relayed(head.status) if is_there else CallerGone()
+
+
+async def is_delivered(sending: Awaitable[None]) -> bool:
+    """Return False if the caller is gone or has stalled."""
+    try:
+        await sending
+    except (CallerGoneError, StalledError):
+        return False
+    return True
--- a/camphorspread/version/delivery.py
+++ b/camphorspread/version/delivery.py
@@ -21,6 +21,7 @@
     "Delta",
     "Hold",
     "Poll",
+    "PollDecision",
     "SendDeltas",
     "SendWhole",
     "acknowledge",
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -32,7 +32,10 @@
     announcement = Announcement(
         service, name, "sofia-a", Address("127.0.0.2", 7460), slots, report=report
     )
-    return record_announcement(registry, announcement, NOW)
+    endpoint = record_announcement(registry, announcement, NOW)
+    # Other scenarios check the ramp-up.
+    endpoint.ramp_slots = slots
+    return endpoint
 
 
 def make_owner(context, services, slots, **limits):
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -189,9 +189,13 @@
 @when('every second endpoint of "{service}" refuses connections')
 def step_refuse(context, service):
     fleet = context.deployment_fleet
-    for number, endpoint in enumerate(context.plan.endpoints):
-        if endpoint.service == service and number % 2:
-            context.network.kill(fleet.plan.backend_host(number))
+
+    async def refuse():
+        for number, endpoint in enumerate(context.plan.endpoints):
+            if endpoint.service == service and number % 2:
+                context.network.kill(fleet.plan.backend_host(number))
+
+    run(context, refuse())
 
 
 def end_load(context):
--- a/features/version/delivery.feature
+++ b/features/version/delivery.feature
@@ -72,7 +72,7 @@
     Given the operator adds the entry "status-svc"
     And 5 seconds pass
     Then the entry VMs hold the shift cap of "status-svc" together
-    When sofia-a-1 returns its shares
+    When sofia-a-1 drains until it has ended
     And 1.2 seconds pass
     Then the other entry VMs hold the shift cap of "status-svc" together
 
