--- a/camphorspread/process/poll_listener.py
+++ b/camphorspread/process/poll_listener.py
@@ -6,6 +6,7 @@
 
 from camphorspread.connection.messages import ResponseHead
 from camphorspread.connection.server import Exchange
+from camphorspread.process.control_metrics import record_poll
 from camphorspread.process.control_state import ControlState
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.codec import encode, encode_deltas
@@ -60,7 +61,9 @@
     now, newest = state.clock.monotonic(), state.catalogue.version
     # A replica that is behind the entry VM can't vouch for the version that the VM runs.
     lease = has_catalogue_lease(state.view, now) and newest >= poll.version
-    match decide_poll(state.delivery, newest, state.view, poll, now):
+    decision = decide_poll(state.delivery, newest, state.view, poll, now)
+    record_poll(state.metrics, decision, lease)
+    match decision:
         case AskLeader(leader=leader):
             return encode_json({"leader": leader})
         case SendWhole():
--- a/camphorspread/version/replica_storage.py
+++ b/camphorspread/version/replica_storage.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from camphorspread.version.format import FormatError
 from camphorspread.version.log_file import (
     FileCalls,
     LogDamagedError,
@@ -29,6 +30,10 @@
 class ReplicaStorage(Protocol):
     """Stores what a replica must not lose; each method may raise `OSError`."""
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log's file."""
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store term and vote, synced."""
 
@@ -52,6 +57,11 @@
 class MemoryStorage:
     """Keeps nothing beyond the process, which then starts as a blank replica."""
 
+    @property
+    def log_bytes(self) -> int:
+        """Return 0, as there is no file."""
+        return 0
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store nothing; the state itself is in memory."""
 
@@ -91,6 +101,11 @@
     base_index: int
     lock: int
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log's file."""
+        return self.log.size
+
     def store_vote(self, term: int, vote: str | None) -> None:
         """Store term and vote, synced."""
         write_vote(self.folder, self.identity, term, vote, self.calls)
@@ -147,6 +162,7 @@
         calls: How files are written and synced.
 
     Raises:
+        FormatError: A file has another major version of the format.
         LogDamagedError: A file is damaged.
         OSError: The folder can't be used, or another process uses it.
     """
@@ -213,6 +229,8 @@
     for number, (offset, payload) in enumerate(records, start=1):
         try:
             entry = decode_entry(payload)
+        except FormatError:
+            raise
         except ValueError as exc:
             raise LogDamagedError(path, offset, f"the record is no log entry: {exc}") from exc
         if entry.index != base_index + number:
