--- a/camphorspread/process/catalogue_poll.py
+++ b/camphorspread/process/catalogue_poll.py
@@ -10,6 +10,7 @@
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import FleetView
 from camphorspread.process.settings import ReplicaSettings
+from camphorspread.request.rendezvous import unit_hash
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.codec import decode_catalogue, decode_deltas
 from camphorspread.version.delivery import CATALOGUE_LEASE, FIRST_POLL, apply_deltas
@@ -44,15 +45,20 @@
 def order_replicas(
     replicas: tuple[ReplicaSettings, ...], fleet: FleetView
 ) -> tuple[ReplicaSettings, ...]:
-    """Return the replicas with the nearest first: VM, availability zone, region, others."""
+    """Return the replicas with the nearest first: VM, availability zone, region, others.
 
-    def distance(replica: ReplicaSettings) -> tuple[int, str]:
+    Those at the same distance are ordered by a hash, so that the VMs of a region don't all poll the
+    one with the lowest name.
+    """
+
+    def distance(replica: ReplicaSettings) -> tuple[int, float]:
         record, own = fleet.vms.get(replica.vm), fleet.own
+        turn = unit_hash(own.vm, replica.vm)
         if record is None:
-            return 4, replica.vm
+            return 4, turn
         near = (record.vm == own.vm, record.availability_zone == own.availability_zone)
         steps = (*near, record.region == own.region, True)
-        return steps.index(True), replica.vm
+        return steps.index(True), turn
 
     return tuple(sorted(replicas, key=distance))
 
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -1,6 +1,7 @@
 """Steps of the delivery of the catalogue."""
 
 import random
+from collections import Counter
 from datetime import timedelta
 
 import attrs
@@ -152,6 +153,21 @@
     assert choose_replica(choice, NOW).vm == "sofia-a-1"
 
 
+@then(
+    "of {vms:d} VMs at most {most:d} poll the same one of {count:d} equally distant replicas first"
+)
+def step_check_spread(context, vms, most, count):
+    address = Address("127.0.0.1", 1)
+    replicas = tuple(ReplicaSettings(f"far-{number}", address, address) for number in range(count))
+    far = {item.vm: VmRecord(item.vm, "far-a", "far", address, address) for item in replicas}
+    polled = Counter()
+    for number in range(vms):
+        own = VmRecord(f"near-{number}", "near-a", "near", address, address)
+        fleet = FleetView(own.vm, {**far, own.vm: own})
+        polled[order_replicas(replicas, fleet)[0].vm] += 1
+    assert max(polled.values()) <= most, polled
+
+
 def find_entry(context, vm):
     return next(item for item in context.fleet.entries if item.state.settings.place.vm == vm)
 
--- a/features/version/delivery.feature
+++ b/features/version/delivery.feature
@@ -39,6 +39,9 @@
   Scenario: The nearest replica is polled and another one after a failure
     Then the choice of replicas follows distance, avoidance and the named leader
 
+  Scenario: VMs spread their polls over replicas at the same distance
+    Then of 720 VMs at most 130 poll the same one of 7 equally distant replicas first
+
   @fixture.session
   Scenario: An isolated VM knows it and the operator sees it
     Given the operator adds the entries "status-svc" and "filing-svc"
