Sum loads of the shift controller once for each service

For each service and home region the step passed over all VMs once for each region, once a second on each VM.

--- a/benchmarks/control_load.py
+++ b/benchmarks/control_load.py
@@ -3,8 +3,7 @@
 Processor time is that of the control process alone, from `/proc`; entry VMs are asyncio clients in
 three processes of their own. Each run is bounded in count and time.
 
-    python -m benchmarks.control_load load VMS...          polls, changes and renewals
-    python -m benchmarks.control_load catalogue ENTRIES... memory, change, first polls of 34 VMs
+Usage: python -m benchmarks.control_load load VMS...
 """
 
 import argparse
@@ -55,7 +54,7 @@
 # Time for the clients to start and to open their connections before the window begins.
 LEAD_S = 3.0
 CHANGES = 40
-VMS, REGIONS, ZONE_VMS, SERVICES = 720, 8, 34, 16
+VMS, REGIONS, SERVICES = 720, 8, 16
 PATIENCE = timedelta(seconds=20)
 
 
@@ -214,7 +213,8 @@
 
     ports: Ports
     link: JsonLink
-    pid: object
+    process: object
+    entry_settings: Path
 
 
 async def run_window(
@@ -233,13 +233,13 @@
         for part in range(CLIENT_PROCESSES)
     ]
     await asyncio.sleep(begin - time.monotonic())
-    cpu = cpu_seconds(target.pid)
+    cpu = cpu_seconds(target.process)
     if during:
         await during(begin + window_s)
     await asyncio.sleep(begin + window_s - time.monotonic())
     # A burst may outlast its window; its processor time counts until the last response.
     outputs = await asyncio.gather(*(child.communicate() for child in children)) if is_burst else []
-    cpu = cpu_seconds(target.pid) - cpu
+    cpu = cpu_seconds(target.process) - cpu
     outputs = outputs or await asyncio.gather(*(child.communicate() for child in children))
     parts = [json.loads(output) for output, _ in outputs]
     total = {name: sum(part[name] for part in parts) for name in parts[0]}
@@ -286,56 +286,30 @@
         show("shares", vms, await run_window(target, "renew", vms, 2, entry_version, True))
 
 
-async def measure_catalogue(target: Target, entries: int) -> None:
-    """Measure memory and the first polls of an availability zone with a large catalogue."""
-    await asyncio.sleep(2)
-    before, cpu = resident_mb(target.pid), cpu_seconds(target.pid)
-    await fill_catalogue(target.link, target.ports, entries)
-    cpu = cpu_seconds(target.pid) - cpu
-    print(
-        f"catalogue of {entries} services: resident {before:.1f} MB before, "
-        f"{resident_mb(target.pid):.1f} MB after, CPU of an accepted change "
-        f"{cpu / (entries + REGIONS) * 1e6:.0f} us"
-    )
-    show("first", ZONE_VMS, await run_window(target, "first", ZONE_VMS, 2, 0, True))
-    print(f"resident after the first polls: {resident_mb(target.pid):.1f} MB", flush=True)
-
-
-def resident_mb(process: object) -> float:
-    """Return the resident memory of a process that this benchmark started."""
-    pages = Path(f"/proc/{process.pid}/statm").read_text().split()[1]
-    return int(pages) * 4096 / 1e6
-
-
 @contextlib.asynccontextmanager
 async def run_control(base_port: int) -> AsyncIterator[Target]:
     """Run a control process until the end of the block."""
     ports = Ports(base_port)
     with tempfile.TemporaryDirectory() as folder:
-        path, _ = write_settings(Path(folder), ports)
+        path, entry_settings = write_settings(Path(folder), ports)
         value = json.loads(path.read_text())
         # All clients share one IP number here, unlike VMs.
         path.write_text(json.dumps({**value, "limits": {"connections_per_peer": 2000}}))
         with start(["-m", "camphorspread", "run", str(path)], ROOT) as process:
             link = JsonLink(ConnectionPool(TcpNetwork(), SystemClock()), KEY)
-            yield Target(ports, link, process)
+            yield Target(ports, link, process, entry_settings)
 
 
 async def measure(arguments: argparse.Namespace) -> None:
-    """Run one of the measurements."""
-    if arguments.what == "load":
-        async with run_control(arguments.base_port) as target:
-            await measure_load(target, arguments.sizes)
-        return
-    for entries in arguments.sizes:
-        async with run_control(arguments.base_port) as target:
-            await measure_catalogue(target, entries)
+    """Run all measurements."""
+    async with run_control(arguments.base_port) as target:
+        await measure_load(target, arguments.sizes)
 
 
 def main() -> None:
     """Read the command line and measure."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
-    parser.add_argument("what", choices=("load", "catalogue", "clients"))
+    parser.add_argument("what", choices=("load", "clients"))
     parser.add_argument("sizes", nargs="*", type=int)
     parser.add_argument("--base-port", type=int, default=18600)
     for name, kind in (("vms", int), ("part", int), ("version", int), ("kind", str)):
--- a/camphorspread/process/region_load.py
+++ b/camphorspread/process/region_load.py
@@ -2,55 +2,68 @@
 
 from datetime import timedelta
 
+import attrs
+
 from camphorspread.process.fleet import FleetView, VmRecord, VmState
 from camphorspread.process.shift import RegionLoad
 from camphorspread.version.catalogue import Catalogue, DrainKind
 
-__all__ = ["sum_region_loads"]
+__all__ = ["add_delays", "group_live_vms", "sum_region_loads"]
 
 # A VM that never sent numbers has been silent for longer than any limit.
 NEVER_MEASURED = timedelta(days=1)
 
 
+def group_live_vms(catalogue: Catalogue, fleet: FleetView) -> dict[str, list[VmRecord]]:
+    """Return the VMs of each region of the catalogue that aren't lost.
+
+    They are grouped once for all services and home regions, as a fleet has hundreds of VMs.
+    """
+    groups: dict[str, list[VmRecord]] = {region: [] for region in catalogue.regions}
+    for vm in fleet.vms.values():
+        if vm.region in groups and vm.state is not VmState.LOST:
+            groups[vm.region].append(vm)
+    return groups
+
+
 def sum_region_loads(
-    catalogue: Catalogue, fleet: FleetView, service: str, home: str, now: timedelta
+    catalogue: Catalogue, live_vms: dict[str, list[VmRecord]], service: str, now: timedelta
 ) -> dict[str, RegionLoad]:
-    """Return the load of a service in each region of the catalogue.
+    """Return the load of a service in each region of the catalogue, without delays.
 
     Args:
         catalogue: The catalogue in force.
-        fleet: Known entry VMs.
+        live_vms: VMs of each region that aren't lost.
         service: Name of the service.
-        home: The region from which delays are counted.
         now: Current instant.
     """
-    home_entry = catalogue.find_region(home)
-    delays = home_entry.delays_ms if home_entry else {}
-    loads = {}
-    for region in catalogue.regions:
-        vms = [vm for vm in fleet.vms.values() if vm.region == region]
-        is_drained = catalogue.is_drained(DrainKind.REGION, region)
-        loads[region] = sum_load(vms, service, region, now, is_drained, delays.get(region, 0.0))
-    return loads
+    return {
+        region: sum_load(vms, service, region, now, catalogue.is_drained(DrainKind.REGION, region))
+        for region, vms in live_vms.items()
+    }
+
+
+def add_delays(
+    catalogue: Catalogue, loads: dict[str, RegionLoad], home: str
+) -> dict[str, RegionLoad]:
+    """Return the loads with the delays from a home region."""
+    entry = catalogue.find_region(home)
+    delays = entry.delays_ms if entry else {}
+    return {
+        region: attrs.evolve(load, delay_ms=delays[region]) if region in delays else load
+        for region, load in loads.items()
+    }
 
 
 def sum_load(
-    vms: list[VmRecord],
-    service: str,
-    region: str,
-    now: timedelta,
-    is_drained: bool,
-    delay_ms: float,
+    alive: list[VmRecord], service: str, region: str, now: timedelta, is_drained: bool
 ) -> RegionLoad:
     """Return the load of one region; it is as old as the oldest record of a VM in service."""
-    alive = [vm for vm in vms if vm.state is not VmState.LOST]
     slots = sum(vm.total_slots.get(service, 0) for vm in alive)
     free = sum(vm.free_slots.get(service, 0) for vm in alive)
     offered = float(sum(vm.offered_per_second.get(service, 0) for vm in alive))
     age = max((find_age(vm, now) for vm in alive), default=timedelta(0))
-    return RegionLoad(
-        region, slots, max(slots - free, 0), offered, age, not alive, is_drained, delay_ms
-    )
+    return RegionLoad(region, slots, max(slots - free, 0), offered, age, not alive, is_drained)
 
 
 def find_age(vm: VmRecord, now: timedelta) -> timedelta:
--- a/camphorspread/process/shift_shell.py
+++ b/camphorspread/process/shift_shell.py
@@ -5,8 +5,8 @@
 
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
-from camphorspread.process.region_load import sum_region_loads
-from camphorspread.process.shift import ShiftState, step_shift
+from camphorspread.process.region_load import add_delays, group_live_vms, sum_region_loads
+from camphorspread.process.shift import RegionLoad, ShiftState, step_shift
 from camphorspread.version.catalogue import Catalogue, ServiceEntry
 
 __all__ = ["run_shifts", "step_all_shifts"]
@@ -24,15 +24,22 @@
 
 def step_all_shifts(state: EntryState, catalogue: Catalogue) -> None:
     """Decide the next step of each service and home region."""
+    now = state.clock.monotonic()
+    live_vms = group_live_vms(catalogue, state.fleet)
     for versioned in catalogue.services.values():
+        loads = sum_region_loads(catalogue, live_vms, versioned.entry.name, now)
         for home in catalogue.regions:
-            step_one_shift(state, catalogue, versioned.entry, home)
+            step_one_shift(state, versioned.entry, home, add_delays(catalogue, loads, home), now)
 
 
-def step_one_shift(state: EntryState, catalogue: Catalogue, entry: ServiceEntry, home: str) -> None:
+def step_one_shift(
+    state: EntryState,
+    entry: ServiceEntry,
+    home: str,
+    loads: dict[str, RegionLoad],
+    now: timedelta,
+) -> None:
     """Decide the next step of one service and home region, and log what changed."""
-    now = state.clock.monotonic()
-    loads = sum_region_loads(catalogue, state.fleet, entry.name, home, now)
     shift = state.shift_plan.states.setdefault((entry.name, home), ShiftState())
     before = dict(shift.moves)
     others = [load for region, load in loads.items() if region != home]
