Apply the connection limits of the settings of a control process

They were read and ignored. python -m benchmarks.control_load load 720, whose clients share one IP number: 9057 failed polls before, none now.

No scenario guards this yet. All scenarios pass but the six of features/process/sessions.feature, which fail on main too.

--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -26,9 +26,12 @@
     def log_failure(exc: Exception) -> None:
         state.log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
-    peers = HttpServer(lambda exchange: handle_peer(state, shell, exchange), on_failed=log_failure)
+    limits = state.settings.limits.connection_limits()
+    peers = HttpServer(
+        lambda exchange: handle_peer(state, shell, exchange), limits, on_failed=log_failure
+    )
     operators = HttpServer(
-        lambda exchange: handle_operator(state, shell, exchange), on_failed=log_failure
+        lambda exchange: handle_operator(state, shell, exchange), limits, on_failed=log_failure
     )
     return (
         await state.network.listen(state.settings.peers, peers.serve),
