--- a/camphorspread/process/command/commands.py
+++ b/camphorspread/process/command/commands.py
@@ -30,6 +30,7 @@
     "Report",
     "Run",
     "Status",
+    "StubBackends",
     "Version",
 ]
 
@@ -209,6 +210,17 @@
     base_port: int
 
 
+@attrs.frozen
+class StubBackends:
+    """Run stub backend servers beside an entry VM, for trials."""
+
+    settings: Path
+    service: str
+    count: int
+    slots: int
+    service_time: timedelta
+
+
 @attrs.frozen
 class Version:
     """Print the version of the program."""
@@ -236,5 +248,6 @@
     | MembersReplace
     | Load
     | LocalFleet
+    | StubBackends
     | Version
 )
--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -42,6 +42,16 @@
             from camphorspread.process.command.local_fleet import run_local_fleet
 
             return run_local_fleet(requests, base_port)
+        case commands.StubBackends() as command:
+            from camphorspread.process.command.stub_backends import run_stub_backends
+
+            return run_stub_backends(
+                command.settings,
+                command.service,
+                command.count,
+                command.slots,
+                command.service_time,
+            )
         case commands.Version(as_json=as_json):
             from camphorspread.process.command.version import show_version
 
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections.abc import Sequence
+from datetime import timedelta
 from pathlib import Path
 
 from camphorspread.process.command.argument_types import (
@@ -17,6 +18,7 @@
     Command,
     LocalFleet,
     Run,
+    StubBackends,
     Version,
 )
 from camphorspread.process.command.from_arguments import (
@@ -71,6 +73,17 @@
     fleet.add_argument(
         "--base-port", type=bounded_int(1024, 65000), default=17400, help="default: 17400"
     )
+    stub = commands.add_parser("stub-backends", help="run backend servers for trials")
+    stub.add_argument("--settings", type=Path, required=True, help="settings of an entry process")
+    stub.add_argument("service", help="service that they serve")
+    stub.add_argument("--count", type=bounded_int(1, 100), default=2, help="default: 2")
+    stub.add_argument("--slots", type=bounded_int(1, 1000), default=6, help="default: 6")
+    stub.add_argument(
+        "--service-ms",
+        type=bounded_int(1, 60000),
+        default=20,
+        help="time of a request, default: 20",
+    )
     version = commands.add_parser("version", help="print the version")
     version.add_argument("--json", action="store_true", help="print JSON")
     return parser
@@ -186,5 +199,8 @@
             return make_load_command(args)
         case "local-fleet":
             return LocalFleet(args.requests, args.base_port)
+        case "stub-backends":
+            service_time = timedelta(milliseconds=args.service_ms)
+            return StubBackends(args.settings, args.service, args.count, args.slots, service_time)
         case _:
             return Version(args.json)
--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -32,6 +32,8 @@
       | load status-svc --lookup 127.0.0.1:1 --rate 0                 | 2    | allowed: over 0                            |
       | load status-svc --lookup 127.0.0.1:1 --request get            | 2    | allowed: 'WEIGHT METHOD                    |
       | local-fleet --requests 0                                      | 2    | allowed: 1 to                              |
+      | stub-backends status-svc                                      | 2    | the following arguments are required       |
+      | stub-backends --settings FOLDER/control.json status-svc       | 2    | role must be 'entry'                       |
       | version --short                                               | 2    | unrecognized arguments                     |
 
   @fixture.session
