--- a/benchmarks/membership_load.py
+++ b/benchmarks/membership_load.py
@@ -20,10 +20,11 @@
 
 from benchmarks.control_load import count_bytes
 from benchmarks.request_overhead import KEY, ROOT, Ports, cpu_seconds, start
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import JsonLink, LinkError
 from camphorspread.connection.network import TcpNetwork
 from camphorspread.connection.pool import ConnectionPool
-from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.connection.server import HttpServer
 from camphorspread.process.clock import SystemClock
 from camphorspread.process.liveness import list_records
 from camphorspread.process.membership_codec import (
--- /dev/null
+++ b/camphorspread/connection/exchange.py
@@ -0,0 +1,302 @@
+"""One request on a server connection and its response."""
+
+import asyncio
+import json
+from datetime import timedelta
+
+import attrs
+import h11
+
+from camphorspread.connection.limits import ConnectionLimits
+from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.network import Address, Stream
+from camphorspread.request.errors import ErrorKind, Refusal
+
+__all__ = [
+    "ENDED_STATES",
+    "CallerGoneError",
+    "Exchange",
+    "RefusedError",
+    "StalledError",
+    "make_protocol_refusal",
+    "receive_into",
+    "refuse_or_abort",
+]
+
+
+class CallerGoneError(Exception):
+    """The other end closed or reset the connection before the exchange ended."""
+
+
+class StalledError(Exception):
+    """The other end made no progress within the limit."""
+
+
+class RefusedError(Exception):
+    """The other end broke a rule of HTTP or a limit.
+
+    Attributes:
+        refusal: The response that it gets, where one can still be sent.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep the refusal."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request on a server connection and its response.
+
+    Attributes:
+        response_started: True once a part of the response may have been sent.
+        aborted: True once the connection has been reset or can't carry another request.
+        status: Status of the response; 0 before its head.
+        is_complete: True once the whole response was sent.
+        refusal: The refusal that was sent, or that reset the connection.
+        received_bytes: Body bytes received.
+        sent_bytes: Body bytes sent.
+        unsent_head: Bytes of the response's head that leave with the next write.
+    """
+
+    head: RequestHead
+    peer: Address
+    stream: Stream
+    state: h11.Connection
+    limits: ConnectionLimits
+    response_started: bool = False
+    aborted: bool = False
+    is_last: bool = False
+    status: int = 0
+    is_complete: bool = False
+    refusal: Refusal | None = None
+    received_bytes: int = 0
+    sent_bytes: int = 0
+    unsent_head: bytes = b""
+
+    @property
+    def has_whole_body(self) -> bool:
+        """True once the request body has been read to its end."""
+        return self.state.their_state is not h11.SEND_BODY
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the request body, or `b""` at its end.
+
+        A caller that waits for status 100 gets it here, once the body is wanted.
+
+        Raises:
+            CallerGoneError: The connection ended within the body.
+            StalledError: No byte arrived within the progress limit.
+            RefusedError: The body breaks the framing.
+        """
+        if self.state.their_state in ENDED_STATES:
+            return b""
+        while True:
+            if self.state.they_are_waiting_for_100_continue:
+                await self.send_continue()
+            event = self._next_event()
+            match event:
+                case h11.Data(data=data):
+                    if data:
+                        self.received_bytes += len(data)
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    return b""
+                case h11.ConnectionClosed():
+                    raise CallerGoneError
+                case h11.NEED_DATA:
+                    await self._receive()
+                case _:
+                    return b""
+
+    async def read_json(self) -> object:
+        """Read the whole body as JSON.
+
+        Raises:
+            RefusedError: The body is over the limit or no JSON.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while part := await self.read_body():
+            size += len(part)
+            if size > self.limits.json_body_bytes:
+                message = f"the body is over {self.limits.json_body_bytes} bytes"
+                raise RefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, message))
+            parts.append(part)
+        try:
+            return json.loads(b"".join(parts))
+        except ValueError as exc:
+            refusal = Refusal(ErrorKind.MALFORMED_REQUEST, "the body isn't valid JSON")
+            raise RefusedError(refusal) from exc
+
+    async def send_continue(self) -> None:
+        """Tell the other end to send its body."""
+        event = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+        await self._send(event)
+
+    async def send_head(self, head: ResponseHead) -> None:
+        """Send the head of the response."""
+        self.start_response(head)
+        await self.flush()
+
+    def start_response(self, head: ResponseHead) -> None:
+        """Begin the response; its head leaves with the first part of the body or on `flush`."""
+        headers = [*head.headers, *self._closing_headers()]
+        event = h11.Response(status_code=head.status, headers=headers)
+        self.unsent_head = self.state.send(event)
+        self.response_started = True
+        self.status = head.status
+
+    async def flush(self) -> None:
+        """Send the head of the response if it hasn't left yet."""
+        if self.unsent_head:
+            await self._write(b"")
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the response body."""
+        await self._send(h11.Data(data=data))
+        self.sent_bytes += len(data)
+
+    async def finish(self) -> None:
+        """End the response."""
+        await self._send(h11.EndOfMessage())
+        await self.flush()
+        self.is_complete = True
+
+    def abort(self) -> None:
+        """Reset the connection, so that the response can't look complete."""
+        self.aborted = True
+        self.stream.abort()
+
+    async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
+        """Send a whole response with a body of known length."""
+        headers = [*head.headers, (b"content-length", b"%d" % len(body))]
+        if self.is_last or self.state.their_state not in ENDED_STATES:
+            # The process is leaving, or the rest of the request body stays unread.
+            headers.append((b"connection", b"close"))
+        event = h11.Response(status_code=head.status, headers=headers)
+        parts = [self.state.send(event)]
+        self.response_started = True
+        self.status = head.status
+        if body and self.head.method != b"HEAD":
+            parts.append(self.state.send(h11.Data(data=body)))
+        parts.append(self.state.send(h11.EndOfMessage()))
+        await self._write(b"".join(part for part in parts if part))
+        self.sent_bytes += len(body)
+        self.is_complete = True
+
+    async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
+        """Send a whole response as JSON."""
+        body = json.dumps(value, separators=(",", ":")).encode()
+        content_type = (b"content-type", b"application/json")
+        await self.respond(ResponseHead(status, (content_type, *headers)), body)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send the response that belongs to the refusal's error kind."""
+        self.refusal = refusal
+        if self.state.our_state is h11.ERROR:
+            self._renew_state()
+        response = refusal.response
+        headers = (
+            (b"camphorspread-error", refusal.kind.value.encode()),
+            (b"camphorspread-outcome", response.outcome.value.encode()),
+            (b"camphorspread-reason", refusal.reason.value.encode()),
+        )
+        value = {
+            "error": refusal.kind.value,
+            "outcome": response.outcome.value,
+            "reason": refusal.reason.value,
+            "message": refusal.message,
+        }
+        await self.respond_json(response.status, value, headers)
+
+    async def wait_until_gone(self) -> None:
+        """Return when the other end closes the connection; the body must have been read.
+
+        Bytes of a next request that arrive early are kept for it.
+        """
+        while self.state.their_state is not h11.CLOSED:
+            try:
+                data = await self.stream.read()
+            except ConnectionError:
+                return
+            self.state.receive_data(data)
+            if not data:
+                return
+            if len(self.state.trailing_data[0]) > self.limits.header_bytes:
+                # Many pipelined requests: the rest stays in the stream, for back-pressure.
+                await asyncio.Event().wait()
+
+    def _renew_state(self) -> None:
+        """Replace the HTTP state after a fault in a response that hasn't left, to send another."""
+        self.aborted = True
+        self.state = h11.Connection(h11.SERVER)
+        self.state.receive_data(self.head.method + b" / HTTP/1.0\r\n\r\n")
+        self.state.next_event()
+
+    def _closing_headers(self) -> tuple:
+        return ((b"connection", b"close"),) if self.is_last else ()
+
+    def _next_event(self) -> object:
+        try:
+            return self.state.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise RefusedError(make_protocol_refusal(exc)) from exc
+
+    async def _receive(self) -> None:
+        await receive_into(self.state, self.stream, self.limits.progress)
+
+    async def _send(self, event: object) -> None:
+        data = self.state.send(event)
+        if data:
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        data, self.unsent_head = self.unsent_head + data, b""
+        try:
+            async with asyncio.timeout(self.limits.progress.total_seconds()):
+                await self.stream.write(data)
+        except TimeoutError as exc:
+            raise StalledError from exc
+        except ConnectionError as exc:
+            raise CallerGoneError from exc
+
+
+def make_protocol_refusal(exc: h11.RemoteProtocolError) -> Refusal:
+    """Return the refusal for a request that `h11` doesn't accept."""
+    if exc.error_status_hint == HEADER_TOO_LARGE_STATUS:
+        return Refusal(ErrorKind.HEADER_TOO_LARGE, "the request head is over the limit")
+    return Refusal(ErrorKind.MALFORMED_REQUEST, "the request isn't valid HTTP/1.1")
+
+
+HEADER_TOO_LARGE_STATUS = 431
+
+
+async def receive_into(state: h11.Connection, stream: Stream, limit: timedelta) -> None:
+    """Read once from the stream and hand the bytes to `h11`.
+
+    Raises:
+        CallerGoneError: The stream was reset.
+        StalledError: Nothing arrived within the limit.
+    """
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            data = await stream.read()
+    except TimeoutError as exc:
+        raise StalledError from exc
+    except ConnectionError as exc:
+        raise CallerGoneError from exc
+    state.receive_data(data)
+
+
+async def refuse_or_abort(exchange: Exchange, refusal: Refusal) -> None:
+    """Send a refusal, or reset the connection if a response has begun."""
+    if exchange.response_started:
+        exchange.refusal = refusal
+        exchange.abort()
+    else:
+        await exchange.refuse(refusal)
--- a/camphorspread/process/backend_listener.py
+++ b/camphorspread/process/backend_listener.py
@@ -5,7 +5,7 @@
 from cattrs.preconf.json import make_converter
 from returns.result import Failure, Result, Success
 
-from camphorspread.connection.server import Exchange
+from camphorspread.connection.exchange import Exchange
 from camphorspread.process.endpoints import (
     ENDPOINT_LEASE,
     RENEWAL_INTERVAL,
--- a/camphorspread/process/caller_listener.py
+++ b/camphorspread/process/caller_listener.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from camphorspread.connection.server import Exchange
+from camphorspread.connection.exchange import Exchange
 from camphorspread.process.client_blocks import find_site, get_block
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.observer import observe_request
--- a/camphorspread/process/control_node.py
+++ b/camphorspread/process/control_node.py
@@ -5,8 +5,9 @@
 from returns.result import Failure
 
 from camphorspread.connection.access_key import check_access_key
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.network import Listener
-from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.connection.server import HttpServer
 from camphorspread.process.control_operators import serve_operator
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
--- a/camphorspread/process/control_operators.py
+++ b/camphorspread/process/control_operators.py
@@ -2,10 +2,10 @@
 
 from returns.result import Failure, Success
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.messages import ResponseHead
 from camphorspread.connection.network import Address
-from camphorspread.connection.server import Exchange
 from camphorspread.process.control_metrics import format_control_metrics
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.events import Event
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -6,8 +6,9 @@
 
 import attrs
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.network import Address, Listener
-from camphorspread.connection.server import Exchange, HttpServer
+from camphorspread.connection.server import HttpServer
 from camphorspread.process.backend_listener import handle_backend_server
 from camphorspread.process.caller_listener import handle_caller
 from camphorspread.process.catalogue_poll import poll_catalogue, watch_lease
--- a/camphorspread/process/handover.py
+++ b/camphorspread/process/handover.py
@@ -9,9 +9,9 @@
 from cattrs.preconf.json import make_converter
 from returns.result import Failure, Result, Success
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.messages import ResponseHead
-from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import FleetView, VmRecord, VmState
--- a/camphorspread/process/message_format.py
+++ b/camphorspread/process/message_format.py
@@ -2,9 +2,9 @@
 
 from returns.result import Failure, Result, Success
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import FORMAT_HEADER
 from camphorspread.connection.messages import find_header
-from camphorspread.connection.server import Exchange
 from camphorspread.process.events import Event, EventLog
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.format import FORMAT, FormatError, check_format
--- a/camphorspread/process/observer.py
+++ b/camphorspread/process/observer.py
@@ -10,8 +10,8 @@
 from opentelemetry import trace
 from opentelemetry.sdk.trace import Tracer
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import Headers, has_body
-from camphorspread.connection.server import Exchange
 from camphorspread.process.clock import Clock
 from camphorspread.process.decisions import DecisionRecord, DecisionRing
 from camphorspread.process.metrics import (
--- a/camphorspread/process/operator_listener.py
+++ b/camphorspread/process/operator_listener.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Success
 
 from camphorspread.connection.access_key import check_access_key
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
-from camphorspread.connection.server import Exchange
 from camphorspread.process.caller_listener import encode_lookup_response, find_place
 from camphorspread.process.client_blocks import get_block
 from camphorspread.process.entry_state import EntryState
--- a/camphorspread/process/pass_handler.py
+++ b/camphorspread/process/pass_handler.py
@@ -1,7 +1,7 @@
 """Requests that other entry VMs pass to this one, which owns the endpoints."""
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import find_header
-from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.observer import observe_request
 from camphorspread.request.errors import ErrorKind, Refusal
--- a/camphorspread/process/peer_listener.py
+++ b/camphorspread/process/peer_listener.py
@@ -3,7 +3,7 @@
 from returns.result import Failure
 
 from camphorspread.connection.access_key import check_access_key
-from camphorspread.connection.server import Exchange
+from camphorspread.connection.exchange import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.handover import serve_handover
 from camphorspread.process.membership_codec import decode_digest, decode_heartbeat
--- a/camphorspread/process/poll_listener.py
+++ b/camphorspread/process/poll_listener.py
@@ -4,8 +4,8 @@
 import json
 from datetime import timedelta
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
-from camphorspread.connection.server import Exchange
 from camphorspread.process.control_metrics import record_poll
 from camphorspread.process.control_state import ControlState
 from camphorspread.request.errors import ErrorKind, Refusal
--- a/camphorspread/process/shares_listener.py
+++ b/camphorspread/process/shares_listener.py
@@ -1,6 +1,6 @@
 """Serves `POST /v1/shares/renew` on a control process."""
 
-from camphorspread.connection.server import Exchange
+from camphorspread.connection.exchange import Exchange
 from camphorspread.process.control_state import ControlState
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.share_allocator import (
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -6,10 +6,11 @@
 
 import attrs
 
+from camphorspread.connection.exchange import CallerGoneError, Exchange
 from camphorspread.connection.link import JsonLink, LinkError
 from camphorspread.connection.messages import RequestHead, ResponseHead, find_header
 from camphorspread.connection.network import Address, Listener, Network
-from camphorspread.connection.server import CallerGoneError, Exchange, HttpServer
+from camphorspread.connection.server import HttpServer
 from camphorspread.process.backend_listener import encode_announcement
 from camphorspread.process.endpoints import (
     RENEWAL_INTERVAL,
--- a/camphorspread/request/admission_shell.py
+++ b/camphorspread/request/admission_shell.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure, Result, Success
 
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import has_body
-from camphorspread.connection.server import Exchange
 from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.region_share import find_limits
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -7,9 +7,9 @@
 
 from camphorspread.connection.access_key import ACCESS_KEY_HEADER
 from camphorspread.connection.client import ClientConnection
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import Headers, RequestHead, has_body
 from camphorspread.connection.network import Address
-from camphorspread.connection.server import Exchange
 from camphorspread.process.endpoints import Endpoint, record_failure, record_refusal, record_success
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
--- a/camphorspread/request/once.py
+++ b/camphorspread/request/once.py
@@ -7,8 +7,8 @@
 import attrs
 from returns.result import Failure, Success
 
+from camphorspread.connection.exchange import Exchange, refuse_or_abort
 from camphorspread.connection.messages import find_header
-from camphorspread.connection.server import Exchange, refuse_or_abort
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.fleet import VmRecord, VmState
--- a/camphorspread/request/passing.py
+++ b/camphorspread/request/passing.py
@@ -5,8 +5,8 @@
 import attrs
 
 from camphorspread.connection.access_key import ACCESS_KEY_HEADER
+from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import Headers, has_body
-from camphorspread.connection.server import Exchange
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.fleet import VmRecord
 from camphorspread.process.observer import trace_headers
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -6,13 +6,8 @@
 import attrs
 
 from camphorspread.connection.client import ClientConnection, NotSentError, ResponseBrokenError
+from camphorspread.connection.exchange import CallerGoneError, Exchange, RefusedError, StalledError
 from camphorspread.connection.messages import RequestHead, ResponseHead
-from camphorspread.connection.server import (
-    CallerGoneError,
-    Exchange,
-    RefusedError,
-    StalledError,
-)
 from camphorspread.request.errors import Refusal
 from camphorspread.request.forwarding import is_framed, make_response_head, read_refusal
 from camphorspread.request.recorder import ResponseRecorder
