--- a/camphorspread/process/endpoints.py
+++ b/camphorspread/process/endpoints.py
@@ -130,6 +130,7 @@
         last_error: When a request to it last failed.
         reports: Its load reports.
         is_given_up: True once this VM has handed it over and sends nothing more.
+        sent: Requests that this VM has sent to it.
         refusals: Connections in a row that it refused.
         ejected_until: Until when nothing is sent to it, because it refused connections.
     """
@@ -144,6 +145,7 @@
     last_error: timedelta | None = None
     reports: ReportHistory = attrs.field(factory=ReportHistory)
     is_given_up: bool = False
+    sent: int = 0
     refusals: int = 0
     ejected_until: timedelta = timedelta(0)
 
--- a/camphorspread/process/stub_backend_server.py
+++ b/camphorspread/process/stub_backend_server.py
@@ -49,6 +49,7 @@
         served: Method and path of each request, in the order of their ends.
         choice: The entry VM that it announces to.
         heads: Head of each request, in order.
+        hides_load: True if its reports say that it is idle.
     """
 
     announcement: Announcement
@@ -61,6 +62,7 @@
     served: list[str] = attrs.field(factory=list)
     heads: list[RequestHead] = attrs.field(factory=list)
     sequence: int = 0
+    hides_load: bool = False
     choice: OwnerChoice = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -103,7 +105,7 @@
         self.sequence += 1
         self.announcement = attrs.evolve(
             self.announcement,
-            report=LoadReport(self.sequence, self.busy),
+            report=LoadReport(self.sequence, 0 if self.hides_load else self.busy),
             former_owner=self.choice.former_owner,
             failed_owners=self.choice.failed_owners,
             token=self.choice.token,
--- a/camphorspread/request/admission.py
+++ b/camphorspread/request/admission.py
@@ -10,6 +10,7 @@
 from camphorspread.process.share_demand import ShareDemand, record_refused, record_used
 from camphorspread.process.slots import SlotTable, count_free_slots, service_time
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.policy import DEFAULT_POLICY, EndpointPolicy
 from camphorspread.request.reasons import Reason
 from camphorspread.request.routing import choose_endpoint
 from camphorspread.request.window import SlidingWindow, count_recent, try_take
@@ -89,6 +90,7 @@
         waiting: Requests that wait, over all services, in the order in which they are served.
         in_flight: Admitted requests by service.
         shifted: Shifted requests of the last second by service.
+        policy: How endpoints are chosen; measurements compare it with baselines.
     """
 
     registry: Registry
@@ -97,6 +99,7 @@
     waiting: list[AdmissionRequest] = attrs.field(factory=list)
     in_flight: Counter[str] = attrs.field(factory=Counter)
     shifted: dict[str, SlidingWindow] = attrs.field(factory=dict)
+    policy: EndpointPolicy = DEFAULT_POLICY
 
 
 @attrs.frozen
@@ -217,7 +220,7 @@
         return Refused(req.ticket, refuse_no_endpoint(req))
     if find_shortage(queue, limits, req.service) is not None:
         return None
-    endpoint = choose_endpoint(queue.table, live, now, req.excluded)
+    endpoint = choose_endpoint(queue.table, live, now, req.excluded, queue.policy)
     if endpoint is None:
         return None
     if req.is_shifted:
@@ -226,6 +229,7 @@
             return Refused(req.ticket, refuse_shift(queue, req))
         record_used(queue.demand, shift_key(req.service), count_recent(window, now))
     endpoint.in_use += 1
+    endpoint.sent += 1
     queue.in_flight[req.service] += 1
     record_used(queue.demand, region_key(limits), queue.in_flight.total())
     record_used(queue.demand, service_key(limits, req.service), queue.in_flight[req.service])
--- a/camphorspread/request/routing.py
+++ b/camphorspread/request/routing.py
@@ -6,7 +6,8 @@
 
 from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.fleet import FleetView, VmRecord, VmState
-from camphorspread.process.slots import SlotTable, count_free_slots, rank_endpoint
+from camphorspread.process.slots import SlotTable, count_free_slots
+from camphorspread.request.policy import DEFAULT_POLICY, EndpointPolicy, pick_endpoint
 from camphorspread.request.reasons import Reason
 from camphorspread.version.catalogue import Catalogue
 
@@ -39,7 +40,11 @@
 
 
 def choose_endpoint(
-    table: SlotTable, live: list[Endpoint], now: timedelta, excluded: frozenset[str] = frozenset()
+    table: SlotTable,
+    live: list[Endpoint],
+    now: timedelta,
+    excluded: frozenset[str] = frozenset(),
+    policy: EndpointPolicy = DEFAULT_POLICY,
 ) -> Endpoint | None:
     """Return the best ranked endpoint with a free slot, or None.
 
@@ -48,6 +53,7 @@
         live: Live endpoints of the service.
         now: Current instant.
         excluded: Names of endpoints that this request has tried.
+        policy: How to choose among the endpoints with a free slot.
     """
     free = [
         endpoint
@@ -56,7 +62,7 @@
     ]
     if not free:
         return None
-    return min(free, key=lambda endpoint: rank_endpoint(table, endpoint, now))
+    return pick_endpoint(policy, table, free, now)
 
 
 def order_candidates(
