Rank endpoints by latency relative to the fastest one

Cause: the mean latency of the service contains the slow endpoints, so that one that is ten times slower ranked only 2.5 times worse, and 1.7 times after the allowance for noise.

--- a/camphorspread/process/slots.py
+++ b/camphorspread/process/slots.py
@@ -109,21 +109,36 @@
     return timedelta(seconds=sum(recent) / len(recent)) if recent else timedelta(0)
 
 
+def fastest_latency(table: SlotTable, service: str, now: timedelta) -> float:
+    """Return the smallest mean time of a request at an endpoint in seconds, 0 without one.
+
+    The mean of all endpoints would hide a slow one among few, because it is part of it.
+    """
+    return min(
+        (
+            health.latency_s
+            for health in table.services.get(service, {}).values()
+            if health.latency_s is not None and now - health.measured <= MEASUREMENT_LIFE
+        ),
+        default=0.0,
+    )
+
+
 def rank_endpoint(table: SlotTable, endpoint: Endpoint, now: timedelta) -> float:
     """Return the rank of an endpoint; the lowest is used first.
 
-    The share of slots in use counts, multiplied by the latency relative to the mean of the
-    service, plus recent failures. A load report can only make the rank worse.
+    The share of slots in use counts, multiplied by the latency relative to the fastest endpoint
+    of the service, plus recent failures. A load report can only make the rank worse.
     """
     health = find_health(table, endpoint)
     slots = max(min(endpoint.admitted_slots(now), endpoint.announcement.slots), 1)
     share = (endpoint.in_use + 1) / slots
     failures = recent_failures(health, now)
     share = max(share, reported_share(health, endpoint, failures, now))
-    mean_s = service_time(table, endpoint.announcement.service, now).total_seconds()
+    fastest_s = fastest_latency(table, endpoint.announcement.service, now)
     factor = 1.0
-    if mean_s and health.latency_s is not None and now - health.measured <= MEASUREMENT_LIFE:
-        factor = min(max(health.latency_s / mean_s / NOISE_FACTOR, 1.0), MAX_LATENCY_FACTOR)
+    if fastest_s and health.latency_s is not None and now - health.measured <= MEASUREMENT_LIFE:
+        factor = min(max(health.latency_s / fastest_s / NOISE_FACTOR, 1.0), MAX_LATENCY_FACTOR)
     return share * factor + failures
 
 
