Pace uploads that are passed to another region

Cause: link_bytes_per_second of a region was stored and checked, and nothing kept to it. Each entry VM now has an equal, fixed part; the body of a passed upload waits when the part is used up. Shown by features/request/link_pace.feature: three uploads of 300,000 bytes at once with a part of 100,000 bytes a second take 8 to 12 s and no second holds more. Responses and callers' plain traffic aren't paced.

--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -27,6 +27,7 @@
 from camphorspread.request.lookup import Place
 from camphorspread.request.once_key import HomeIdentity, OnceKey
 from camphorspread.request.retry import RetryBudget
+from camphorspread.request.window import SlidingWindow
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.shares import HeldShares, Renewal
 
@@ -76,6 +77,7 @@
         shift_plan: Shifts between regions that are under way.
         refused_formats: Hosts and format versions of refused messages.
         offered: Requests of callers of this region in the last second.
+        link_window: Bytes of bodies that were passed to other regions in the last second.
     """
 
     settings: EntrySettings
@@ -114,6 +116,7 @@
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
     refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
     offered: OfferedRates = attrs.field(factory=OfferedRates)
+    link_window: SlidingWindow = attrs.field(factory=SlidingWindow)
 
     def __attrs_post_init__(self) -> None:
         """Let admission share the registry, measurements and demand of the process."""
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -25,6 +25,7 @@
     PASS_PREFIX,
     make_forward_head,
 )
+from camphorspread.request.link_pace import LinkPacer, link_share
 from camphorspread.request.once import OnceAttempt
 from camphorspread.request.reasons import Reason
 from camphorspread.request.relay import (
@@ -230,7 +231,7 @@
         reason=Reason.RETRIED if attempts.failed else Reason.SAME_AVAILABILITY_ZONE,
     ):
         head = make_head(state, req, address, req.target)
-        return await send(state, req, attempts, entry, conn, head, is_pass=False)
+        return await send(state, req, attempts, entry, conn, head, passed_to=None)
 
 
 async def attempt_pass(
@@ -259,7 +260,7 @@
         state.observer, req.exchange, record.availability_zone, vm=record.vm, reason=reason
     ):
         head = make_head(state, req, record.peers, target, extra)
-        return await send(state, req, attempts, entry, conn, head, is_pass=True)
+        return await send(state, req, attempts, entry, conn, head, passed_to=record)
 
 
 def make_head(
@@ -286,6 +287,15 @@
         return Failed(Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.NO_LIVE_ENDPOINT))
 
 
+def find_pacer(state: EntryState, target: VmRecord) -> LinkPacer | None:
+    """Return what paces a body on its way to another region, None within the region."""
+    region = state.settings.place.region
+    entry = state.catalogue.find_region(region) if state.catalogue else None
+    if entry is None or target.region == region:
+        return None
+    return LinkPacer(state.link_window, link_share(entry), state.clock)
+
+
 async def send(
     state: EntryState,
     req: SteeredRequest,
@@ -293,13 +303,15 @@
     entry: ServiceEntry,
     conn: ClientConnection,
     head: RequestHead,
-    is_pass: bool,
+    passed_to: VmRecord | None,
 ) -> Ending:
     """Relay the request on a connection and classify the result."""
     may_have_run_before = attempts.may_have_run
     attempts.may_have_run = True
     recorder = req.once.recorder if req.once else None
-    result = await relay(req.exchange, conn, head, entry.body_limit_bytes, is_pass, recorder)
+    is_pass = passed_to is not None
+    pacer = find_pacer(state, passed_to) if passed_to else None
+    result = await relay(req.exchange, conn, head, entry.body_limit_bytes, is_pass, recorder, pacer)
     if conn.is_reusable:
         state.pool.release(conn)
     ending = classify(state, req, result)
--- a/camphorspread/request/relay.py
+++ b/camphorspread/request/relay.py
@@ -10,6 +10,7 @@
 from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.request.errors import Refusal
 from camphorspread.request.forwarding import is_framed, make_response_head, read_refusal
+from camphorspread.request.link_pace import LinkPacer, pace_link
 from camphorspread.request.recorder import ResponseRecorder
 
 __all__ = [
@@ -113,6 +114,7 @@
     body_limit: int,
     is_pass: bool = False,
     recorder: ResponseRecorder | None = None,
+    pacer: LinkPacer | None = None,
 ) -> RelayResult:
     """Send the request on `conn` and stream its response to the caller.
 
@@ -128,6 +130,7 @@
             and the response may be its refusal.
         recorder: Gets a copy of the response. With it, a caller that goes away after its whole
             body has arrived doesn't cancel the request, so that a repeat finds the response.
+        pacer: What the body is held back by on its way to another region, None within a region.
 
     Returns:
         How it ended.
@@ -136,7 +139,7 @@
         failure = await send_request_head(conn, head)
         if failure is not None:
             return failure
-        return await relay_bodies(exchange, conn, head, body_limit, is_pass, recorder)
+        return await relay_bodies(exchange, conn, head, body_limit, is_pass, recorder, pacer)
     finally:
         if not conn.is_reusable:
             conn.abort()
@@ -164,6 +167,7 @@
     body_limit: int,
     is_pass: bool,
     recorder: ResponseRecorder | None,
+    pacer: LinkPacer | None,
 ) -> RelayResult:
     """Stream the body of the request and the response, until either ends the request."""
     body_wanted = asyncio.Event()
@@ -171,7 +175,7 @@
         body_wanted.set()
     is_cancellable = recorder is None
     upload = asyncio.create_task(
-        watch_caller(exchange, conn, body_limit, body_wanted, is_cancellable)
+        watch_caller(exchange, conn, body_limit, body_wanted, is_cancellable, pacer)
     )
     download = asyncio.create_task(
         send_response(exchange, conn, head, is_pass, body_wanted, recorder)
@@ -217,6 +221,7 @@
     body_limit: int,
     body_wanted: asyncio.Event,
     is_cancellable: bool,
+    pacer: LinkPacer | None,
 ) -> None:
     """Stream the request body, then wait until the caller is gone if that cancels the request."""
     size = 0
@@ -225,6 +230,8 @@
         size += len(data)
         if size > body_limit:
             raise BodyLimitError
+        if pacer is not None:
+            await pace_link(pacer, len(data))
         await conn.send_body(data)
     await conn.finish_request()
     if is_cancellable:
--- a/camphorspread/request/window.py
+++ b/camphorspread/request/window.py
@@ -44,24 +44,24 @@
     return sum(bucket.count for bucket in window.recent)
 
 
-def record_event(window: SlidingWindow, now: timedelta) -> None:
-    """Count one event."""
+def record_event(window: SlidingWindow, now: timedelta, amount: int = 1) -> None:
+    """Count one event, or an amount such as bytes."""
     number = now // window.width
     if window.recent and window.recent[-1].number == number:
-        window.recent[-1].count += 1
+        window.recent[-1].count += amount
     else:
-        window.recent.append(Bucket(number, 1))
+        window.recent.append(Bucket(number, amount))
 
 
-def try_take(window: SlidingWindow, now: timedelta, share: int) -> bool:
-    """Count one event if the share allows it.
+def try_take(window: SlidingWindow, now: timedelta, share: int, amount: int = 1) -> bool:
+    """Count one event, or an amount, if the share allows it.
 
     Examples:
         >>> window = SlidingWindow()
         >>> [try_take(window, timedelta(0), 2) for _ in range(3)]
         [True, True, False]
     """
-    if count_recent(window, now) >= share:
+    if count_recent(window, now) + amount > share:
         return False
-    record_event(window, now)
+    record_event(window, now, amount)
     return True
--- a/camphorspread/version/changes.py
+++ b/camphorspread/version/changes.py
@@ -249,7 +249,7 @@
         check_present("entry.name", entry.name),
         check_present("entry.owner", entry.owner),
         check_range("entry.limit", entry.limit, needed, MAX_IN_FLIGHT),
-        check_range("entry.link_bytes_per_second", entry.link_bytes_per_second, 0, 2**40),
+        check_range("entry.link_bytes_per_second", entry.link_bytes_per_second, 1, 2**40),
     )
     return first_failure(checks)
 
--- /dev/null
+++ b/features/steps/link_pace_steps.py
@@ -0,0 +1,78 @@
+"""Steps about uploads that cross to another region."""
+
+import asyncio
+
+from behave import given, then, when
+
+from camphorspread.connection.messages import RequestHead
+from camphorspread.request.link_pace import LinkPacer, link_share, pace_link
+from camphorspread.request.window import SlidingWindow
+from camphorspread.version.catalogue import AvailabilityZoneEntry, RegionEntry
+from camphorspread.version.changes import PutRegion, apply_change
+from features.fixtures.session import call
+
+
+def make_region(name, vms, rate):
+    zone = AvailabilityZoneEntry(f"{name}-a", tuple(vms))
+    return RegionEntry(name, "operator", 1000, (zone,), {}, rate)
+
+
+@given("a region with {count:d} entry VMs whose links carry {rate:d} bytes a second")
+def step_linked_region(context, count, rate):
+    region = make_region("sofia", [f"vm-{number}" for number in range(count)], rate)
+    context.pacer = LinkPacer(SlidingWindow(), link_share(region), context.clock)
+
+
+@when("one of its VMs passes {count:d} uploads of {size:d} bytes in parts of {part:d} at once")
+def step_pass_uploads(context, count, size, part):
+    context.passed = []
+
+    async def upload():
+        left = size
+        while left:
+            amount = min(part, left)
+            await pace_link(context.pacer, amount)
+            context.passed.append((context.loop.time(), amount))
+            left -= amount
+
+    async def upload_all():
+        await asyncio.gather(*(upload() for _ in range(count)))
+
+    context.loop.run_until_complete(upload_all())
+
+
+@then("no second holds more than {limit:d} bytes")
+def step_check_rate(context, limit):
+    for start, _ in context.passed:
+        within = sum(amount for time, amount in context.passed if start <= time < start + 1)
+        assert within <= limit, (start, within)
+
+
+@then("they end after {low:d} to {high:d} seconds")
+def step_check_end(context, low, high):
+    assert low <= context.loop.time() <= high, context.loop.time()
+
+
+@given("the links of the owner's region carry 1 byte a second")
+def step_thin_links(context):
+    for node in context.fleet.entries:
+        place = node.state.settings.place
+        change = PutRegion(make_region(place.region, [place.vm], 1))
+        node.state.catalogue = apply_change(node.state.catalogue, change)
+
+
+@when('a caller uploads {size:d} bytes for "{service}" to entry VM {number:d} of that region')
+def step_upload_near(context, size, service, number):
+    address = context.fleet.plan.entry_vms()[number].callers
+    headers = ((b"host", b"entry"), (b"content-length", b"%d" % size))
+    head = RequestHead(b"PUT", f"/s/{service}/maps/1".encode(), headers)
+    start = context.loop.time()
+    upload = call(context.caller, address, head, b"x" * size)
+    context.upload = context.loop.run_until_complete(upload)
+    context.upload_s = context.loop.time() - start
+
+
+@then("the upload got status 200 within 1 second")
+def step_check_upload(context):
+    assert context.upload.head is not None and context.upload.head.status == 200, context.upload
+    assert context.upload_s < 1, context.upload_s
