Use one judgement of load reports and one rule for permanent parts

process/slots.py kept its own count of unchanged reports beside endpoints.report_weight, and updated it only when an endpoint was ranked. It now asks report_weight alone. The new scenario in features/request/admission.feature fails with the former code.

process/region_share.py had a second permanent_part with another signature; version/shares.py has the one that the leader counts with. A VM that the entry of its region doesn't name now gets no part in the moment before its parts are recorded, as it does after.

--- a/camphorspread/process/region_share.py
+++ b/camphorspread/process/region_share.py
@@ -5,21 +5,9 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.request.admission import AdmissionLimits
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.shares import ShareKey, ShareKind
+from camphorspread.version.shares import ShareKey, ShareKind, permanent_part
 
-__all__ = ["find_limits", "permanent_part"]
-
-
-def permanent_part(limit: int, vms: int) -> int:
-    """Return the part of a region's limit that each of its VMs always has.
-
-    Half of the limit is split evenly, so that an isolated VM keeps serving.
-
-    Examples:
-        >>> permanent_part(100, 2)
-        25
-    """
-    return limit // 2 // max(vms, 1)
+__all__ = ["find_limits"]
 
 
 def find_limits(state: EntryState, now: timedelta, service: str = "") -> AdmissionLimits:
@@ -33,15 +21,15 @@
     catalogue = state.catalogue or Catalogue()
     region = state.fleet.own.region
     entry = catalogue.find_region(region)
-    vms = len(entry.vms) if entry else 0
-    vms = vms or sum(1 for vm in state.fleet.vms.values() if vm.region == region)
+    vms = entry.vms if entry else ()
+    vms = vms or tuple(vm.vm for vm in state.fleet.vms.values() if vm.region == region)
 
     def share(kind: ShareKind, limit: int, service: str = "") -> int:
         key = ShareKey(kind, region, service)
         if key in state.held_shares.permanent:
             return state.held_shares.total(key, now)
         # No entry names the VMs of the region, so none is granted a share.
-        return permanent_part(limit, vms)
+        return permanent_part(limit, vms, state.fleet.own_vm)
 
     names = {service, *(req.service for req in state.admission.waiting)}
     services = [item for name in sorted(names) if (item := catalogue.find_service(name))]
--- a/camphorspread/process/slots.py
+++ b/camphorspread/process/slots.py
@@ -21,11 +21,9 @@
 # An old measurement must not refuse requests for ever, as only admitted ones give a new one.
 MEASUREMENT_LIFE = timedelta(seconds=5)
 FAILURE_HALF_LIFE = timedelta(seconds=2)
-STALE_RENEWALS = 10
 # Smaller differences are noise; following them would send a quiet service to one endpoint only.
 NOISE_FACTOR = 1.5
 MAX_LATENCY_FACTOR = 4.0
-NO_WEIGHT = 0.0
 
 
 @attrs.define(eq=False)
@@ -37,16 +35,12 @@
         measured: Instant of the last measurement.
         failures: Failures, halved every `FAILURE_HALF_LIFE`.
         failed: Instant of the last failure.
-        reported_slots: Busy slots in the last load report that was seen.
-        report_since: Sequence number of the first report with this value.
     """
 
     latency_s: float | None = None
     measured: timedelta = timedelta(0)
     failures: float = 0.0
     failed: timedelta = timedelta(0)
-    reported_slots: int = 0
-    report_since: int = 0
 
 
 @attrs.define(eq=False)
@@ -134,7 +128,7 @@
     slots = max(min(endpoint.admitted_slots(now), endpoint.announcement.slots), 1)
     share = (endpoint.in_use + 1) / slots
     failures = recent_failures(health, now)
-    share = max(share, reported_share(health, endpoint, failures, now))
+    share = max(share, reported_share(endpoint, now))
     fastest_s = fastest_latency(table, endpoint.announcement.service, now)
     factor = 1.0
     if fastest_s and health.latency_s is not None and now - health.measured <= MEASUREMENT_LIFE:
@@ -142,17 +136,7 @@
     return share * factor + failures
 
 
-def reported_share(
-    health: EndpointHealth, endpoint: Endpoint, failures: float, now: timedelta
-) -> float:
-    """Return the share of slots that the load report calls busy, 0 if it has no weight."""
-    report = endpoint.announcement.report
-    if report.busy_slots != health.reported_slots or report.sequence < health.report_since:
-        health.reported_slots = report.busy_slots
-        health.report_since = report.sequence
-    if report.sequence - health.report_since >= STALE_RENEWALS:
-        return NO_WEIGHT
-    if not report.busy_slots and failures >= 1:
-        return NO_WEIGHT
+def reported_share(endpoint: Endpoint, now: timedelta) -> float:
+    """Return the share of slots that the newest load report calls busy, by its weight."""
     weight = report_weight(endpoint.reports, endpoint.last_error, now)
-    return weight * report.busy_slots / endpoint.announcement.slots
+    return weight * endpoint.reports.report.busy_slots / endpoint.announcement.slots
--- a/features/request/admission.feature
+++ b/features/request/admission.feature
@@ -43,3 +43,8 @@
     Then the endpoint "a" is chosen
     When "a" has just failed
     Then the endpoint "b" is chosen
+
+  Scenario: A load report from the past doesn't replace the newest one
+    Given two idle endpoints of which "a" reports 8 of 8 slots busy
+    When an older report of "a" with 0 busy slots arrives late
+    Then the endpoint "b" is chosen
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -195,6 +195,11 @@
         announce(context.registry, "plans", "a", slots, sequence, busy)
 
 
+@when('an older report of "a" with {busy:d} busy slots arrives late')
+def step_late_report(context, busy):
+    announce(context.registry, "plans", "a", context.reported[0], 0, busy)
+
+
 @when('"a" has just failed')
 def step_failed(context):
     record_result(context.measurements, context.first, SECOND, True, NOW)
