Let requests about an object meet at one VM of each region

Cause: each VM's servers met every object of the region anew, so that twice as many runs were slow; the speed of a server and the mean times of runs drove each other away from what was measured; servers that all reject were all taken for failing.

Change: an object has a home VM in its region and one elsewhere; mean times take runs as they are; failures count relative to the best server of the service; a server that has had no request gets its first one early.

--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -78,6 +78,7 @@
         speed: Time of its runs relative to that of its service.
         failures: Part of its newest runs that failed, from 0 to 1.
         probe_due: When a failing or slow one may get the next request.
+        sends: Requests that it has got from here.
     """
 
     report: InstanceReport
@@ -94,6 +95,7 @@
     speed: float = 1.0
     failures: float = 0.0
     probe_due: timedelta = timedelta(0)
+    sends: int = 0
 
     @property
     def name(self) -> str:
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -138,7 +138,7 @@
     bounds = settings.bounds
     lease = announcement_lease(settings)
     place = settings.place
-    board = PlacementBoard(place.availability_zone, place.region, InstanceRegistry(lease))
+    board = PlacementBoard(place.vm, place.availability_zone, place.region, InstanceRegistry(lease))
 
     def make_pool() -> ConnectionPool:
         return ConnectionPool(
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -49,18 +49,25 @@
 FIRST_REMEMBERED = 64
 FEWEST_REMEMBERED = 4
 MOST_REMEMBERED = 4096
-# Part of the objects that another VM's servers are assumed to know before a pass has shown it.
-ASSUMED_WARM_PART = 0.6
+# Part of the objects that the servers of an object's home are assumed to know before a pass has
+# shown it; requests about an object go to one home in each region so that they meet there.
+HOME_WARM_PART = 0.7
+FAR_HOME_WARM_PART = 0.4
 # Bytes between regions are dear, so another region must be this much faster.
 REGION_SURCHARGE_S = 0.03
 ZONE_SURCHARGE_S = 0.004
 # Prefers the stable order of an object among servers that are equally good.
 ORDER_STEP_S = 0.002
 BALANCE_S = 0.02
-# A server with this part of failed runs gets single requests as probes only.
+# A server whose part of failed runs is this much above the lowest one of its service, or whose runs
+# take this many times as long, gets single requests as probes only.
 FAILING = 0.35
 SLOW = 3.0
+# What a server that has had no request yet gains, so that its first one finds out what it can do.
+UNTRIED_BONUS_S = 10.0
 PROBE_INTERVAL = timedelta(milliseconds=400)
+# A cold server takes about this many times as long.
+COLD_FACTOR = 2.0
 # A cold server may be owned by two VMs for a moment, so each keeps to less than half of the bound.
 COLD_PART = 0.45
 # A summary older than this says nothing about free slots.
@@ -170,6 +177,7 @@
     """Everything that the choice of places depends on.
 
     Attributes:
+        vm: Name of this VM.
         availability_zone: Zone of this VM.
         region: Region of this VM.
         registry: Backend servers that announce themselves here.
@@ -180,8 +188,10 @@
         bound: Waiting requests by the server that they wait for.
         orders: Cached order of servers by (service, object key).
         orders_at: State of the registry that the cache belongs to.
+        homes: Cached homes of objects by service, with the VMs and slots that they belong to.
     """
 
+    vm: str
     availability_zone: str
     region: str
     registry: InstanceRegistry
@@ -192,6 +202,7 @@
     bound: Counter[str] = attrs.field(factory=Counter)
     orders: dict[tuple[str, str], dict[str, int]] = attrs.field(factory=dict)
     orders_at: int = -1
+    homes: dict[str, tuple[tuple, dict[str, tuple[str, str]]]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -267,6 +278,41 @@
     return order
 
 
+def find_homes(
+    board: PlacementBoard, service: str, key: str, slots: int, now: timedelta
+) -> tuple[str, str]:
+    """Return the VMs at which requests about an object should meet.
+
+    Args:
+        board: State of servers and VMs.
+        service: Name of the service.
+        key: The object.
+        slots: Slots of this VM's servers.
+        now: The present instant.
+
+    Returns:
+        Its home among the VMs of this region, and its home in the other regions; empty if none.
+    """
+    near = {board.vm: float(slots)}
+    far: dict[str, float] = {}
+    for peer in board.peers.values():
+        load = peer.loads.get(service)
+        if load is not None and load.slots and now < peer.alive_until:
+            part = near if peer.region == board.region else far
+            part[peer.vm] = float(load.slots)
+    known = (service, tuple(near.items()), tuple(far.items()))
+    cache = board.homes.get(service)
+    if cache is None or cache[0] != known:
+        cache = board.homes[service] = (known, {})
+    homes = cache[1].get(key)
+    if homes is None:
+        homes = cache[1][key] = (
+            order_by_rendezvous(f"{service}/{key}", near)[0],
+            order_by_rendezvous(f"{service}/{key}", far)[0] if far else "",
+        )
+    return homes
+
+
 def choose_place(
     board: PlacementBoard, req: PlacementRequest, promised_s: float, now: timedelta
 ) -> Place:
@@ -297,6 +343,7 @@
     slots = sum(item.report.slots for item in instances)
     used = sum(item.in_flight for item in instances)
     busy = used / slots if slots else 1.0
+    fewest_failures = min((item.failures for item in instances), default=0.0)
     order = find_order(board, req.service, req.object_key) if req.object_key else {}
     for item in instances:
         if item.name in req.excluded:
@@ -304,16 +351,21 @@
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
             continue
-        if (item.failures >= FAILING or item.speed >= SLOW) and now < item.probe_due:
+        is_failing = item.failures - fewest_failures >= FAILING
+        if (is_failing or item.speed >= SLOW) and now < item.probe_due:
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run = (times.warm if is_warm else times.cold) * item.speed * (2.0 if is_cold else 1.0)
-        run *= 1.0 + 2.0 * item.failures
+        run = (times.warm if is_warm else times.cold) * max(item.speed, 0.5)
+        if is_cold:
+            run *= COLD_FACTOR
+        run *= 1.0 + 2.0 * (item.failures - fewest_failures)
         cost = run + ORDER_STEP_S * order.get(item.name, 0)
         if not is_warm and req.object_key:
             # A slower run takes slots away from others, which matters once slots are scarce.
             cost += (times.cold - times.warm) * busy * busy
         if item.in_flight < item.report.slots:
+            if not item.sends:
+                cost -= UNTRIED_BONUS_S
             cost += BALANCE_S * item.in_flight / item.report.slots
             yield Start(item, cost, is_warm)
         else:
@@ -326,6 +378,10 @@
     board: PlacementBoard, req: PlacementRequest, times: RunTimes, now: timedelta
 ) -> Iterator[Pass]:
     """Yield each other entry VM that has room, with its cost."""
+    homes = ("", "")
+    if req.object_key:
+        slots = sum(item.report.slots for item in usable_instances(board, req.service, now))
+        homes = find_homes(board, req.service, req.object_key, slots, now)
     for peer in board.peers.values():
         if not may_pass_to(board, peer, req, now):
             continue
@@ -333,11 +389,14 @@
         warm = peer.warm_objects.get((req.service, req.object_key)) if req.object_key else None
         match warm:
             case True:
-                run = times.warm
-            case False:
-                run = times.cold
+                warm_part = 1.0
+            case None if peer.vm == homes[0]:
+                warm_part = HOME_WARM_PART
+            case None if peer.vm == homes[1]:
+                warm_part = FAR_HOME_WARM_PART
             case _:
-                run = times.cold - (times.cold - times.warm) * ASSUMED_WARM_PART
+                warm_part = 0.0
+        run = times.cold - (times.cold - times.warm) * warm_part
         cost = run + peer.round_trip_s
         if peer.region != board.region:
             cost += REGION_SURCHARGE_S
@@ -367,8 +426,8 @@
     instance.in_flight += 1
     if instance.is_cold(now):
         record_event(instance.cold_sends, now)
-    if instance.failures >= FAILING or instance.speed >= SLOW:
-        instance.probe_due = now + PROBE_INTERVAL
+    instance.sends += 1
+    instance.probe_due = now + PROBE_INTERVAL
 
 
 def end_run(
@@ -395,13 +454,14 @@
     times = board.run_times.get((req.service, req.route))
     if not is_good or run_s is None or times is None:
         return
-    is_cold = instance.is_cold(now)
+    if instance.is_cold(now):
+        return
     was_warm = req.object_key in instance.warm_objects
-    middle = (times.warm + times.cold) / 2 * instance.speed
-    if not is_cold:
-        learn_times(times, instance, was_warm, run_s, middle)
+    middle = (times.warm + times.cold) / 2
+    relative = run_s / max(instance.speed, 1.0)
+    learn_times(times, instance, run_s, relative <= middle)
     if req.object_key:
-        if was_warm and run_s > middle and not is_cold:
+        if was_warm and relative > middle:
             forget_oldest(times, instance, req.object_key)
         elif was_warm:
             times.remembered = min(times.remembered + 0.05, MOST_REMEMBERED)
@@ -411,21 +471,20 @@
             instance.warm_objects.popitem(last=False)
 
 
-def learn_times(
-    times: RunTimes, instance: Instance, was_warm: bool, run_s: float, middle: float
-) -> None:
-    """Move the mean times and the speed of the server towards a run."""
-    relative = run_s / max(instance.speed, 0.1)
-    if was_warm and run_s <= middle * 2:
-        times.warm += (min(relative, 3 * times.warm) - times.warm) * RUN_WEIGHT
-        expected = times.warm
-    else:
-        expected = times.warm if run_s <= middle else times.cold
-        if run_s > middle:
-            times.cold += (min(relative, 3 * times.cold) - times.cold) * RUN_WEIGHT
+def learn_times(times: RunTimes, instance: Instance, run_s: float, is_fast: bool) -> None:
+    """Move the mean times and the speed of the server towards a run.
+
+    The means take each run as it is, up to twice the mean, so that the speed of one server and
+    the means can't drive each other away from what is measured.
+    """
+    expected = times.warm if is_fast else times.cold
     ratio = min(run_s / max(expected, 0.001), 10.0)
-    instance.speed += (ratio - instance.speed) * SPEED_WEIGHT * (0.5 if ratio > 1 else 1)
-    instance.speed = max(instance.speed, 0.3)
+    instance.speed += (ratio - instance.speed) * SPEED_WEIGHT
+    taken = min(run_s, 2 * expected)
+    if is_fast:
+        times.warm += (taken - times.warm) * RUN_WEIGHT
+    else:
+        times.cold += (taken - times.cold) * RUN_WEIGHT
 
 
 def forget_oldest(times: RunTimes, instance: Instance, key: str) -> None:
