Refuse nothing because of run times that weren't measured

Cause: requests on routes that were just added were refused at once, as their runs were assumed to take nine tenths of what is promised.

Change: a new route starts with the times of the service's main route, and its first requests are sent whatever the assumption.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -41,6 +41,7 @@
 # measured times replace this start.
 FIRST_WARM_SHARE = 0.35
 FIRST_COLD_SHARE = 0.9
+ENOUGH_RUNS = 5
 # Weight of the newest run in a mean.
 RUN_WEIGHT = 0.08
 SPEED_WEIGHT = 0.25
@@ -82,11 +83,18 @@
         warm: Of runs about an object that the server handled recently.
         cold: Of other runs.
         remembered: Objects that a server is assumed to remember.
+        runs: Runs that were measured.
     """
 
     warm: float
     cold: float
     remembered: float = FIRST_REMEMBERED
+    runs: int = 0
+
+    @property
+    def is_measured(self) -> bool:
+        """True if a request may be refused because of these times."""
+        return self.runs >= ENOUGH_RUNS
 
 
 @attrs.define
@@ -239,11 +247,21 @@
 
 
 def find_run_times(board: PlacementBoard, service: str, route: str, promised_s: float) -> RunTimes:
-    """Return the mean times of a route at a service, from its promise before the first run."""
+    """Return the mean times of a route at a service.
+
+    Before its first run they are those of the route that the service serves most, else they follow
+    from what is promised.
+    """
     times = board.run_times.get((service, route))
     if times is None:
-        cold = promised_s * FIRST_COLD_SHARE
-        times = board.run_times[(service, route)] = RunTimes(cold * FIRST_WARM_SHARE, cold)
+        others = [item for key, item in board.run_times.items() if key[0] == service and item.runs]
+        if others:
+            model = max(others, key=lambda item: item.runs)
+            times = RunTimes(model.warm, model.cold, model.remembered)
+        else:
+            cold = promised_s * FIRST_COLD_SHARE
+            times = RunTimes(cold * FIRST_WARM_SHARE, cold)
+        board.run_times[(service, route)] = times
     return times
 
 
@@ -477,6 +495,7 @@
     The means take each run as it is, up to twice the mean, so that the speed of one server and
     the means can't drive each other away from what is measured.
     """
+    times.runs += 1
     expected = times.warm if is_fast else times.cold
     ratio = min(run_s / max(expected, 0.001), 10.0)
     instance.speed += (ratio - instance.speed) * SPEED_WEIGHT
--- a/camphorspread/request/waiting.py
+++ b/camphorspread/request/waiting.py
@@ -18,6 +18,7 @@
     Start,
     Wait,
     choose_place,
+    find_run_times,
     usable_instances,
 )
 
@@ -116,9 +117,13 @@
     """Decide about one request."""
     req = waiter.req
     place = choose_place(board, req, waiter.promised_s, now)
+    times = find_run_times(board, req.service, req.route, waiter.promised_s)
     match place:
         case Nowhere():
             return Refused(waiter.ticket, NO_SERVER_RETURN, has_server=False)
+        case Start() if not times.is_measured:
+            # Nothing is known of this route yet, so nothing shows that it can't be served.
+            return Granted(waiter.ticket, place)
         case _ if now + timedelta(seconds=place.cost_s) + ANSWER_MARGIN > req.deadline:
             return Refused(waiter.ticket, suggest_return(board, waiting, req, now))
         case Start() | Pass():
