Estimate waits by the whole queue and speeds by the best of five runs

Cause: the tests of the loads show that a request which had waited was refused since those behind it counted as ahead, that slow servers' runs changed the mean times, and that a slow server was never tried again.

Change: a request that waits is refused only when its run alone would be late; newcomers that are expected to be late fill half of the slots at most; a server is slow when its best of five runs is slow; one probe a second. A damaged record of the log is torn if no later record shows that it was synced. A replica whose disk was full starts anew when the disk works again.

--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -69,6 +69,7 @@
     DOCUMENT_REFUSED = 426
     ORDER_UNANSWERED = 427
     SETTINGS_RELOADED = 428
+    STORAGE_REGAINED = 429
 
 
 # Events that an operator should look into soon, and events that show a fault.
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -1,7 +1,7 @@
 """Backend servers that announce themselves to this VM: which of them may get requests."""
 
 import enum
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from datetime import timedelta
 
 import attrs
@@ -25,6 +25,8 @@
 
 # A late announcement of a backend server that has left may still arrive for this long.
 TOMBSTONE_TTL = timedelta(seconds=60)
+# Runs that must all be slow before a server counts as slow.
+SPEED_RUNS = 5
 COLD_BUCKET = timedelta(milliseconds=50)
 COLD_BUCKETS = 20
 
@@ -75,7 +77,8 @@
         in_flight: Requests under way to it from this VM.
         warm_objects: Objects that it handled from here, the newest last.
         cold_sends: Requests sent while it was cold.
-        speed: Time of its runs relative to that of its service.
+        speed: Time of its runs relative to what was expected of them.
+        run_ratios: The same of each of its newest runs.
         failures: Part of its newest runs that failed, from 0 to 1.
         probe_due: When a failing or slow one may get the next request.
         sends: Requests that it has got from here.
@@ -93,6 +96,7 @@
         factory=lambda: SlidingWindow(COLD_BUCKET, COLD_BUCKETS)
     )
     speed: float = 1.0
+    run_ratios: deque[float] = attrs.field(factory=lambda: deque(maxlen=SPEED_RUNS))
     failures: float = 0.0
     probe_due: timedelta = timedelta(0)
     sends: int = 0
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -76,6 +76,7 @@
         membership_waiters: Who waits for a change of the members.
         sync_sequence: Newest write that the next sync covers, 0 if none is due.
         is_isolated: True once nothing was heard from a majority for 10 s.
+        is_stopped: True once its storage was released.
     """
 
     control: ControlState
@@ -88,6 +89,7 @@
     sync_sequence: int = 0
     timer: asyncio.TimerHandle | None = None
     is_isolated: bool = False
+    is_stopped: bool = False
 
     def give(self, event: ReplicaEvent, replies: list[Envelope] | None = None) -> None:
         """Let the state machine handle an event and carry out the effects.
@@ -97,6 +99,8 @@
             replies: Receives the messages to the sender of a received message, in place of
                 sending them on their own.
         """
+        if self.is_stopped:
+            return
         now = self.control.clock.monotonic()
         leader = self.control.view.leader
         source = event.source if isinstance(event, Received) else ""
@@ -203,6 +207,8 @@
 
     def schedule(self) -> None:
         """Set the timer for the next wake."""
+        if self.is_stopped:
+            return
         if self.timer is not None:
             self.timer.cancel()
         now = self.control.clock.monotonic()
@@ -278,7 +284,10 @@
         return await wait_for_answer(fut)
 
     async def stop(self) -> None:
-        """End the timer and the messages under way, and release the storage."""
+        """End the timer and the messages under way, and release the storage, once."""
+        if self.is_stopped:
+            return
+        self.is_stopped = True
         if self.timer is not None:
             self.timer.cancel()
         await self.transport.stop()
--- a/camphorspread/process/steering_control_node.py
+++ b/camphorspread/process/steering_control_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from pathlib import Path
 
 import attrs
@@ -26,13 +27,17 @@
 from camphorspread.process.steering_control import SteeringControl, serve_vm_poll, watch_vms
 from camphorspread.process.steering_settings import ControlVmSettings, SteeringSettings
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.version.log_file import FileCalls
-from camphorspread.version.replica_storage import read_founders, store_founders
+from camphorspread.version.log_file import FileCalls, LogDamagedError
+from camphorspread.version.replica_storage import discard_folder, read_founders, store_founders
 
 __all__ = ["ControlNode", "start_control_vm"]
 
 # Many endpoints and clients may have one address where addresses are translated.
 CONNECTIONS_PER_PEER = 2000
+# A full or failing disk is tried again after this time.
+STORAGE_RETRY = timedelta(seconds=1)
+# A configuration may have thousands of routes.
+MESSAGE_BYTES = 16 * 1024 * 1024
 
 Handler = Callable[[SteeringControl, Exchange], Awaitable[None]]
 
@@ -89,10 +94,16 @@
 
     Raises:
         OSError: A listener can't be opened, or the data folder can't be used.
-        LogDamagedError: A file in the data folder is damaged.
     """
-    control = make_control_state(settings, role, clock, network, log, rng, file_calls)
-    shell = start_replica(control, settings.bounds.lost_disks + 1)
+    calls = file_calls or FileCalls()
+    try:
+        control = make_control_state(settings, role, clock, network, log, rng, calls)
+        shell = start_replica(control, settings.bounds.lost_disks + 1)
+    except LogDamagedError as exc:
+        log.write(Event.STORAGE_FAILED, cause=str(exc))
+        discard_folder(Path(role.data_folder), calls)
+        control = make_control_state(settings, role, clock, network, log, rng, calls)
+        shell = start_replica(control, settings.bounds.lost_disks + 1)
     steering = SteeringControl(settings, control, shell, clock.monotonic())
     seeds = tuple(Address(item.host, settings.control_peer_port) for item in settings.seeds)
     group = GroupShell(control, shell, seeds)
@@ -110,12 +121,32 @@
     tasks = (
         asyncio.create_task(watch_vms(steering)),
         asyncio.create_task(run_upkeep(group)),
+        asyncio.create_task(renew_storage(steering, group)),
     )
     log.write(Event.PROCESS_STARTED, role="control")
     servers = (peers, operators, lookups, metrics)
     return ControlNode(steering, tuple(listeners), tasks, servers)
 
 
+async def renew_storage(steering: SteeringControl, group: GroupShell) -> None:
+    """Start the replica anew after its storage failed, once the disk works again.
+
+    Until then it goes on answering what needs no disk.
+    """
+    while True:
+        await asyncio.sleep(STORAGE_RETRY.total_seconds())
+        if not steering.shell.state.storage_fault:
+            continue
+        await steering.shell.stop()
+        try:
+            shell = start_replica(steering.control, steering.settings.bounds.lost_disks + 1)
+        except (OSError, LogDamagedError) as exc:
+            steering.control.log.write(Event.STORAGE_FAILED, cause=str(exc))
+            continue
+        steering.shell = group.shell = shell
+        steering.control.log.write(Event.STORAGE_REGAINED)
+
+
 def make_control_state(
     settings: SteeringSettings,
     role: ControlVmSettings,
@@ -123,10 +154,9 @@
     network: Network,
     log: EventLog,
     rng: random.Random,
-    file_calls: FileCalls | None,
+    calls: FileCalls,
 ) -> ControlState:
     """Return the state of the replica's shells."""
-    calls = file_calls or FileCalls()
     own = settings.peers.host
     replica_settings = ControlSettings(
         attrs.evolve(settings.place, vm=own),
@@ -173,7 +203,9 @@
     def log_failure(exc: Exception) -> None:
         log.write(Event.HANDLER_FAILED, cause=repr(exc))
 
-    limits = ConnectionLimits(connections_per_peer=CONNECTIONS_PER_PEER)
+    limits = ConnectionLimits(
+        connections_per_peer=CONNECTIONS_PER_PEER, json_body_bytes=MESSAGE_BYTES
+    )
     return HttpServer(handler, limits, on_refused=log_refusal, on_failed=log_failure)
 
 
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -44,7 +44,6 @@
 ENOUGH_RUNS = 5
 # Weight of the newest run in a mean.
 RUN_WEIGHT = 0.08
-SPEED_WEIGHT = 0.25
 FAILURE_WEIGHT = 0.2
 # Objects that a server is first assumed to remember; the assumption follows what runs show.
 FIRST_REMEMBERED = 64
@@ -64,9 +63,11 @@
 # take this many times as long, gets single requests as probes only.
 FAILING = 0.35
 SLOW = 3.0
+# Runs of a server that takes this many times as long say nothing about the usual times.
+UNUSUAL_SPEED = 1.7
 # What a server that has had no request yet gains, so that its first one finds out what it can do.
 UNTRIED_BONUS_S = 10.0
-PROBE_INTERVAL = timedelta(milliseconds=400)
+PROBE_INTERVAL = timedelta(seconds=1)
 # A cold server takes about this many times as long.
 COLD_FACTOR = 2.0
 # A cold server may be owned by two VMs for a moment, so each keeps to less than half of the bound.
@@ -82,12 +83,14 @@
     Attributes:
         warm: Of runs about an object that the server handled recently.
         cold: Of other runs.
+        mean: Of all runs.
         remembered: Objects that a server is assumed to remember.
         runs: Runs that were measured.
     """
 
     warm: float
     cold: float
+    mean: float
     remembered: float = FIRST_REMEMBERED
     runs: int = 0
 
@@ -232,10 +235,17 @@
 
 @attrs.frozen
 class Wait:
-    """The request waits; `instance` is the server that it is expected to get."""
+    """The request waits.
 
-    instance: Instance | None
+    Attributes:
+        instance: The server that it is expected to get.
+        cost_s: Expected time until the response.
+        run_s: The part of it after the wait.
+    """
+
+    instance: Instance
     cost_s: float
+    run_s: float
 
 
 @attrs.frozen
@@ -257,10 +267,10 @@
         others = [item for key, item in board.run_times.items() if key[0] == service and item.runs]
         if others:
             model = max(others, key=lambda item: item.runs)
-            times = RunTimes(model.warm, model.cold, model.remembered)
+            times = RunTimes(model.warm, model.cold, model.mean, model.remembered)
         else:
             cold = promised_s * FIRST_COLD_SHARE
-            times = RunTimes(cold * FIRST_WARM_SHARE, cold)
+            times = RunTimes(cold * FIRST_WARM_SHARE, cold, cold)
         board.run_times[(service, route)] = times
     return times
 
@@ -361,6 +371,7 @@
     slots = sum(item.report.slots for item in instances)
     used = sum(item.in_flight for item in instances)
     busy = used / slots if slots else 1.0
+    waiting = sum(board.bound[item.name] for item in instances)
     fewest_failures = min((item.failures for item in instances), default=0.0)
     order = find_order(board, req.service, req.object_key) if req.object_key else {}
     for item in instances:
@@ -370,13 +381,16 @@
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
             continue
         is_failing = item.failures - fewest_failures >= FAILING
-        if (is_failing or item.speed >= SLOW) and now < item.probe_due:
+        is_probed = is_failing or item.speed >= SLOW
+        if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run = (times.warm if is_warm else times.cold) * max(item.speed, 0.5)
+        # A probe is chosen as if the server had recovered.
+        run = (times.warm if is_warm else times.cold) * (1.0 if is_probed else item.speed)
         if is_cold:
             run *= COLD_FACTOR
-        run *= 1.0 + 2.0 * (item.failures - fewest_failures)
+        if not is_probed:
+            run *= 1.0 + 2.0 * (item.failures - fewest_failures)
         cost = run + ORDER_STEP_S * order.get(item.name, 0)
         if not is_warm and req.object_key:
             # A slower run takes slots away from others, which matters once slots are scarce.
@@ -387,9 +401,10 @@
             cost += BALANCE_S * item.in_flight / item.report.slots
             yield Start(item, cost, is_warm)
         else:
-            mean = times.warm + (times.cold - times.warm) * 0.2
-            ahead = board.bound[item.name] + 1
-            yield Wait(item, cost + ahead * mean * item.speed / item.report.slots)
+            ahead = (board.bound[item.name] + 1) * times.mean / item.report.slots
+            # Servers that are free take requests that wait for others, so the whole queue counts.
+            all_ahead = (waiting + 1) * times.mean / slots
+            yield Wait(item, cost + max(ahead, all_ahead), run)
 
 
 def peer_places(
@@ -475,11 +490,13 @@
     if instance.is_cold(now):
         return
     was_warm = req.object_key in instance.warm_objects
-    middle = (times.warm + times.cold) / 2
-    relative = run_s / max(instance.speed, 1.0)
-    learn_times(times, instance, run_s, relative <= middle)
+    learn_speed(instance, run_s / max(times.warm if was_warm else times.cold, 0.001))
+    is_slow = instance.speed >= UNUSUAL_SPEED
+    is_fast = run_s <= (times.warm + times.cold) / 2
+    if not is_slow:
+        learn_times(times, run_s, is_fast)
     if req.object_key:
-        if was_warm and relative > middle:
+        if was_warm and not is_fast and not is_slow:
             forget_oldest(times, instance, req.object_key)
         elif was_warm:
             times.remembered = min(times.remembered + 0.05, MOST_REMEMBERED)
@@ -489,21 +506,25 @@
             instance.warm_objects.popitem(last=False)
 
 
-def learn_times(times: RunTimes, instance: Instance, run_s: float, is_fast: bool) -> None:
-    """Move the mean times and the speed of the server towards a run.
+def learn_speed(instance: Instance, ratio: float) -> None:
+    """Take how long a run took relative to what was expected.
 
-    The means take each run as it is, up to twice the mean, so that the speed of one server and
-    the means can't drive each other away from what is measured.
+    The lowest of the newest ratios counts: a server that has forgotten some objects has slow runs
+    among usual ones, a slow server has only slow ones.
     """
+    instance.run_ratios.append(min(ratio, 20.0))
+    if len(instance.run_ratios) == instance.run_ratios.maxlen:
+        instance.speed = max(min(instance.run_ratios), 1.0)
+
+
+def learn_times(times: RunTimes, run_s: float, is_fast: bool) -> None:
+    """Move the mean times towards a run of a server of usual speed."""
     times.runs += 1
-    expected = times.warm if is_fast else times.cold
-    ratio = min(run_s / max(expected, 0.001), 10.0)
-    instance.speed += (ratio - instance.speed) * SPEED_WEIGHT
-    taken = min(run_s, 2 * expected)
+    times.mean += (min(run_s, 2 * times.cold) - times.mean) * RUN_WEIGHT
     if is_fast:
-        times.warm += (taken - times.warm) * RUN_WEIGHT
+        times.warm += (run_s - times.warm) * RUN_WEIGHT
     else:
-        times.cold += (taken - times.cold) * RUN_WEIGHT
+        times.cold += (min(run_s, 2 * times.cold) - times.cold) * RUN_WEIGHT
 
 
 def forget_oldest(times: RunTimes, instance: Instance, key: str) -> None:
--- a/camphorspread/request/waiting.py
+++ b/camphorspread/request/waiting.py
@@ -35,6 +35,9 @@
 
 # Time between the last useful instant of a response and the deadline of its caller.
 ANSWER_MARGIN = timedelta(milliseconds=60)
+# Part of the promised time that a newcomer's expected time must leave, so that it isn't let in and
+# then refused.
+ENTRY_MARGIN_PART = 0.15
 # Requests that will be late may wait for leftover capacity, as a part of the slots.
 LATE_PART = 0.5
 SHORTEST_RETURN = timedelta(milliseconds=150)
@@ -52,12 +55,16 @@
         req: The request.
         promised_s: Promised time of its route in seconds.
         instance: Name of the backend server that it is expected to get, empty if none.
+        has_waited: True once it has been let in.
+        is_late: True once it isn't expected to be on time; it gets capacity that is left over.
     """
 
     ticket: int
     req: PlacementRequest
     promised_s: float
     instance: str = ""
+    has_waited: bool = False
+    is_late: bool = False
 
 
 @attrs.define(eq=False)
@@ -128,11 +135,17 @@
             return Refused(waiter.ticket, suggest_return(board, waiting, req, now))
         case Start() | Pass():
             return Granted(waiter.ticket, place)
-        case Wait(instance=instance, cost_s=cost_s):
-            is_late = now + timedelta(seconds=cost_s) > req.promised_at
-            if is_late and not may_wait_late(board, waiting, waiter, now):
-                return Refused(waiter.ticket, suggest_return(board, waiting, req, now))
-            set_bound(board, waiter, instance.name if instance else "")
+        case Wait(instance=instance, cost_s=cost_s, run_s=run_s):
+            # Expected times err, and a request that has begun to wait should be served. Most of
+            # the others that wait are behind it.
+            margin = ENTRY_MARGIN_PART * waiter.promised_s
+            expected_s = run_s if waiter.has_waited else cost_s + margin
+            if now + timedelta(seconds=expected_s) > req.promised_at:
+                if not may_wait_late(board, waiting, waiter, now):
+                    return Refused(waiter.ticket, suggest_return(board, waiting, req, now))
+                waiter.is_late = True
+            set_bound(board, waiter, instance.name)
+            waiter.has_waited = True
             return None
 
 
@@ -153,11 +166,7 @@
     """Return True if a request that will be late may wait for leftover capacity."""
     slots = sum(item.report.slots for item in usable_instances(board, waiter.req.service, now))
     others = waiting.by_service.get(waiter.req.service, {})
-    late = sum(
-        1
-        for other in others.values()
-        if other is not waiter and now + typical_run(board, other) > other.req.promised_at
-    )
+    late = sum(1 for other in others.values() if other is not waiter and other.is_late)
     return late < max(slots * LATE_PART, 1)
 
 
@@ -188,7 +197,7 @@
 
     def order(waiter: Waiter) -> tuple[bool, int, int]:
         is_late = now + typical_run(board, waiter) > waiter.req.promised_at
-        return is_late, waiter.req.rank, waiter.ticket
+        return is_late or waiter.is_late, waiter.req.rank, waiter.ticket
 
     for waiter in sorted(waiters.values(), key=order):
         # Its own place in the queue must not count against it.
--- a/camphorspread/version/log_file.py
+++ b/camphorspread/version/log_file.py
@@ -1,6 +1,7 @@
 """Files of a replica: the log with checksums, and small files that are replaced whole."""
 
 import os
+import re
 import struct
 import zlib
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 # checksum a flipped bit in a length could make the records after it look like a torn one.
 RECORD_HEAD = struct.Struct(">III")
 LENGTH = struct.Struct(">I")
+SYNCED_END = "synced_end"
 
 
 class LogDamagedError(Exception):
@@ -117,8 +119,9 @@
 def split_records(path: Path, data: bytes) -> tuple[list[tuple[int, bytes]], int]:
     """Return the records, each with its offset, and where the last whole one ends.
 
-    A torn last record ends at the end of the file, or in zeros where blocks weren't written
-    before a power failure; payloads are JSON text and hold no zero byte.
+    What was written after the last sync may be torn or missing after a power failure, in any
+    order: blocks that weren't written hold zeros, which payloads never do, as they are JSON text.
+    A later record tells up to where the file was synced when it was written.
 
     Raises:
         LogDamagedError: A record is damaged in any other way.
@@ -126,27 +129,66 @@
     records: list[tuple[int, bytes]] = []
     offset = 0
     while offset < len(data):
-        start = offset + RECORD_HEAD.size
-        if start > len(data):
-            break
-        length, length_checksum, checksum = RECORD_HEAD.unpack_from(data, offset)
-        is_unwritten = data.endswith(b"\0")
-        if zlib.crc32(data[offset : offset + LENGTH.size]) != length_checksum:
-            if is_unwritten and not data[start:].strip(b"\0"):
+        match read_record(data, offset):
+            case bytes(payload):
+                records.append((offset, payload))
+                offset += RECORD_HEAD.size + len(payload)
+            case None:
                 break
-            raise LogDamagedError(path, offset, "the checksum of the length doesn't match")
-        if start + length > len(data):
-            break
-        payload = data[start : start + length]
-        if zlib.crc32(payload) != checksum:
-            if is_unwritten and start + length == len(data):
+            case str(cause):
+                check_unsynced(path, data, offset, cause)
                 break
-            raise LogDamagedError(path, offset, "the checksum of the record doesn't match")
-        records.append((offset, payload))
-        offset = start + length
     return records, offset
 
 
+def read_record(data: bytes, offset: int) -> bytes | str | None:
+    """Return the payload of a record, what is damaged, or None if the file ends within it."""
+    start = offset + RECORD_HEAD.size
+    if start > len(data):
+        return None
+    length, length_checksum, checksum = RECORD_HEAD.unpack_from(data, offset)
+    if zlib.crc32(data[offset : offset + LENGTH.size]) != length_checksum:
+        return "the checksum of the length doesn't match"
+    if start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    if zlib.crc32(payload) != checksum:
+        return "the checksum of the record doesn't match"
+    return payload
+
+
+def check_unsynced(path: Path, data: bytes, offset: int, cause: str) -> None:
+    """Check that a damaged record wasn't synced before the power failed.
+
+    Raises:
+        LogDamagedError: It was, or its end was written.
+    """
+    following = offset + 1
+    first_whole = len(data)
+    while following < len(data):
+        payload = read_record(data, following) if data[following : following + 1] else None
+        if not isinstance(payload, bytes) or not payload:
+            following += 1
+            continue
+        first_whole = min(first_whole, following)
+        if read_synced_end(payload) > offset:
+            raise LogDamagedError(path, offset, cause)
+        following += RECORD_HEAD.size + len(payload)
+    if not data[offset:first_whole].endswith(b"\0"):
+        raise LogDamagedError(path, offset, cause)
+
+
+def add_synced_end(payload: bytes, synced_end: int) -> bytes:
+    """Return a payload, a JSON object, that tells up to where the file is synced."""
+    return payload[:-1] + f',"{SYNCED_END}":{synced_end}}}'.encode()
+
+
+def read_synced_end(payload: bytes) -> int:
+    """Return up to where the file was synced when a record was written; 0 if it doesn't tell."""
+    found = re.search(rb',"' + SYNCED_END.encode() + rb'":(\d+)\}\Z', payload)
+    return int(found[1]) if found else 0
+
+
 @attrs.define(eq=False)
 class LogFile:
     """An append-only file of records that can also be shortened.
@@ -157,6 +199,7 @@
         descriptor: Of the open file.
         offsets: Where each record starts.
         size: Where the last record ends.
+        synced_end: Up to where the file is synced.
     """
 
     path: Path
@@ -164,6 +207,7 @@
     descriptor: int
     offsets: list[int]
     size: int
+    synced_end: int = 0
 
     def append(self, payloads: list[bytes]) -> None:
         """Write records after the last one; they are durable only after `sync`.
@@ -175,7 +219,7 @@
         offsets = []
         for payload in payloads:
             offsets.append(self.size + len(data))
-            data += encode_record(payload)
+            data += encode_record(add_synced_end(payload, self.synced_end))
         try:
             write_all(self.calls, self.descriptor, bytes(data))
         except OSError:
@@ -188,12 +232,15 @@
         """Keep the first `count` records."""
         if count < len(self.offsets):
             self.size = self.offsets[count]
+            self.synced_end = min(self.synced_end, self.size)
             del self.offsets[count:]
             os.ftruncate(self.descriptor, self.size)
 
     def sync(self) -> None:
         """Make all records durable."""
+        end = self.size
         self.calls.sync(self.descriptor)
+        self.synced_end = end
 
     def close(self) -> None:
         """Close the file."""
--- a/camphorspread/version/replica_storage.py
+++ b/camphorspread/version/replica_storage.py
@@ -28,6 +28,7 @@
     "FolderStorage",
     "MemoryStorage",
     "ReplicaStorage",
+    "discard_folder",
     "open_folder",
     "read_founders",
     "store_founders",
@@ -267,3 +268,17 @@
     """
     data = read_small_file(folder / "founders")
     return json.loads(data) if data else []
+
+
+def discard_folder(folder: Path, calls: FileCalls) -> None:
+    """Give up the files of a damaged data folder.
+
+    Its replica then starts blank under a new identity and has no vote of the one before, as with a
+    lost disk.
+
+    Raises:
+        OSError: The data folder can't be used.
+    """
+    for name in ("log", "snapshot", "founders", "vote"):
+        (folder / name).unlink(missing_ok=True)
+    sync_folder(folder, calls)
--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 from features.fixtures.control_group import control_group
 from features.fixtures.data_folder import data_folder
 from features.fixtures.entry_fleet import entry_fleet
+from features.fixtures.platform_fleet import platform_fleet
 from features.fixtures.session import session
 from features.fixtures.virtual_time import virtual_loop
 
@@ -16,6 +17,7 @@
     "fixture.data_folder": data_folder,
     "fixture.audit": start_audit,
     "fixture.session": session,
+    "fixture.platform_fleet": platform_fleet,
     "fixture.settings_folder": settings_folder,
     "fixture.virtual_loop": virtual_loop,
 }
--- /dev/null
+++ b/features/platform/whole_path.feature
@@ -0,0 +1,57 @@
+Feature: A fleet on the platform serves from the first start on
+  Guards against a group that doesn't form, an announcement that reaches nobody, and requests that
+  end anywhere but at the right endpoint.
+
+  @fixture.platform_fleet
+  Scenario: Everything starts at once, and requests of all kinds are served
+    Given a fleet with an endpoint of each service in each zone
+    When the operator sends configuration 1
+    And clients of each zone send 4 requests of each kind
+    Then all are answered by an endpoint of the right service with status 200
+    And each request ran once
+    And each control VM is a voter
+
+  @fixture.platform_fleet
+  Scenario Outline: The group forms in every order of start
+    When the control VMs start in the order <order> with <pause> s between them
+    Then each control VM becomes a voter of one group
+    And a configuration is accepted
+
+    Examples:
+      | order       | pause |
+      | 0,1,2,3,4,5 | 0.1   |
+      | 5,4,3,2,1,0 | 0.3   |
+      | 3,0,4,1,5,2 | 1.0   |
+      | 2,1,0,5,4,3 | 2.5   |
+
+  @fixture.platform_fleet
+  Scenario: A seed that is cut off at the first start joins once it is reached
+    Given the control VM of "varna-a" is cut off from the others
+    When all control VMs start
+    And 5 s go by on the platform
+    And the control VMs reach each other again
+    Then each control VM becomes a voter of one group
+
+  @fixture.platform_fleet
+  Scenario: A control VM with a lost disk is replaced without an operator
+    Given a fleet with an endpoint of each service in each zone
+    When the operator sends configuration 1
+    And the control VM of "sofia-a" comes back with an empty disk
+    Then each control VM becomes a voter of one group
+    And the configuration is read back as configuration 1
+
+  @fixture.platform_fleet
+  Scenario: Two disks are lost while the others lose their processes
+    Given a fleet with an endpoint of each service in each zone
+    When the operator sends configuration 1
+    And all control VMs are killed at once and two come back with empty disks
+    Then the configuration is read back as configuration 1
+    And each control VM becomes a voter of one group
+
+  @fixture.platform_fleet
+  Scenario: A cut-off control VM doesn't answer what the newest configuration is
+    Given a fleet with an endpoint of each service in each zone
+    When the operator sends configuration 1
+    And the control VM of "sofia-a" is cut off from the others
+    And 3 s go by on the platform
+    Then it answers a read of the configuration with 503
--- /dev/null
+++ b/features/process/instances.feature
@@ -0,0 +1,59 @@
+Feature: Announcements of backend servers
+  Guards against requests to a backend server that has left, whose address another one has, or that
+  is cold again, when announcements come late, twice or from an earlier start.
+
+  Scenario Outline: What an announcement changes
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state   |
+      | i-1      | 10:1    | 100     | 5        | ready   |
+      | i-2      | 10:2    | 200     | 1        | ready   |
+      | i-3      | 10:3    | 100     | 8        | leaving |
+    When the announcement <announcement> arrives
+    Then it is <outcome> and the known ones are <known>
+
+    Examples:
+      | announcement               | outcome  | known       |
+      | i-1 10:1 100 6 ready       | renewed  | i-1 i-2     |
+      | i-1 10:1 100 4 ready       | outdated | i-1 i-2     |
+      | i-1 10:1 100 7 leaving     | left     | i-2         |
+      | i-1 10:1 150 1 ready       | added    | i-1 i-2     |
+      | i-1 10:1 50 9 ready        | outdated | i-1 i-2     |
+      | i-4 10:2 300 1 ready       | added    | i-1 i-4     |
+      | i-4 10:2 150 1 ready       | outdated | i-1 i-2     |
+      | i-3 10:3 100 7 ready       | outdated | i-1 i-2     |
+      | i-3 10:3 100 8 ready       | outdated | i-1 i-2     |
+      | i-3 10:3 400 1 ready       | added    | i-1 i-2 i-3 |
+
+  Scenario: A departure outlives a late announcement, not the next start
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    When "i-1" departs
+    Then the announcement i-1 10:1 100 99 ready is outdated
+    And the announcement i-1 10:1 101 1 ready is added
+
+  Scenario: A backend server is used only while its announcement holds
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    Then "i-1" may be used 4.4 s later
+    And "i-1" may not be used 4.5 s later
+    And "i-1" may not be used while its availability zone is evacuated
+
+  Scenario: A refused connection suspends a backend server until it announces itself again
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    When a connection to "i-1" is refused
+    Then "i-1" may not be used 0.1 s later
+    When the announcement i-1 10:1 100 6 ready arrives
+    Then "i-1" may be used 0.1 s later
+
+  Scenario: After an evacuation a backend server counts as cold until it says otherwise
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    When the evacuation of its availability zone ends
+    Then "i-1" is cold
+    When the announcement i-1 10:1 100 6 ready arrives
+    Then "i-1" isn't cold
--- /dev/null
+++ b/features/steps/instances_steps.py
@@ -0,0 +1,106 @@
+"""Steps of announcements of backend servers."""
+
+from datetime import timedelta
+
+from behave import given, then, when
+
+from camphorspread.connection.network import Address
+from camphorspread.process.instances import (
+    InstanceRegistry,
+    InstanceReport,
+    assume_cold,
+    is_usable,
+    remove_instance,
+    suspend_instance,
+    take_report,
+)
+
+NOW = timedelta(seconds=100)
+LEASE = timedelta(seconds=4.5)
+ZONE = "sofia-a"
+
+
+def make_report(instance, address, started, sequence, state):
+    host, _, port = address.partition(":")
+    return InstanceReport(
+        instance,
+        "status",
+        Address(host, int(port)),
+        ZONE,
+        4,
+        state == "leaving",
+        timedelta(0),
+        int(started),
+        int(sequence),
+    )
+
+
+@given("an entry VM that knows these announcements")
+def step_known(context):
+    context.registry = InstanceRegistry(LEASE)
+    for row in context.table:
+        take_report(context.registry, make_report(*row.cells), NOW)
+
+
+@when("the announcement {text} arrives")
+def step_arrive(context, text):
+    context.outcome = take_report(context.registry, make_report(*text.split()), NOW)
+
+
+@then("it is {outcome} and the known ones are {known}")
+def step_check(context, outcome, known):
+    assert context.outcome.value == outcome, context.outcome
+    assert sorted(context.registry.instances) == known.split(), context.registry.instances
+    listed = sorted(item.name for item in context.registry.by_service["status"])
+    assert listed == known.split(), listed
+
+
+@then("the announcement {text} is {outcome}")
+def step_outcome(context, text, outcome):
+    result = take_report(context.registry, make_report(*text.split()), NOW)
+    assert result.value == outcome, result
+
+
+@when('"{name}" departs')
+def step_depart(context, name):
+    remove_instance(context.registry, name, NOW)
+
+
+@when('a connection to "{name}" is refused')
+def step_refuse(context, name):
+    suspend_instance(context.registry.instances[name])
+
+
+@when("the evacuation of its availability zone ends")
+def step_evacuation_ends(context):
+    assume_cold(context.registry, ZONE)
+
+
+def may_use(context, name, seconds, evacuated=frozenset()):
+    instance = context.registry.instances[name]
+    return is_usable(instance, evacuated, LEASE, NOW + timedelta(seconds=seconds))
+
+
+@then('"{name}" may be used {seconds:g} s later')
+def step_usable(context, name, seconds):
+    assert may_use(context, name, seconds)
+
+
+@then('"{name}" may not be used {seconds:g} s later')
+def step_unusable(context, name, seconds):
+    assert not may_use(context, name, seconds)
+
+
+@then('"{name}" may not be used while its availability zone is evacuated')
+def step_evacuated(context, name):
+    assert not may_use(context, name, 0, frozenset({ZONE}))
+
+
+@then('"{name}" is cold')
+def step_cold(context, name):
+    assert context.registry.instances[name].is_cold(NOW)
+
+
+@then('"{name}" isn\'t cold')
+def step_not_cold(context, name):
+    assert not context.registry.instances[name].is_cold(NOW)
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,204 @@
+"""Steps of the choice of places and of waiting requests."""
+
+import statistics
+from datetime import timedelta
+
+import attrs
+from behave import given, then, when
+
+from camphorspread.request.placement import (
+    PlacementRequest,
+    Start,
+    choose_place,
+    end_run,
+    find_run_times,
+    start_run,
+)
+from camphorspread.request.waiting import (
+    Granted,
+    Refused,
+    Waiter,
+    WaitingList,
+    ask_for_place,
+    grant_places,
+)
+from features.fixtures.placement_simulation import (
+    PROMISED_S,
+    PlacementSimulation,
+    make_board,
+    make_request,
+)
+
+MEASURED_RUNS = 10
+
+
+@given(
+    "a simulated VM with {servers:d} servers of {slots:d} slots, {objects:d} objects,"
+    " {cold:g} s cold and {warm:g} s known runs"
+)
+def step_simulation(context, servers, slots, objects, cold, warm):
+    context.simulation = PlacementSimulation(servers, slots, objects, cold, warm)
+
+
+@given("one server takes {factor:g} times as long from second {start:g} on")
+def step_slow(context, factor, start):
+    context.simulation.slow_factor, context.simulation.slow_from = factor, start
+
+
+@when("{rate:g} requests a second arrive for {seconds:g} s")
+def step_run(context, rate, seconds):
+    context.rate, context.seconds = rate, seconds
+    context.simulation.run(rate, seconds)
+
+
+@then("at least {percent:g} percent are on time by expected time")
+def step_on_time(context, percent):
+    simulation = context.simulation
+    share = 100 * simulation.on_time / simulation.arrivals
+    assert share >= percent, f"{share:.1f} percent"
+
+
+@then("least load puts fewer on time")
+def step_baseline(context):
+    chosen = context.simulation
+    other = PlacementSimulation(
+        chosen.servers, chosen.slots, chosen.objects, chosen.cold_s, chosen.warm_s
+    )
+    other.is_least_load = True
+    other.run(context.rate, context.seconds)
+    assert other.on_time < chosen.on_time, (other.on_time, chosen.on_time)
+
+
+@then("no refusal comes later than {limit:g} s after arrival at the median")
+def step_refusals(context, limit):
+    times = context.simulation.refused_after
+    assert times and statistics.median(times) <= limit, statistics.median(times)
+
+
+@then("no server has more requests than slots")
+def step_slots(context):
+    assert context.simulation.most <= context.simulation.slots, context.simulation.most
+
+
+@then("the slow server gets less than {percent:g} percent of the requests after second {start:g}")
+def step_probes(context, percent, start):
+    starts = [name for time, name in context.simulation.starts if time >= start]
+    share = 100 * starts.count("i-0") / len(starts)
+    assert share < percent, f"{share:.1f} percent"
+
+
+@given("{count:d} servers whose failures are all {part:g}")
+def step_failing(context, count, part):
+    context.board = make_board(count)
+    for instance in context.board.registry.instances.values():
+        instance.failures = part
+        start_run(instance, timedelta(0))
+
+
+@then("a request starts at one of them")
+def step_starts(context):
+    place = choose_place(context.board, make_request(0.01, "o"), PROMISED_S, timedelta(0))
+    assert isinstance(place, Start), place
+
+
+@given("1 cold server whose bound is {bound:g} requests a second")
+def step_cold(context, bound):
+    context.board = make_board(1, slots=1000)
+    context.board.cold_bounds["status"] = bound
+    context.board.registry.instances["i-0"].cold_until = timedelta(seconds=60)
+
+
+@when("{count:d} requests ask for a place within a second")
+def step_ask(context, count):
+    context.started = 0
+    for number in range(count):
+        now = timedelta(seconds=number / count)
+        place = choose_place(context.board, make_request(0.0), PROMISED_S, now)
+        if isinstance(place, Start):
+            start_run(place.instance, now)
+            context.started += 1
+
+
+@then("at most {count:d} of them start")
+def step_few(context, count):
+    assert 0 < context.started <= count, context.started
+
+
+@given("a server that knows the object and a server that has had no request")
+def step_untried(context):
+    context.board = make_board(2)
+    instance = context.board.registry.instances["i-0"]
+    req = make_request(0.0, "o")
+    find_run_times(context.board, "status", "read", PROMISED_S)
+    start_run(instance, timedelta(0))
+    end_run(context.board, instance, req, True, 0.1, timedelta(0))
+
+
+@then("a request starts at the server that has had none")
+def step_first(context):
+    place = choose_place(context.board, make_request(0.0, "o"), PROMISED_S, timedelta(0))
+    assert isinstance(place, Start) and place.instance.name == "i-1", place
+
+
+def make_full_board(context, slots=1):
+    """Give the context a board whose only server is full, with measured times."""
+    context.board = make_board(1, slots)
+    context.waiting = WaitingList()
+    times = find_run_times(context.board, "status", "read", PROMISED_S)
+    times.runs, times.warm, times.cold = MEASURED_RUNS, 0.1, 0.12
+    context.instance = context.board.registry.instances["i-0"]
+    for _ in range(slots):
+        start_run(context.instance, timedelta(0))
+
+
+def add_waiter(context, ticket, req: PlacementRequest):
+    """Let a request wait."""
+    waiter = Waiter(ticket, req, PROMISED_S)
+    return ask_for_place(context.board, context.waiting, waiter, timedelta(0))
+
+
+@given("a full server and waiting requests of rank 2, 0 and 1, and one that is already late")
+def step_ranks(context):
+    make_full_board(context)
+    late = attrs.evolve(make_request(0.0, rank=0), promised_at=timedelta(milliseconds=50))
+    context.labels = {1: "late", 2: "2", 3: "0", 4: "1"}
+    reqs = [late, *(make_request(0.0, rank=rank, promised_at=timedelta(9)) for rank in (2, 0, 1))]
+    for ticket, req in enumerate(reqs, start=1):
+        assert add_waiter(context, ticket, req) is None, context.labels[ticket]
+
+
+@when("a slot is free four times")
+def step_free(context):
+    context.order = []
+    for _ in range(4):
+        context.instance.in_flight = 0
+        decisions = grant_places(context.board, context.waiting, "status", timedelta(0))
+        for decision in decisions:
+            assert isinstance(decision, Granted), decision
+            start_run(context.instance, timedelta(0))
+            context.order.append(context.labels[decision.ticket])
+
+
+@then("they start in the order {text}")
+def step_order(context, text):
+    assert context.order == text.split(", "), context.order
+
+
+@given("a full server and {count:d} waiting requests")
+def step_many(context, count):
+    make_full_board(context)
+    for ticket in range(count):
+        far = timedelta(seconds=1000)
+        add_waiter(context, ticket, make_request(0.0, promised_at=far, deadline=far))
+
+
+@when("a request arrives whose deadline is {seconds:g} s away")
+def step_hurry(context, seconds):
+    req = make_request(0.0, deadline=timedelta(seconds=seconds))
+    context.decision = add_waiter(context, 10_000, req)
+
+
+@then("it is refused with a time to return")
+def step_refused(context):
+    assert isinstance(context.decision, Refused), context.decision
+    assert context.decision.return_after > timedelta(0)
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,165 @@
+"""Steps of the fleet on the platform."""
+
+import asyncio
+import json
+import shutil
+
+from behave import given, then, when
+from behave import step as any_step
+
+from features.fixtures.platform_fleet import (
+    CONTROL_PORT,
+    ZONES,
+    make_configuration,
+)
+
+SETTLE_S = 6
+JOIN_LIMIT_S = 30
+
+
+@given("a fleet with an endpoint of each service in each zone")
+def step_fleet(context):
+    context.fleet.start_all()
+    for zone in ZONES:
+        for service in ("status", "filing"):
+            context.fleet.add_endpoint(f"{service}-{zone}", service, zone)
+    context.fleet.run(SETTLE_S)
+
+
+@when("the operator sends configuration {version:d}")
+def step_send(context, version):
+    answer = context.fleet.order("/-/Config.Put", make_configuration(version))
+    assert answer[0] == 200, answer
+    context.fleet.run(2)
+
+
+@when("clients of each zone send {count:d} requests of each kind")
+def step_requests(context, count):
+    fleet = context.fleet
+
+    async def send_all():
+        work = [
+            fleet.request(zone, f"/{kind}/x", method, body, key=str(number))
+            for zone in ZONES
+            for number in range(count)
+            for kind, method, body in (("read", "GET", b""), ("file", "POST", b"form"))
+        ]
+        return await asyncio.gather(*work)
+
+    context.answers = fleet.do(send_all())
+
+
+@then("all are answered by an endpoint of the right service with status 200")
+def step_check_answers(context):
+    for answer in context.answers:
+        assert answer is not None and answer[0] == 200, answer
+        service = {b"/read": b"status", b"/file": b"filing"}[answer[2].split()[1][:5]]
+        assert answer[2].startswith(service), answer
+        assert answer[1][b"response-signature"].endswith(answer[1][b"request-id"]), answer
+
+
+@then("each request ran once")
+def step_check_runs(context):
+    runs = [item for endpoint in context.fleet.endpoints.values() for item in endpoint.runs]
+    assert len(runs) == len(set(runs)) == len(context.answers), (len(runs), len(context.answers))
+
+
+def count_voters(context):
+    """Return the voters of each control VM's log."""
+    return {
+        vm: set(node.steering.shell.state.voters) for vm, node in context.fleet.controls.items()
+    }
+
+
+def is_whole(context):
+    """Return True if all control VMs are voters of one group."""
+    own = {node.steering.shell.state.own_id for node in context.fleet.controls.values()}
+    return all(voters == own for voters in count_voters(context).values())
+
+
+@then("each control VM is a voter")
+def step_check_voters(context):
+    assert is_whole(context), count_voters(context)
+
+
+@then("each control VM becomes a voter of one group")
+def step_wait_voters(context):
+    for _ in range(JOIN_LIMIT_S * 2):
+        if is_whole(context):
+            return
+        context.fleet.run(0.5)
+    raise AssertionError(count_voters(context))
+
+
+@when("the control VMs start in the order {order} with {pause:g} s between them")
+def step_start_order(context, order, pause):
+    for number in order.split(","):
+        context.fleet.start_control(ZONES[int(number)])
+        context.fleet.run(pause)
+
+
+@when("all control VMs start")
+def step_start_controls(context):
+    for zone in ZONES:
+        context.fleet.start_control(zone)
+
+
+@then("a configuration is accepted")
+def step_accept(context):
+    assert context.fleet.order("/-/Config.Put", make_configuration(7))[0] == 200
+
+
+@any_step('the control VM of "{zone}" is cut off from the others')
+def step_cut(context, zone):
+    fleet = context.fleet
+    own = fleet.host(zone, 1)
+    fleet.network.cut({own}, {fleet.host(item, 1) for item in ZONES if item != zone})
+    context.cut_zone = zone
+
+
+@when("the control VMs reach each other again")
+def step_heal(context):
+    context.fleet.network.heal()
+
+
+@when("{seconds:g} s go by on the platform")
+def step_pass(context, seconds):
+    context.fleet.run(seconds)
+
+
+def wipe(context, zone):
+    """Empty the disk of a control VM that isn't running."""
+    shutil.rmtree(context.fleet.folder / f"core-{zone}-1")
+
+
+@when('the control VM of "{zone}" comes back with an empty disk')
+def step_wipe(context, zone):
+    context.fleet.kill(f"core-{zone}-1")
+    wipe(context, zone)
+    context.fleet.run(1)
+    context.fleet.start_control(zone, is_first=False)
+    context.fleet.run(SETTLE_S)
+
+
+@when("all control VMs are killed at once and two come back with empty disks")
+def step_herd(context):
+    for zone in ZONES:
+        context.fleet.kill(f"core-{zone}-1")
+    for zone in ZONES[:2]:
+        wipe(context, zone)
+    context.fleet.run(1)
+    for zone in ZONES:
+        context.fleet.start_control(zone, is_first=False)
+
+
+@then("the configuration is read back as configuration {version:d}")
+def step_read_back(context, version):
+    answer = context.fleet.order("/-/Config.Get", method="GET")
+    assert answer[0] == 200, answer
+    assert json.loads(answer[2]) == json.loads(make_configuration(version)), answer
+
+
+@then("it answers a read of the configuration with {status:d}")
+def step_read_cut(context, status):
+    answer = context.fleet.call(context.cut_zone, CONTROL_PORT, "GET", "/-/Config.Get")
+    assert answer is not None and answer[0] == status, answer
