Test the codec of the platform's messages and keep home regions by server

Cause: no test covered the adapter; a VM that owns servers of another region took its own region for theirs.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -192,6 +192,7 @@
         availability_zone: Zone of this VM.
         region: Region of this VM.
         registry: Backend servers that announce themselves here.
+        regions: Region of each availability zone.
         evacuated_zones: Availability zones whose backend servers get nothing.
         cold_bounds: Requests a second that a cold server of a service tolerates, from all VMs.
         peers: Other entry VMs by name.
@@ -206,6 +207,7 @@
     availability_zone: str
     region: str
     registry: InstanceRegistry
+    regions: dict[str, str] = attrs.field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     cold_bounds: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
@@ -365,8 +367,6 @@
     board: PlacementBoard, req: PlacementRequest, times: RunTimes, now: timedelta
 ) -> Iterator[Start | Wait]:
     """Yield each backend server of this VM with its cost."""
-    if req.home_regions and board.region not in req.home_regions:
-        return
     instances = usable_instances(board, req.service, now)
     slots = sum(item.report.slots for item in instances)
     used = sum(item.in_flight for item in instances)
@@ -375,7 +375,7 @@
     fewest_failures = min((item.failures for item in instances), default=0.0)
     order = find_order(board, req.service, req.object_key) if req.object_key else {}
     for item in instances:
-        if item.name in req.excluded:
+        if item.name in req.excluded or not is_home(board, req, item):
             continue
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
@@ -407,6 +407,15 @@
             yield Wait(item, cost + max(ahead, all_ahead), run)
 
 
+def is_home(board: PlacementBoard, req: PlacementRequest, instance: Instance) -> bool:
+    """Return True if a backend server is in a region that may run the request."""
+    if not req.home_regions:
+        return True
+    # A VM may own servers of another region whose own VMs are lost.
+    region = board.regions.get(instance.report.availability_zone, board.region)
+    return region in req.home_regions
+
+
 def peer_places(
     board: PlacementBoard, req: PlacementRequest, times: RunTimes, now: timedelta
 ) -> Iterator[Pass]:
--- /dev/null
+++ b/features/platform/codec.feature
@@ -0,0 +1,85 @@
+Feature: The platform's messages become types of the product
+  Guards against a message of another writer that ends a process or names a wrong address, against a
+  configuration that is invalid and accepted, and against names of the platform outside the adapter.
+
+  Scenario Outline: A heartbeat
+    When the heartbeat is <change>
+    Then it is read as <result>
+
+    Examples:
+      | change                        | result      |
+      | as on the sheet               | a report    |
+      | without born                  | a report    |
+      | with a field that isn't known | a report    |
+      | with state draining           | a departure |
+      | with state sleeping           | refused     |
+      | without service               | refused     |
+      | with slots 0                  | refused     |
+      | with slots "6"                | refused     |
+      | with seq true                 | refused     |
+      | with seq 1.5                  | refused     |
+      | with address nowhere          | refused     |
+      | with address 10.1.0.1:x       | refused     |
+      | with coldRemainingMs -5       | refused     |
+      | a list                        | refused     |
+      | no JSON                       | refused     |
+      | 200000 nested brackets        | refused     |
+
+  Scenario Outline: A configuration
+    When the configuration has <change>
+    Then it is <result>
+
+    Examples:
+      | change                                      | result   |
+      | nothing unusual                             | accepted |
+      | a field that isn't known                    | accepted |
+      | two services that share a route             | accepted |
+      | a route that names an unknown service       | invalid  |
+      | a part of a route with an unknown service   | invalid  |
+      | two routes with one host and prefix         | invalid  |
+      | an empty host                               | invalid  |
+      | an aim a minute above the time limit        | invalid  |
+      | an aim 59 s above the time limit            | accepted |
+      | a version without its letter                | invalid  |
+      | no routes at all                            | invalid  |
+      | its last byte cut off                       | invalid  |
+      | 200000 nested brackets                      | invalid  |
+
+  Scenario Outline: The settings file
+    When the settings file has <change>
+    Then the settings are <result>
+
+    Examples:
+      | change                     | result                                       |
+      | nothing unusual            | read                                         |
+      | a field that isn't known   | read                                         |
+      | no seeds                   | read                                         |
+      | no zone                    | refused with "self.zone is missing"          |
+      | a port that is no number   | refused with "network.listen.front is"       |
+      | an inner range of one port | refused with "network.internalPortRange is"  |
+      | a bound that is no number  | refused with "terms.bounds.drainMs is"       |
+      | three faults at once       | refused with three lines                     |
+
+  Scenario Outline: An error response promises no more than is known
+    Given a refusal of the kind <kind>
+    Then its status is <status>
+
+    Examples:
+      | kind                     | status |
+      | overloaded               | 503    |
+      | no_backend_server        | 503    |
+      | deadline_passed_in_queue | 503    |
+      | not_ready                | 503    |
+      | unknown_service          | 404    |
+      | backend_failed           | 502    |
+      | deadline_exceeded        | 504    |
+
+  Scenario: A request for an endpoint names the time left and the one endpoint that may run it
+    Given a client's request with hop-by-hop headers, a deadline of 2000 ms and a cookie
+    When it is sent to the endpoint "i-7" with 1500 ms left
+    Then its headers are those of the client without hop-by-hop ones, 1500 ms and "i-7"
+    And its object is "17"
+
+  Scenario: The names of the platform stay in the adapter
+    When the names of its calls, headers and fields are looked for outside the adapter
+    Then none is found
