Test faults, departures, stops and bad input of the whole path

Cause: a request with two lengths got its connection closed without an answer: the refusal was sent only before a request was read.

--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -121,6 +121,6 @@
 
     async def _refuse_head(self, state: h11.Connection, stream: Stream, refusal: Refusal) -> None:
         self.on_refused(refusal, stream.peer)
-        if state.our_state is h11.IDLE:
+        if state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = RequestHead(b"GET", b"/")
             await Exchange(head, stream.peer, stream, state, self.limits).refuse(refusal)
--- /dev/null
+++ b/features/platform/faults.feature
@@ -0,0 +1,121 @@
+Feature: What clients, endpoints and operators are told holds when something fails
+  Guards against requests that run twice, refusals that aren't true, answers that are cut or belong
+  to another request, and requests to endpoints that have left.
+
+  Background:
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+
+  @fixture.platform_fleet
+  Scenario Outline: One request while all endpoints of its service misbehave
+    Given the endpoints of "<service>" <fault>
+    When a client of "sofia-a" sends one "<kind>" request
+    Then it gets <status> and the request ran <runs>
+
+    Examples:
+      | service | fault                               | kind | status | runs          |
+      | filing  | reset connections after the run     | file | 502    | once          |
+      | status  | reset connections after the run     | read | 502    | at most twice |
+      | filing  | cut answers short                   | file | 502    | once          |
+      | status  | cut answers short                   | read | 502    | at most twice |
+      | filing  | reject everything                   | file | 503    | never         |
+      | status  | reject everything                   | read | 503    | never         |
+      | filing  | send another answer before each one | file | 200    | once          |
+      | filing  | never answer                        | file | 504    | once          |
+
+  @fixture.platform_fleet
+  Scenario: An idempotent request whose endpoint fails is served by another one
+    Given the endpoint "status-sofia-a" resets connections after the run
+    When a client of "sofia-a" sends 6 "read" requests about different objects
+    Then all of them get 200
+
+  @fixture.platform_fleet
+  Scenario: A request that may run once isn't sent again after it may have run
+    Given the endpoint "filing-sofia-a" resets connections after the run
+    When a client of "sofia-a" sends 6 "file" requests about different objects
+    Then each of them ran once at most, and those without 200 got 502
+
+  @fixture.platform_fleet
+  Scenario: A client that leaves ends the work at the endpoint
+    Given the endpoints of "status" never answer
+    When a client of "sofia-a" sends one "read" request and leaves after 0.3 s
+    Then no endpoint works on it 0.5 s later
+
+  @fixture.platform_fleet
+  Scenario: An endpoint that leaves gets nothing more once that is acknowledged
+    When the endpoint "status-sofia-a" says that it is draining
+    Then that is acknowledged
+    And none of 12 "read" requests of "sofia-a" runs there
+
+  @fixture.platform_fleet
+  Scenario: A departure that reaches a control VM binds the owner
+    When the endpoint "status-sofia-a" departs through the control VM of "varna-a"
+    Then that is acknowledged
+    And none of 12 "read" requests of "sofia-a" runs there
+
+  @fixture.platform_fleet
+  Scenario: A cut-off control VM doesn't acknowledge a departure
+    Given the control VM of "varna-a" is cut off from the others
+    And 3 s go by on the platform
+    When the endpoint "status-sofia-a" departs through the control VM of "varna-a"
+    Then that isn't acknowledged
+
+  @fixture.platform_fleet
+  Scenario: The endpoints of a killed entry VM get another owner
+    When the entry VM of "sofia-a" is killed
+    And 6 s go by on the platform
+    And a client of "sofia-b" sends 12 "read" requests about different objects
+    Then all of them get 200
+    And "status-sofia-a" has another owner
+
+  @fixture.platform_fleet
+  Scenario: An entry VM that is stopped answers every request that it has read
+    When a client of "sofia-a" sends 6 "read" requests while its entry VM stops
+    Then all of them get 200
+    And the process ends within 5 s
+    And the directory doesn't name it
+
+  @fixture.platform_fleet
+  Scenario: An evacuated zone gets nothing until it is taken back
+    When the operator evacuates "sofia-a"
+    And 3 s go by on the platform
+    Then none of 12 "read" requests of "sofia-a" runs at "status-sofia-a"
+    When the operator takes "sofia-a" back
+    And 3 s go by on the platform
+    Then some of 12 "read" requests of "sofia-a" run at "status-sofia-a"
+
+  @fixture.platform_fleet
+  Scenario: Requests with home regions run only there
+    When the operator puts a table in which "read" may run only in "varna"
+    Then all of 12 "read" requests of "sofia-a" run in "varna"
+
+  @fixture.platform_fleet
+  Scenario Outline: Orders that change nothing
+    When the operator tries to send <order>
+    Then the answer is <status> and configuration 1 is read back
+
+    Examples:
+      | order                              | status |
+      | configuration 1 again              | 200    |
+      | configuration 1 with other content | 200    |
+      | configuration 0                    | 200    |
+      | an invalid configuration 9         | 400    |
+      | half a configuration               | 400    |
+
+  @fixture.platform_fleet
+  Scenario Outline: Input that is no message
+    When the input <input> reaches the <listener> listener
+    Then the answer is <status> or the connection is closed
+    And a client of "sofia-a" is still served
+
+    Examples:
+      | input                         | listener | status |
+      | a head with two lengths       | front    | 400    |
+      | a broken chunk size           | front    | 400    |
+      | a head over the limit         | front    | 431    |
+      | bytes that aren't HTTP        | front    | 400    |
+      | 200000 brackets as heartbeat  | control  | 400    |
+      | 200000 brackets as heartbeat  | inner    | 400    |
+      | bytes that aren't HTTP        | control  | 400    |
+      | bytes that aren't HTTP        | lookup   | 400    |
+      | a path that doesn't exist     | control  | 404    |
--- /dev/null
+++ b/features/steps/platform_fault_steps.py
@@ -0,0 +1,339 @@
+"""Steps of faults on the platform."""
+
+import asyncio
+import contextlib
+import json
+
+from behave import given, then, when
+from behave import step as any_step
+
+from camphorspread.connection.network import Address
+from camphorspread.process.steering_node import stop_gracefully
+from features.fixtures.platform_fleet import (
+    CONTROL_PORT,
+    FRONT_PORT,
+    INNER_PORT,
+    LOOKUP_PORT,
+    OUTSIDE,
+    ZONES,
+    make_configuration,
+    make_route,
+)
+
+FAULTS = {
+    "reset connections after the run": "reset",
+    "resets connections after the run": "reset",
+    "cut answers short": "cut",
+    "reject everything": "shed",
+    "send another answer before each one": "stray",
+}
+NEVER_S = 1000.0
+
+
+@given("configuration 1 is in force")
+def step_in_force(context):
+    assert context.fleet.order("/-/Config.Put", make_configuration(1))[0] == 200
+    context.fleet.run(2)
+
+
+@given('the endpoints of "{service}" {fault}')
+def step_all_fail(context, service, fault):
+    for endpoint in context.fleet.endpoints.values():
+        if endpoint.service == service:
+            set_fault(endpoint, fault)
+
+
+@given('the endpoint "{name}" resets connections after the run')
+def step_one_fails(context, name):
+    set_fault(context.fleet.endpoints[name], "resets connections after the run")
+
+
+def set_fault(endpoint, fault):
+    """Let an endpoint misbehave."""
+    if fault == "never answer":
+        endpoint.work_s = NEVER_S
+    else:
+        endpoint.misbehaviour = FAULTS[fault]
+
+
+def send(context, zone, kind, count):
+    """Send requests at the same time and return the answers."""
+    method, body = ("GET", b"") if kind == "read" else ("POST", b"form")
+
+    async def send_all():
+        work = [
+            context.fleet.request(zone, f"/{kind}/x", method, body, key=f"k{number}")
+            for number in range(count)
+        ]
+        return await asyncio.gather(*work)
+
+    before = count_runs(context)
+    answers = context.fleet.do(send_all())
+    context.new_runs = {
+        name: endpoint.runs[before[name] :] for name, endpoint in context.fleet.endpoints.items()
+    }
+    return answers
+
+
+def count_runs(context):
+    return {name: len(endpoint.runs) for name, endpoint in context.fleet.endpoints.items()}
+
+
+def list_runs(context):
+    return [item for runs in context.new_runs.values() for item in runs]
+
+
+@when('a client of "{zone}" sends one "{kind}" request')
+def step_send_one(context, zone, kind):
+    context.answers = send(context, zone, kind, 1)
+
+
+@any_step('a client of "{zone}" sends {count:d} "{kind}" requests about different objects')
+def step_send_many(context, zone, count, kind):
+    context.answers = send(context, zone, kind, count)
+
+
+@then("it gets {status:d} and the request ran {runs}")
+def step_check_one(context, status, runs):
+    answer = context.answers[0]
+    assert answer is not None and answer[0] == status, answer
+    allowed = {"once": (1,), "never": (0,), "at most twice": (1, 2)}[runs]
+    assert len(list_runs(context)) in allowed, context.new_runs
+    if status == 200:
+        assert answer[2].startswith(b"filing"), answer
+
+
+@then("all of them get 200")
+def step_all_served(context):
+    statuses = [answer and answer[0] for answer in context.answers]
+    assert set(statuses) == {200}, statuses
+
+
+@then("each of them ran once at most, and those without 200 got 502")
+def step_once(context):
+    runs = list_runs(context)
+    assert len(runs) == len(set(runs)), runs
+    statuses = {answer and answer[0] for answer in context.answers}
+    assert statuses <= {200, 502} and 502 in statuses, statuses
+
+
+@when('a client of "{zone}" sends one "read" request and leaves after {seconds:g} s')
+def step_leave(context, zone, seconds):
+    async def leave():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await context.fleet.request(zone, "/read/x")
+
+    context.fleet.do(leave())
+
+
+@then("no endpoint works on it {seconds:g} s later")
+def step_no_work(context, seconds):
+    context.fleet.run(seconds)
+    running = {name: item.running for name, item in context.fleet.endpoints.items()}
+    # A stub notices a closed connection only when it answers, so the connections are counted.
+    for entry in context.fleet.entries.values():
+        used = [item.in_flight for item in entry.state.board.registry.instances.values()]
+        assert not any(used), (used, running)
+
+
+@when('the endpoint "{name}" says that it is draining')
+def step_drain(context, name):
+    endpoint = context.fleet.endpoints[name]
+    endpoint.state = "draining"
+    context.acknowledged = context.fleet.do(endpoint.beat())
+    context.left = name
+
+
+@when('the endpoint "{name}" departs through the control VM of "{zone}"')
+def step_depart(context, name, zone):
+    endpoint = context.fleet.endpoints[name]
+    endpoint.beat_to = None
+    endpoint.controls = (Address(context.fleet.host(zone, 1), CONTROL_PORT),)
+    context.acknowledged = context.fleet.do(endpoint.beat("/-/Instances.Deregister/"))
+    endpoint.task.cancel()
+    context.left = name
+
+
+@then("that is acknowledged")
+def step_acknowledged(context):
+    assert context.acknowledged
+
+
+@then("that isn't acknowledged")
+def step_not_acknowledged(context):
+    assert not context.acknowledged
+
+
+@then('none of {count:d} "{kind}" requests of "{zone}" runs there')
+def step_none_there(context, count, kind, zone):
+    check_none(context, count, kind, zone, context.left)
+
+
+@then('none of {count:d} "{kind}" requests of "{zone}" runs at "{name}"')
+def step_none_at(context, count, kind, zone, name):
+    check_none(context, count, kind, zone, name)
+
+
+def check_none(context, count, kind, zone, name):
+    """Check that requests are served, and not by one endpoint."""
+    answers = send(context, zone, kind, count)
+    assert {answer and answer[0] for answer in answers} == {200}, answers
+    assert not context.new_runs[name], context.new_runs
+
+
+@then('some of {count:d} "{kind}" requests of "{zone}" run at "{name}"')
+def step_some(context, count, kind, zone, name):
+    send(context, zone, kind, count)
+    assert context.new_runs[name], context.new_runs
+
+
+@when('the entry VM of "{zone}" is killed')
+def step_kill(context, zone):
+    context.fleet.kill(f"front-{zone}-2")
+    context.killed = context.fleet.host(zone, 2)
+
+
+@then('"{name}" has another owner')
+def step_owner(context, name):
+    owner = context.fleet.endpoints[name].beat_to
+    assert owner is not None and owner.host != context.killed, owner
+
+
+@when('a client of "{zone}" sends {count:d} "read" requests while its entry VM stops')
+def step_stop(context, zone, count):
+    fleet = context.fleet
+    node = fleet.entries.pop(f"front-{zone}-2")
+    context.stopped = Address(fleet.host(zone, 2), FRONT_PORT)
+    context.stopped_zone = zone
+
+    async def stop():
+        await asyncio.sleep(0.05)
+        started = fleet.clock.monotonic()
+        await stop_gracefully(node)
+        return (fleet.clock.monotonic() - started).total_seconds()
+
+    async def both():
+        work = [fleet.request(zone, "/read/x", key=f"k{number}") for number in range(count)]
+        return await asyncio.gather(stop(), *work)
+
+    context.stop_s, *context.answers = fleet.do(both())
+
+
+@then("the process ends within {seconds:g} s")
+def step_ended(context, seconds):
+    assert context.stop_s <= seconds, context.stop_s
+
+
+@then("the directory doesn't name it")
+def step_directory(context):
+    zone = context.stopped_zone
+    target = f"/-/resolve?name=water.example&region={zone[:-2]}&zone={zone}"
+    answer = context.fleet.call(zone, LOOKUP_PORT, "GET", target)
+    named = json.loads(answer[2])["frontAddresses"]
+    assert named and str(context.stopped) not in named, named
+
+
+@when('the operator evacuates "{zone}"')
+def step_evacuate(context, zone):
+    assert context.fleet.order(f"/-/Evacuations.Start/{zone}")[0] == 200
+
+
+@when('the operator takes "{zone}" back')
+def step_take_back(context, zone):
+    for _ in range(2):  # A repeat is acknowledged as well.
+        assert context.fleet.order(f"/-/Evacuations.Finish/{zone}")[0] == 200
+
+
+@when('the operator puts a table in which "{kind}" may run only in "{region}"')
+def step_home(context, kind, region):
+    routes = [make_route("read", f"/{kind}/", "safe", "status", allowedRegions=[region])]
+    assert context.fleet.order("/-/Config.Put", make_configuration(2, routes))[0] == 200
+    context.fleet.run(2)
+
+
+@then('all of {count:d} "{kind}" requests of "{zone}" run in "{region}"')
+def step_run_home(context, count, kind, zone, region):
+    answers = send(context, zone, kind, count)
+    assert {answer and answer[0] for answer in answers} == {200}, answers
+    used = {name for name, runs in context.new_runs.items() if runs}
+    assert used and all(f"-{region}-" in name for name in used), used
+
+
+@when("the operator tries to send {order}")
+def step_order(context, order):
+    body = {
+        "configuration 1 again": make_configuration(1),
+        "configuration 1 with other content": make_configuration(1, []),
+        "configuration 0": make_configuration(0),
+        "an invalid configuration 9": make_configuration(
+            9, [make_route("read", "/read/", "safe", "none")]
+        ),
+        "half a configuration": make_configuration(9)[:200],
+    }[order]
+    context.answer = context.fleet.order("/-/Config.Put", body)
+
+
+@then("the answer is {status:d} and configuration 1 is read back")
+def step_read_back(context, status):
+    assert context.answer[0] == status, context.answer
+    context.fleet.run(1)
+    answer = context.fleet.order("/-/Config.Get", method="GET")
+    assert json.loads(answer[2]) == json.loads(make_configuration(1)), answer
+
+
+INPUTS = {
+    "a head with two lengths": (
+        b"POST /file/x HTTP/1.1\r\nHost: water.example\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "a broken chunk size": (
+        b"POST /file/x HTTP/1.1\r\nHost: water.example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"
+    ),
+    "a head over the limit": b"GET /read/x HTTP/1.1\r\nX: " + b"a" * 20_000,
+    "bytes that aren't HTTP": b"\x16\x03\x01\x02\x00\r\n\r\n",
+    "200000 brackets as heartbeat": (
+        b"POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n"
+        + b"[" * 200_000
+    ),
+    "a path that doesn't exist": b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n",
+}
+LISTENERS = {
+    "front": (2, FRONT_PORT),
+    "inner": (2, INNER_PORT),
+    "control": (1, CONTROL_PORT),
+    "lookup": (1, LOOKUP_PORT),
+}
+
+
+@when("the input {what} reaches the {listener} listener")
+def step_input(context, what, listener):
+    number, port = LISTENERS[listener]
+    address = Address(context.fleet.host("sofia-a", number), port)
+
+    async def exchange():
+        stream = await context.fleet.network.host(OUTSIDE).connect(address)
+        with contextlib.suppress(ConnectionError):
+            for start in range(0, len(INPUTS[what]), 10_000):
+                await stream.write(INPUTS[what][start : start + 10_000])
+        received = b""
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(5):
+                while part := await stream.read():
+                    received += part
+        stream.abort()
+        return received
+
+    context.received = context.fleet.do(exchange())
+
+
+@then("the answer is {status:d} or the connection is closed")
+def step_input_answer(context, status):
+    assert context.received.startswith(b"HTTP/1.1 %d " % status), context.received[:200]
+
+
+@then('a client of "{zone}" is still served')
+def step_still_served(context, zone):
+    assert send(context, zone, "read", 1)[0][0] == 200
+    assert set(context.fleet.entries) == {f"front-{item}-2" for item in ZONES}
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -122,7 +122,7 @@
     context.fleet.network.heal()
 
 
-@when("{seconds:g} s go by on the platform")
+@any_step("{seconds:g} s go by on the platform")
 def step_pass(context, seconds):
     context.fleet.run(seconds)
 
