--- a/camphorspread/request/pass_codec.py
+++ b/camphorspread/request/pass_codec.py
@@ -39,6 +39,8 @@
         promised_left: Time until which the response counts as on time; negative if that is over.
         time_left: Time until the response must be back.
         excluded: Backend servers that have failed it.
+        home_regions: Regions that may run it; empty if all may. The VM that gets it may own servers
+            of another region.
     """
 
     service: str
@@ -49,6 +51,7 @@
     promised_left: timedelta
     time_left: timedelta
     excluded: tuple[str, ...] = ()
+    home_regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -83,6 +86,7 @@
         "promised_left_ms": passed.promised_left // MILLISECOND,
         "left_ms": passed.time_left // MILLISECOND,
         "excluded": passed.excluded,
+        "homes": passed.home_regions,
     }
     text = json.dumps(value, separators=(",", ":")).encode()
     return attrs.evolve(head, headers=(*strip_own_headers(head.headers), (PASS_HEADER, text)))
@@ -105,6 +109,7 @@
             value["promised_left_ms"] * MILLISECOND,
             value["left_ms"] * MILLISECOND,
             tuple(value["excluded"]),
+            tuple(value["homes"]),
         )
     except (KeyError, TypeError, RecursionError) as exc:
         raise ValueError(f"{PASS_HEADER.decode()} has another form: {exc}") from exc
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -184,6 +184,7 @@
         job.req.promised_at - started - timedelta(seconds=peer.round_trip_s / 2),
         max(left - RETURN_MARGIN, timedelta(milliseconds=1)),
         tuple(job.req.excluded),
+        job.req.home_regions,
     )
     head = encode_pass(job.call.head, passed)
     head = attrs.evolve(
--- a/camphorspread/request/route_pass.py
+++ b/camphorspread/request/route_pass.py
@@ -44,6 +44,7 @@
         passed.rank,
         now + passed.promised_left,
         deadline,
+        home_regions=passed.home_regions,
         excluded=frozenset(passed.excluded),
         may_pass=False,
     )
--- a/features/request/placement.feature
+++ b/features/request/placement.feature
@@ -44,3 +44,8 @@
     Given a full server and 40 waiting requests
     When a request arrives whose deadline is 0.2 s away
     Then it is refused with a time to return
+
+  Scenario: A passed request keeps its home regions
+    Given a VM of "sofia" that owns a server of "varna" only
+    When a request that may run only in "sofia" is passed to it
+    Then it finds no place
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,7 +6,10 @@
 import attrs
 from behave import given, then, when
 
+from camphorspread.connection.messages import RequestHead
+from camphorspread.request.pass_codec import PassedRequest, decode_pass, encode_pass
 from camphorspread.request.placement import (
+    Nowhere,
     PlacementRequest,
     Start,
     choose_place,
@@ -202,3 +205,24 @@
 def step_refused(context):
     assert isinstance(context.decision, Refused), context.decision
     assert context.decision.return_after > timedelta(0)
+
+
+@given('a VM of "{region}" that owns a server of "{other}" only')
+def step_foreign(context, region, other):
+    context.board = make_board(1)
+    context.board.regions = {"sofia-a": other}
+
+
+@when('a request that may run only in "{region}" is passed to it')
+def step_passed(context, region):
+    second = timedelta(seconds=1)
+    passed = PassedRequest("status", "read", "o", 1, second, second, second, home_regions=(region,))
+    head = encode_pass(RequestHead(b"GET", b"/read/x"), passed)
+    homes = decode_pass(head).home_regions
+    req = make_request(0.0, "o", home_regions=homes, may_pass=False)
+    context.place = choose_place(context.board, req, PROMISED_S, timedelta(0))
+
+
+@then("it finds no place")
+def step_nowhere(context):
+    assert isinstance(context.place, Nowhere), context.place
