--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -138,7 +138,13 @@
     bounds = settings.bounds
     lease = announcement_lease(settings)
     place = settings.place
-    board = PlacementBoard(place.vm, place.availability_zone, place.region, InstanceRegistry(lease))
+    board = PlacementBoard(
+        place.vm,
+        place.availability_zone,
+        place.region,
+        InstanceRegistry(lease),
+        settings.regions,
+    )
 
     def make_pool() -> ConnectionPool:
         return ConnectionPool(
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -119,3 +119,12 @@
       | bytes that aren't HTTP        | control  | 400    |
       | bytes that aren't HTTP        | lookup   | 400    |
       | a path that doesn't exist     | control  | 404    |
+
+  @fixture.platform_fleet
+  Scenario: An entry VM that owns servers of a lost region keeps them from requests with other homes
+    When the entry VM of "varna-a" is killed
+    And the entry VM of "varna-b" is killed
+    And 6 s go by on the platform
+    And the operator puts a table in which "read" may run only in "sofia"
+    Then all of 24 "read" requests of "plovdiv-a" run in "sofia"
+    And all of 24 "read" requests of "sofia-a" run in "sofia"
