--- a/features/steps/log_file_steps.py
+++ b/features/steps/log_file_steps.py
@@ -67,7 +67,29 @@
         case "the middle record is removed":
             damage(context, data[: context.offsets[2]] + data[start:])
         case _:
-            raise AssertionError(f"unknown damage {what}")
+            is_synced, kept = DAMAGE_BEFORE_LAST[what]
+            damage_before_last(context, is_synced, kept)
+
+
+# Whether the damaged record was synced, and how many of its bytes are left.
+DAMAGE_BEFORE_LAST = {
+    "an unsynced record is missing before another": (False, 0),
+    "an unsynced record is torn before another": (False, RECORD_HEAD.size + 9),
+    "a synced record is missing before another": (True, 0),
+}
+
+
+def damage_before_last(context, is_synced, kept):
+    """Add two records and leave zeros in place of the first one but for so many bytes."""
+    storage, _ = open_folder(context.data_folder, "other")
+    storage.write((make_entry(4),))
+    if is_synced:
+        storage.sync()
+    storage.write((make_entry(5),))
+    start, end = storage.log.offsets[-2:]
+    storage.close()
+    data = (context.data_folder / "log").read_bytes()
+    damage(context, data[: start + kept] + bytes(end - start - kept) + data[end:])
 
 
 @then("opening the data folder gives {count:d} entries")
--- a/features/version/log_file.feature
+++ b/features/version/log_file.feature
@@ -15,6 +15,9 @@
       | the last record ends in blocks never written  | 2 entries                        |
       | any single bit of any record is flipped       | an error with file and offset    |
       | the middle record is removed                  | an error with file and offset    |
+      | an unsynced record is missing before another  | 3 entries                        |
+      | an unsynced record is torn before another     | 3 entries                        |
+      | a synced record is missing before another     | an error with file and offset    |
 
   @fixture.data_folder
   Scenario: A blank data folder gets an identity that stays
