Serve metrics at the ports that the deploy file names

Cause: the deploy file names a fixed port, and the internal range differs by deployment.

Change: 9464 for entry VMs, 9465 for control VMs.

--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -19,7 +19,10 @@
 
 SETTINGS_PATH_VARIABLE = "CAMPHORSPREAD_NODE_FILE"
 # Ports of the internal range, counted from its first one. Both roles may share a VM.
-ENTRY_PEERS, CONTROL_PEERS, ENTRY_METRICS, CONTROL_METRICS = range(4)
+ENTRY_PEERS, CONTROL_PEERS = range(2)
+# The deploy file names these ports, so they can't follow the range, which differs by deployment.
+ENTRY_METRICS_PORT = 9464
+CONTROL_METRICS_PORT = 9465
 ZONE_PREFIX = "network.zones."
 # Descriptors that the platform reserves for files outside the data folder.
 RESERVED_DESCRIPTORS = 200
@@ -78,7 +81,7 @@
 def parse_ports(text: str) -> int:
     """Read a range of ports and return its first one."""
     first, last = (int(part) for part in text.split(","))
-    if not 0 < first <= last - CONTROL_METRICS:
+    if not 0 < first <= last - CONTROL_PEERS:
         raise ValueError(text)
     return first
 
@@ -117,7 +120,7 @@
     role = decode_role(reader, "front" in serves)
     is_entry = isinstance(role, EntryVmSettings)
     peers = Address(host or "", first_port + (ENTRY_PEERS if is_entry else CONTROL_PEERS))
-    metrics = Address(peers.host, first_port + (ENTRY_METRICS if is_entry else CONTROL_METRICS))
+    metrics = Address(peers.host, ENTRY_METRICS_PORT if is_entry else CONTROL_METRICS_PORT)
     seeds = reader.read("network.seeds", parse_seeds, "addresses joined by commas", ())
     regions = {
         name.removeprefix(ZONE_PREFIX): region
