Record a whole session on the wire as a golden file

Cause: the adapter had no test that fixes what it sends, byte for byte.

Change: each call of the operator, a client, the platform and an endpoint once, with its answer.

--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -55,3 +55,9 @@
     And the control VM of "sofia-a" is cut off from the others
     And 3 s go by on the platform
     Then it answers a read of the configuration with 503
+
+  @fixture.platform_fleet
+  Scenario: A whole session on the wire
+    Given a fleet with an endpoint of each service in each zone
+    When the operator, a client, the platform and an endpoint make each call once
+    Then the session equals the golden file "platform_session.txt"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,8 +7,11 @@
 from behave import given, then, when
 from behave import step as any_step
 
+from features.fixtures.golden import compare_with_golden
 from features.fixtures.platform_fleet import (
     CONTROL_PORT,
+    LOOKUP_PORT,
+    READY_PORT,
     ZONES,
     make_configuration,
 )
@@ -163,3 +166,70 @@
 def step_read_cut(context, status):
     answer = context.fleet.call(context.cut_zone, CONTROL_PORT, "GET", "/-/Config.Get")
     assert answer is not None and answer[0] == status, answer
+
+
+def describe(name, answer):
+    """Return the lines of one call in the transcript of a session."""
+    status, headers, body = answer
+    lines = [f"{name} -> {status}"]
+    lines += [f"  {key.decode()}: {value.decode()}" for key, value in sorted(headers.items())]
+    return [*lines, f"  {body.decode()}"]
+
+
+@when("the operator, a client, the platform and an endpoint make each call once")
+def step_session(context):
+    fleet = context.fleet
+    lines = []
+
+    def order(name, target, body=b"", method="POST"):
+        lines.extend(describe(name, fleet.order(target, body, method)))
+
+    def ask(name, port, target, number):
+        lines.extend(describe(name, fleet.call("sofia-a", port, "GET", target, number=number)))
+
+    def request(name, target, method="GET", body=b""):
+        lines.extend(describe(name, fleet.do(fleet.request("sofia-a", target, method, body))))
+
+    ask("readiness before the first configuration", READY_PORT, "/-/readyz", 2)
+    request("request before the first configuration", "/read/1")
+    order("configuration 1", "/-/Config.Put", make_configuration(1))
+    fleet.run(2)
+    ask("readiness", READY_PORT, "/-/readyz", 2)
+    ask("resolve", LOOKUP_PORT, "/-/resolve?name=water.example&region=sofia&zone=sofia-a", 1)
+    request("safe request", "/read/1?full=1")
+    request("unsafe request", "/file/1", "POST", b"form")
+    request("request without a route", "/none/1")
+    order("invalid configuration", "/-/Config.Put", make_configuration(2, [{}]))
+    order("configuration 1 again", "/-/Config.Put", make_configuration(1))
+    order("read of the configuration", "/-/Config.Get", method="GET")
+    order("evacuation", "/-/Evacuations.Start/varna-a")
+    order("end of the evacuation", "/-/Evacuations.Finish/varna-a")
+    endpoint = fleet.endpoints["status-sofia-b"]
+    host, port = fleet.host("sofia-a", 1), CONTROL_PORT
+    beat = {
+        "service": "status",
+        "address": str(endpoint.address),
+        "zone": "sofia-b",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 900,
+        "born": endpoint.born,
+    }
+    for name, path, state in (
+        ("heartbeat", "Heartbeat", "ready"),
+        ("heartbeat of an endpoint that leaves", "Heartbeat", "draining"),
+        ("departure", "Deregister", "draining"),
+        ("heartbeat of another writer", "Heartbeat", "sleeping"),
+    ):
+        beat = {**beat, "state": state, "seq": beat["seq"] + 1}
+        body = json.dumps(beat).encode()
+        target = f"/-/Instances.{path}/status-sofia-b"
+        lines.extend(describe(name, fleet.call("sofia-a", port, "POST", target, body)))
+    context.session = "\n".join(lines).replace(host, "CONTROL") + "\n"
+
+
+@then('the session equals the golden file "{name}"')
+def step_golden(context, name):
+    compare_with_golden(name, context.session)
