Bound the lines of each event and never wait for the reader of the log

Cause: a full pipe stalled the loop, and each request that ended badly wrote a line, however many there were.

--- a/camphorspread/platform/run.py
+++ b/camphorspread/platform/run.py
@@ -13,6 +13,7 @@
 from camphorspread.platform.settings_file import SETTINGS_PATH_VARIABLE, decode_settings
 from camphorspread.process.clock import SystemClock
 from camphorspread.process.events import Event, EventLog, make_event_log
+from camphorspread.process.log_output import LogBudget, PipeOutput
 from camphorspread.process.steering_settings import (
     ControlVmSettings,
     EntryVmSettings,
@@ -39,7 +40,8 @@
             return 2
         case Success(settings):
             pass
-    log = make_event_log(settings.place.vm, SystemClock(), sys.stdout)
+    output = PipeOutput(sys.stdout.fileno())
+    log = make_event_log(settings.place.vm, SystemClock(), output, LogBudget())
     try:
         asyncio.run(run_role(settings, log))
     except OSError as exc:
--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -7,6 +7,7 @@
 import structlog
 
 from camphorspread.process.clock import Clock
+from camphorspread.process.log_output import LogBudget, may_write, take_left_out
 
 __all__ = ["Event", "EventLog", "find_level", "make_event_log"]
 
@@ -23,6 +24,7 @@
     DRAIN_ENDED = 105
     DRAIN_REMAINDER = 106
     STOPPED_AT_ONCE = 107
+    LINES_LEFT_OUT = 108
     REQUEST_REFUSED = 200
     REQUEST_SERVED = 201
     REQUEST_RETRIED = 202
@@ -92,6 +94,7 @@
         Event.CATALOGUE_LEASE_ENDED,
         Event.SHARE_RENEWAL_FAILED,
         Event.CONTROL_LOST,
+        Event.LINES_LEFT_OUT,
         Event.INSTANCE_EXPIRED,
         Event.ORDER_UNANSWERED,
     }
@@ -114,23 +117,46 @@
         >>> log.write(Event.PROCESS_STARTED, role="entry")  # doctest: +SKIP
     """
 
-    def __init__(self, logger: Any) -> None:
-        """Keep the logger."""
+    def __init__(
+        self, logger: Any, clock: Clock | None = None, budget: LogBudget | None = None
+    ) -> None:
+        """Keep the logger.
+
+        Args:
+            logger: Writes lines.
+            clock: Source of instants for the budget.
+            budget: Bounds the lines a second; None for no bound.
+        """
         self.logger = logger
+        self.clock = clock
+        self.budget = budget
 
     def write(self, event: Event, **fields: Any) -> None:
-        """Write one event with its fields."""
+        """Write one event with its fields, unless too many of its kind were written just now."""
+        if self.budget is not None:
+            now = self.clock.monotonic()
+            if left_out := take_left_out(self.budget, now):
+                self.write_line(Event.LINES_LEFT_OUT, {"counts": left_out})
+            if not may_write(self.budget, event.name, now):
+                return
+        self.write_line(event, fields)
+
+    def write_line(self, event: Event, fields: dict[str, Any]) -> None:
+        """Write one line."""
         level = find_level(event)
         self.logger.msg(event.name.lower(), level=level, number=event.value, **fields)
 
 
-def make_event_log(vm: str, clock: Clock, output: TextIO | None = None) -> EventLog:
+def make_event_log(
+    vm: str, clock: Clock, output: TextIO | None = None, budget: LogBudget | None = None
+) -> EventLog:
     """Return a log that writes JSON lines.
 
     Args:
         vm: Name of the VM, a field of each line.
         clock: Source of the date and time of each line.
         output: Where to write; standard error if None.
+        budget: Bounds the lines a second; None for no bound.
     """
 
     def add_time(_logger: Any, _method: str, fields: dict[str, Any]) -> dict[str, Any]:
@@ -143,4 +169,4 @@
             structlog.processors.JSONRenderer(),
         ],
     )
-    return EventLog(logger.bind(vm=vm))
+    return EventLog(logger.bind(vm=vm), clock, budget)
