Split the choice of places by topic and keep one copy of what two shells share

Change: the board, the homes of objects, what is learnt from runs, the request on its way and the sending of a response are modules of their own.

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -8,6 +8,7 @@
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.process.announcement_codec import encode_leave, encode_report
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import (
     Instance,
@@ -20,7 +21,6 @@
 from camphorspread.process.owner_rank import rank_owners
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.place_wait import give_free_places
-from camphorspread.request.placement import EntryVm
 
 __all__ = [
     "ANNOUNCEMENT_PATH",
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -17,6 +17,7 @@
     NotAccepted,
 )
 from camphorspread.process.control_state import ControlState
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import InstanceReport
 from camphorspread.process.owner_rank import rank_owners
@@ -24,7 +25,6 @@
 from camphorspread.process.steering_settings import SteeringSettings
 from camphorspread.process.vm_record_codec import decode_vm, encode_address, encode_vm
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.placement import EntryVm
 
 __all__ = [
     "ListedVm",
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -16,7 +16,7 @@
 from camphorspread.process.steering_settings import EntryVmSettings, SteeringSettings
 from camphorspread.request.dialect import Dialect
 from camphorspread.request.fleet_budget import FleetBudget
-from camphorspread.request.placement import PlacementBoard
+from camphorspread.request.placement_board import PlacementBoard
 from camphorspread.request.splitting import Splitter
 from camphorspread.request.waiting import WaitingList
 from camphorspread.version.routing import RouteTable
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -13,11 +13,11 @@
 
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import assume_cold
 from camphorspread.process.steering_state import ControlVm, SteeringState
 from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_own_record
-from camphorspread.request.placement import EntryVm
 from camphorspread.version.catalogue import RoutingDocument
 from camphorspread.version.routing import RouteTable
 
--- a/camphorspread/process/vm_record_codec.py
+++ b/camphorspread/process/vm_record_codec.py
@@ -3,8 +3,8 @@
 from datetime import timedelta
 
 from camphorspread.connection.network import Address
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.steering_state import SteeringState
-from camphorspread.request.placement import EntryVm
 
 __all__ = ["decode_address", "decode_vm", "encode_address", "encode_own_record", "encode_vm"]
 
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -5,14 +5,10 @@
 
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import LinkError
+from camphorspread.process.entry_vms import EntryVm, ServiceLoad
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.placement import (
-    EntryVm,
-    PlacementBoard,
-    ServiceLoad,
-    usable_instances,
-)
+from camphorspread.request.placement_board import PlacementBoard, usable_instances
 
 __all__ = ["exchange_summaries", "measure_load", "serve_summary"]
 
--- a/camphorspread/request/place_wait.py
+++ b/camphorspread/request/place_wait.py
@@ -6,7 +6,8 @@
 from camphorspread.process.instances import Instance
 from camphorspread.process.steering_metrics import record_wait
 from camphorspread.process.steering_state import SteeringState
-from camphorspread.request.placement import Pass, PlacementRequest, Start, start_run
+from camphorspread.request.placement_board import Pass, PlacementRequest, Start
+from camphorspread.request.run_learning import start_run
 from camphorspread.request.waiting import (
     Granted,
     Refused,
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -1,11 +1,11 @@
 """One attempt of a steered request: at a backend server of this VM, or through another VM."""
 
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 import attrs
 
 from camphorspread.connection.messages import ResponseHead
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import remove_instance, suspend_instance
 from camphorspread.process.steering_state import SteeringState
@@ -18,14 +18,8 @@
     strip_own_headers,
 )
 from camphorspread.request.place_wait import give_slot
-from camphorspread.request.placement import (
-    EntryVm,
-    Pass,
-    Start,
-    end_run,
-    find_run_times,
-    learn_pass,
-)
+from camphorspread.request.placement_board import Pass, Start, find_run_times
+from camphorspread.request.run_learning import end_run, learn_pass
 from camphorspread.request.send import (
     Broken,
     NotSent,
@@ -34,9 +28,7 @@
     StreamedReply,
     send_request,
 )
-
-if TYPE_CHECKING:
-    from camphorspread.request.route_steer import SteeredRequest
+from camphorspread.request.steered_request import SteeredRequest
 
 __all__ = [
     "SERVER_ERROR",
@@ -91,7 +83,7 @@
 AttemptResult = Served | Rejected | Failed
 
 
-async def attempt_start(state: SteeringState, job: "SteeredRequest", place: Start) -> AttemptResult:
+async def attempt_start(state: SteeringState, job: SteeredRequest, place: Start) -> AttemptResult:
     """Send a request to a backend server; its slot is free again when this returns."""
     instance = place.instance
     started = state.clock.monotonic()
@@ -142,7 +134,7 @@
 
 def judge_send(
     state: SteeringState,
-    job: "SteeredRequest",
+    job: SteeredRequest,
     place: Start,
     result: SendResult,
     was_sent: bool,
@@ -170,7 +162,7 @@
             return Served(result, f"status {result.head.status}", instance.name)
 
 
-async def attempt_pass(state: SteeringState, job: "SteeredRequest", place: Pass) -> AttemptResult:
+async def attempt_pass(state: SteeringState, job: SteeredRequest, place: Pass) -> AttemptResult:
     """Send a request through another entry VM."""
     peer = place.peer
     started = state.clock.monotonic()
@@ -218,7 +210,7 @@
 
 def judge_pass(
     state: SteeringState,
-    job: "SteeredRequest",
+    job: SteeredRequest,
     peer: EntryVm,
     result: SendResult,
     started: timedelta,
--- a/camphorspread/request/route_pass.py
+++ b/camphorspread/request/route_pass.py
@@ -17,10 +17,12 @@
     encode_pass_facts,
 )
 from camphorspread.request.place_wait import wait_for_place
-from camphorspread.request.placement import PlacementRequest, Start, find_run_times
+from camphorspread.request.placement_board import PlacementRequest, Start, find_run_times
+from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_start
-from camphorspread.request.route_steer import SteeredRequest, read_first_part
+from camphorspread.request.route_steer import read_first_part
 from camphorspread.request.send import Reply, StreamedReply
+from camphorspread.request.steered_request import SteeredRequest
 from camphorspread.request.waiting import Refused
 from camphorspread.version.routing import Route
 
@@ -135,19 +137,7 @@
         case None:
             status = 503 if facts.outcome is Outcome.NOT_RUN else 502
             await exchange.respond(ResponseHead(status, headers))
-        case Reply(head=head, body=body):
-            head = state.dialect.encode_reply(head)
-            await exchange.respond(attrs.evolve(head, headers=(*head.headers, *headers)), body)
-        case StreamedReply(head=head, held=held, conn=conn, pool=pool):
-            head = state.dialect.encode_reply(head)
-            try:
-                exchange.start_response(attrs.evolve(head, headers=(*head.headers, *headers)))
-                await exchange.send_body(held)
-                while part := await conn.read_body():
-                    await exchange.send_body(part)
-                await exchange.finish()
-            except BaseException:
-                conn.abort()
-                exchange.abort()
-                raise
-            pool.release(conn)
+        case _:
+            head = state.dialect.encode_reply(reply.head)
+            head = attrs.evolve(head, headers=(*head.headers, *headers))
+            await send_reply(exchange, head, reply)
--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -20,7 +20,8 @@
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.fleet_budget import record_first_send, try_repeat
 from camphorspread.request.place_wait import wait_for_place
-from camphorspread.request.placement import Pass, PlacementRequest, Start
+from camphorspread.request.placement_board import Pass, PlacementRequest, Start
+from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import (
     SERVER_ERROR,
     AttemptResult,
@@ -32,6 +33,7 @@
 )
 from camphorspread.request.send import HELD_BYTES, Reply, RequestBody, StreamedReply
 from camphorspread.request.splitting import pick_service
+from camphorspread.request.steered_request import SteeredRequest
 from camphorspread.request.waiting import Refused
 from camphorspread.version.routing import Route, find_route
 
@@ -44,33 +46,6 @@
 SHORTEST_ATTEMPT = timedelta(milliseconds=50)
 
 
-@attrs.define(eq=False)
-class SteeredRequest:
-    """A caller's request on its way.
-
-    Attributes:
-        call: The decoded request.
-        route: Its route.
-        req: What the choice of places needs to know.
-        body: Its body.
-        arrived: When its head had arrived.
-        deadline: Until when it must have its final response.
-        sends: Backend servers that it was sent to.
-        may_have_run: True once a backend server may have begun to work on it.
-        trail: What happened, for the log.
-    """
-
-    call: SteeredCall
-    route: Route
-    req: PlacementRequest
-    body: RequestBody
-    arrived: timedelta
-    deadline: timedelta
-    sends: int = 0
-    may_have_run: bool = False
-    trail: list[str] = attrs.field(factory=list)
-
-
 @attrs.frozen
 class Denied:
     """The request gets an error response of this program."""
@@ -280,21 +255,7 @@
 ) -> None:
     """Send a backend server's response to the caller."""
     head = state.dialect.encode_reply(reply.head)
-    match reply:
-        case Reply(body=body):
-            await exchange.respond(head, body)
-        case StreamedReply(held=held, conn=conn, pool=pool):
-            try:
-                exchange.start_response(head)
-                await exchange.send_body(held)
-                while part := await conn.read_body():
-                    await exchange.send_body(part)
-                await exchange.finish()
-            except BaseException:
-                conn.abort()
-                exchange.abort()
-                raise
-            pool.release(conn)
+    await send_reply(exchange, head, reply)
 
 
 async def respond_denied(state: SteeringState, exchange: Exchange, denied: Denied) -> None:
--- a/camphorspread/request/waiting.py
+++ b/camphorspread/request/waiting.py
@@ -12,17 +12,15 @@
 import attrs
 
 from camphorspread.process.instances import Instance
-from camphorspread.request.placement import (
+from camphorspread.request.placement import choose_place, fits_freed_slot, has_room
+from camphorspread.request.placement_board import (
     Nowhere,
     Pass,
     PlacementBoard,
     PlacementRequest,
     Start,
     Wait,
-    choose_place,
     find_run_times,
-    fits_freed_slot,
-    has_room,
     usable_instances,
 )
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -8,15 +8,9 @@
 
 from camphorspread.connection.messages import RequestHead
 from camphorspread.request.pass_codec import PassedRequest, decode_pass, encode_pass
-from camphorspread.request.placement import (
-    Nowhere,
-    PlacementRequest,
-    Start,
-    choose_place,
-    end_run,
-    find_run_times,
-    start_run,
-)
+from camphorspread.request.placement import choose_place
+from camphorspread.request.placement_board import Nowhere, PlacementRequest, Start, find_run_times
+from camphorspread.request.run_learning import end_run, start_run
 from camphorspread.request.waiting import (
     Granted,
     Refused,
