--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -35,7 +35,7 @@
 from camphorspread.request.splitting import pick_service
 from camphorspread.request.steered_request import SteeredRequest
 from camphorspread.request.waiting import Refused
-from camphorspread.version.routing import Route, find_route
+from camphorspread.version.routing import CallerLimits, Route, find_route
 
 __all__ = ["steer"]
 
@@ -123,7 +123,8 @@
     if not has_body(headers):
         framing = tuple(item for item in headers if item[0] == b"content-length")
         return RequestBody(framing)
-    limit = state.table.limits.body_bytes
+    # Another VM may pass a request here before this one has its routes.
+    limit = (state.table.limits if state.table else CallerLimits()).body_bytes
     announced = next((value for name, value in headers if name == b"content-length"), b"0")
     if int(announced) > limit:
         raise too_large(limit)
