Name the lease of announcements once and drop unused parameters

Cause: reading the change as a newcomer: one constant stood in two modules, one parameter and one class had no use, and a passed request relied on an assert.

Change: the lease is a property of the bounds; the rest is removed or said.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -268,7 +268,7 @@
     been silent for longer than an announcement holds there.
     """
     clock = steering.control.clock
-    lease = steering.settings.bounds.announcement_interval * 3
+    lease = steering.settings.bounds.announcement_lease
     if not is_current(steering) or clock.monotonic() - steering.started_at < lease:
         return NotAccepted("this control VM may not know all entry VMs")
     message = encode_leave(name, report.order if report else None)
--- a/camphorspread/process/steering_settings.py
+++ b/camphorspread/process/steering_settings.py
@@ -15,6 +15,10 @@
 ]
 
 
+# A backend server may miss one announcement, and another one may come late.
+LEASE_INTERVALS = 3
+
+
 @attrs.frozen
 class FleetBounds:
     """Bounds that the users of a deployment have agreed on.
@@ -47,6 +51,14 @@
     lookup_ttl_limit: timedelta = timedelta(seconds=5)
     region_shift_limit: float = 0.15
 
+    @property
+    def announcement_lease(self) -> timedelta:
+        """For how long an announcement of a backend server holds at an entry VM.
+
+        A VM that was silent for this long sends nothing more to the servers that it had.
+        """
+        return self.announcement_interval * LEASE_INTERVALS
+
 
 @attrs.frozen
 class EntryVmSettings:
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -27,9 +27,6 @@
 # connections that the other end is about to close.
 IDLE_LIMIT = timedelta(seconds=3)
 IDLE_PER_ADDRESS = 32
-# An endpoint may miss one announcement, and no more than the others must wait for before they may
-# vouch that this VM sends it nothing.
-LEASE_INTERVALS = 3
 
 
 @attrs.define(eq=False)
@@ -73,13 +70,11 @@
         splitter: Division of routes among their services.
         catalogue_version: Version of the catalogue in force, 0 before the first one.
         table: Routes in force, None before the first ones.
-        table_set: Set once there are routes.
         controls: Control VMs by their address for own processes.
         futures: Requests that wait, by ticket.
         next_ticket: Ticket of the next request.
         in_flight: Callers' requests in flight.
         is_leaving: True from SIGTERM on.
-        changed: Set when the record of this VM has changed, to wake polls.
         metrics: Counters and histograms.
     """
 
@@ -136,13 +131,12 @@
 ) -> SteeringState:
     """Return the state of an entry VM at the start of its process."""
     bounds = settings.bounds
-    lease = announcement_lease(settings)
     place = settings.place
     board = PlacementBoard(
         place.vm,
         place.availability_zone,
         place.region,
-        InstanceRegistry(lease),
+        InstanceRegistry(bounds.announcement_lease),
         settings.regions,
     )
 
@@ -166,8 +160,3 @@
         board,
         FleetBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
     )
-
-
-def announcement_lease(settings: SteeringSettings) -> timedelta:
-    """Return for how long an announcement of a backend server holds at an entry VM."""
-    return settings.bounds.announcement_interval * LEASE_INTERVALS
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import attrs
 from returns.result import Result
 
 from camphorspread.connection.link import LinkError
@@ -31,18 +30,12 @@
 RETRY_WAIT = timedelta(milliseconds=250)
 # An entry VM that no control VM has listed for this long counts as dead.
 ALIVE_TTL = timedelta(seconds=2.5)
+# Spreads the polls of a VM, so that their responses don't arrive together.
 STAGGER_S = 0.15
 
 TableDecoder = Callable[[str], Result[RouteTable, str]]
 
 
-@attrs.define(eq=False)
-class Polls:
-    """Running polls by the address of the control VM."""
-
-    tasks: dict[Address, asyncio.Task] = attrs.field(factory=dict)
-
-
 async def poll_control_vms(state: SteeringState, decode_table: TableDecoder) -> None:
     """Poll all known control VMs until cancelled.
 
@@ -53,17 +46,17 @@
     for seed in state.settings.seeds:
         address = Address(seed.host, state.settings.control_peer_port)
         state.controls.setdefault(address, ControlVm(address))
-    polls = Polls()
+    polls: dict[Address, asyncio.Task] = {}
     try:
         while True:
             for address in list(state.controls):
-                task = polls.tasks.get(address)
+                task = polls.get(address)
                 if task is None or task.done():
                     work = poll_one(state, address, decode_table)
-                    polls.tasks[address] = asyncio.create_task(work)
+                    polls[address] = asyncio.create_task(work)
             await asyncio.sleep(RETRY_WAIT.total_seconds())
     finally:
-        for task in polls.tasks.values():
+        for task in polls.values():
             task.cancel()
 
 
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -140,7 +140,6 @@
     req: PlacementRequest,
     instance: Instance,
     expected: str,
-    now: timedelta,
 ) -> Start | None:
     """Return the place at a server that has a free slot again, if a waiting request should take it.
 
@@ -151,7 +150,6 @@
         req: The waiting request.
         instance: The server.
         expected: Name of the server that the request waits for.
-        now: The present instant.
     """
     if instance.name in req.excluded or not is_home(board, req, instance):
         return None
--- a/camphorspread/request/route_pass.py
+++ b/camphorspread/request/route_pass.py
@@ -17,7 +17,7 @@
     encode_pass_facts,
 )
 from camphorspread.request.place_wait import wait_for_place
-from camphorspread.request.placement_board import PlacementRequest, Start, find_run_times
+from camphorspread.request.placement_board import Pass, PlacementRequest, find_run_times
 from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_start
 from camphorspread.request.route_steer import read_first_part
@@ -97,10 +97,13 @@
 ) -> tuple[PassFacts, Reply | StreamedReply | None]:
     """Make one attempt at a backend server of this VM; the other VM decides on more."""
     place = await wait_for_place(state, job.req, job.route.promised)
-    if isinstance(place, Refused):
-        kind = ErrorKind.OVERLOADED if place.has_server else ErrorKind.NO_BACKEND_SERVER
-        return PassFacts(Outcome.NOT_RUN, kind, 0, return_after=place.return_after), None
-    assert isinstance(place, Start)
+    match place:
+        case Refused(return_after=after, has_server=has_server):
+            kind = ErrorKind.OVERLOADED if has_server else ErrorKind.NO_BACKEND_SERVER
+            return PassFacts(Outcome.NOT_RUN, kind, 0, return_after=after), None
+        case Pass():
+            # Never chosen for a passed request; it isn't passed once more.
+            return PassFacts(Outcome.NOT_RUN, ErrorKind.INTERNAL, 0), None
     started = state.clock.monotonic()
     result = await attempt_start(state, job, place)
     match result:
--- a/camphorspread/request/waiting.py
+++ b/camphorspread/request/waiting.py
@@ -205,7 +205,7 @@
     if not waiters or not has_room(board, instance, now):
         return None
     for waiter in in_order(board, waiters.values(), now):
-        place = fits_freed_slot(board, waiter.req, instance, waiter.instance, now)
+        place = fits_freed_slot(board, waiter.req, instance, waiter.instance)
         if place is not None:
             leave_list(board, waiting, waiter)
             return Granted(waiter.ticket, place)
