Wait for the start of a killed control process as long as it takes

With 60 busy processes all four examples fail in their first step: the test gives a process about 2.5 s to start. With 14 busy processes they pass.

Change: the step waits until the process listens, up to 60 s, and fails at once if it ends. What is checked of the log stays.

--- a/features/steps/replicated_catalogue_steps.py
+++ b/features/steps/replicated_catalogue_steps.py
@@ -1,6 +1,7 @@
 """Steps of control processes that replicate the catalogue."""
 
 import asyncio
+import contextlib
 import json
 import socket
 import subprocess
@@ -254,6 +255,10 @@
     assert (value["field"], value["value"], value["limit"]) == (field, given, limit), value
 
 
+# Only a process that never starts uses this up.
+START_LIMIT_S = 60
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -267,6 +272,19 @@
         command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
     )
     context.add_cleanup(end_process, context.process)
+    wait_until_listening(context)
+
+
+def wait_until_listening(context):
+    """Wait until the process accepts connections; on a busy machine it starts slowly."""
+    end = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end and context.process.poll() is None:
+        with contextlib.suppress(OSError):
+            address = (context.operators.host, context.operators.port)
+            socket.create_connection(address, timeout=1).close()
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"the process doesn't listen, exit code {context.process.poll()}")
 
 
 def end_process(process):
