Drop dead state and let one function tell entry VMs of a departure

Cause: reading the change once more: an entry VM and a control VM sent the notice of a departure with the same code; a field, a constant, a wrapper and two parameters had no use; one comment didn't say why a limit is what it is.

Change: tell_leave serves both; the rest is removed. Behaviour stays.

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from camphorspread.connection.link import LinkError
+from camphorspread.connection.link import JsonLink, LinkError
 from camphorspread.connection.network import Address
 from camphorspread.process.announcement_codec import encode_leave, encode_report
 from camphorspread.process.entry_vms import EntryVm
@@ -32,6 +32,7 @@
     "take_departure",
     "take_passed_announcement",
     "take_passed_departure",
+    "tell_leave",
 ]
 
 ANNOUNCEMENT_PATH = "/v1/entry/announcement"
@@ -66,7 +67,7 @@
         return await take_departure(state, report.instance, report)
     owner = find_better_owner(state, report)
     if owner is not None and await hand_over(state, owner, report):
-        drop_handed_over(state, report.instance)
+        drop(state.board.registry, report.instance)
         return Accepted(owner.peers)
     take_and_log(state, report)
     return Accepted()
@@ -102,11 +103,6 @@
     return response.status == 200
 
 
-def drop_handed_over(state: SteeringState, name: str) -> None:
-    """Forget a backend server that another VM has taken."""
-    drop(state.board.registry, name)
-
-
 def take_and_log(state: SteeringState, report: InstanceReport) -> ReportOutcome:
     """Take an announcement into the registry."""
     outcome = take_report(state.board.registry, report, state.clock.monotonic())
@@ -170,7 +166,7 @@
         if peer.region == state.board.region and now < peer.alive_until
     ]
     message = encode_leave(name, order)
-    results = await asyncio.gather(*(tell_leave(state, peer, message) for peer in peers))
+    results = await asyncio.gather(*(tell_leave(state.link, peer.peers, message) for peer in peers))
     # Whoever had it before this VM has lost its lease by now.
     owned_long = known is not None and now - known.owned_since >= lease
     if all(results) or owned_long:
@@ -178,10 +174,10 @@
     return NotAccepted("another VM that may send to it didn't answer")
 
 
-async def tell_leave(state: SteeringState, peer: EntryVm, message: dict) -> bool:
-    """Tell another VM that a backend server leaves; return True if it knows now."""
+async def tell_leave(link: JsonLink, address: Address, message: dict) -> bool:
+    """Tell an entry VM that a backend server leaves; return True if it knows now."""
     try:
-        response = await state.link.call(peer.peers, "POST", LEAVE_PATH, message, FORWARD_LIMIT)
+        response = await link.call(address, "POST", LEAVE_PATH, message, FORWARD_LIMIT)
     except LinkError:
         return False  # The caller decides what an unanswered message means.
     return response.status == 200
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -12,9 +12,9 @@
 from camphorspread.process.announcements import (
     ANNOUNCEMENT_PATH,
     FORWARD_LIMIT,
-    LEAVE_PATH,
     Accepted,
     NotAccepted,
+    tell_leave,
 )
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.entry_vms import EntryVm
@@ -280,13 +280,7 @@
     async def tell(item: ListedVm) -> bool:
         if not item.is_alive:
             return clock.monotonic() - item.heard_at >= lease
-        try:
-            response = await steering.control.link.call(
-                item.record.peers, "POST", LEAVE_PATH, message, FORWARD_LIMIT
-            )
-        except LinkError:
-            return False  # It may still send; the backend server asks another control VM.
-        return response.status == 200
+        return await tell_leave(steering.control.link, item.record.peers, message)
 
     results = await asyncio.gather(*(tell(item) for item in items))
     if all(results):
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -23,7 +23,7 @@
 
 __all__ = ["ControlVm", "SteeringState", "make_steering_state"]
 
-# A service's own servers reset what they didn't announce; a shorter time keeps requests off
+# Backend servers close idle connections after some seconds; a shorter time keeps requests off
 # connections that the other end is about to close.
 IDLE_LIMIT = timedelta(seconds=3)
 IDLE_PER_ADDRESS = 32
@@ -38,14 +38,12 @@
         heard_at: When it last answered; None before the first time.
         fleet_tag: Version of the list of entry VMs that it sent last.
         listed: Entry VMs in that list.
-        is_current: True if it said that it holds everything accepted.
     """
 
     peers: Address
     heard_at: timedelta | None = None
     fleet_tag: str = ""
     listed: frozenset[str] = frozenset()
-    is_current: bool = False
 
 
 @attrs.define(eq=False)
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -109,7 +109,6 @@
         return
     now = state.clock.monotonic()
     control.heard_at = now
-    control.is_current = value.get("current") is True
     if isinstance(value.get("vms"), list):
         control.fleet_tag = str(value.get("fleet", ""))
         control.listed = frozenset(take_vms(state, value["vms"], now))
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -19,8 +19,6 @@
 FAR_INTERVAL = timedelta(milliseconds=800)
 SUMMARY_LIMIT = timedelta(milliseconds=1000)
 ROUND_TRIP_WEIGHT = 0.3
-# Fits a round trip within a region before one was measured.
-FIRST_ROUND_TRIP_S = 0.004
 
 
 def measure_load(state: SteeringState, service: str, now: timedelta) -> ServiceLoad | None:
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -114,7 +114,7 @@
     finally:
         now = state.clock.monotonic()
         run_s = (now - started).total_seconds()
-        is_good = isinstance(result, Reply | StreamedReply) and not is_failure(state, result)
+        is_good = isinstance(result, Reply | StreamedReply) and not is_failure(result)
         if result is None:
             # The caller left or its time is over: that says nothing about the server unless it
             # took far longer than it should have.
@@ -127,7 +127,7 @@
         give_slot(state, instance)
 
 
-def is_failure(state: SteeringState, reply: Reply | StreamedReply) -> bool:
+def is_failure(reply: Reply | StreamedReply) -> bool:
     """Return True if a backend server didn't do what it should."""
     return reply.head.status >= SERVER_ERROR
 
@@ -187,7 +187,7 @@
     result = await send_request(
         state.peer_pool, peer.peers, head, job.body, lambda _response: True, lambda: None
     )
-    outcome = judge_pass(state, job, peer, result, started)
+    outcome = judge_pass(state, job, peer, result)
     if isinstance(outcome, Rejected):
         job.may_have_run = may_have_run
     return outcome
@@ -213,7 +213,6 @@
     job: SteeredRequest,
     peer: EntryVm,
     result: SendResult,
-    started: timedelta,
 ) -> AttemptResult:
     """Return what a request through another entry VM came to."""
     match result:
