Answer a request head that stops arriving with 408

Cause: the limit on a head applied to each wait for bytes, and its end was a reset connection. A caller couldn't tell this from a failure after its request was read, and single bytes could hold a connection for as long as they kept coming. Change: a head has a total time from its first byte; then the caller is told 408, which says that the request hasn't run. Shown by: three scenarios in features/platform/faults.feature, which failed before (3 of 36) and pass now.

--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -1,5 +1,6 @@
 """The server side of HTTP/1.1 connections."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -98,29 +99,63 @@
             await refuse_or_abort(exchange, Refusal(ErrorKind.INTERNAL, "a fault in this program"))
 
     async def _read_head(self, state: h11.Connection, stream: Stream) -> RequestHead | None:
-        limit = self.limits.idle
-        while True:
-            try:
-                event = state.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise RefusedError(make_protocol_refusal(exc)) from exc
-            match event:
-                case h11.Request(method=method, target=target, headers=headers):
-                    head = RequestHead(bytes(method), bytes(target), tuple(headers))
-                    if has_two_lengths(head.headers):
-                        # The next hop might read another length, and a second request inside.
-                        message = "the request has both a length and chunks"
-                        raise RefusedError(Refusal(ErrorKind.MALFORMED_REQUEST, message))
-                    return head
-                case h11.NEED_DATA:
-                    await receive_into(state, stream, limit)
-                    if state.trailing_data[0]:
-                        limit = self.limits.progress
-                case _:
-                    return None
+        """Return the next request head, None if the other end closes instead.
+
+        Raises:
+            StalledError: No request began within the idle limit.
+            RefusedError: The head is malformed, or wasn't complete in time.
+        """
+        try:
+            async with asyncio.timeout(None) as timer:
+                while True:
+                    event = next_head_event(state)
+                    match event:
+                        case h11.Request(method=method, target=target, headers=headers):
+                            head = RequestHead(bytes(method), bytes(target), tuple(headers))
+                            check_framing(head)
+                            return head
+                        case h11.NEED_DATA if not state.trailing_data[0]:
+                            await receive_into(state, stream, self.limits.idle)
+                        case h11.NEED_DATA:
+                            if timer.when() is None:
+                                now = asyncio.get_running_loop().time()
+                                timer.reschedule(now + self.limits.head.total_seconds())
+                            await receive_into(state, stream, self.limits.head)
+                        case _:
+                            return None
+        except (StalledError, TimeoutError) as exc:
+            if not state.trailing_data[0]:
+                raise
+            message = "the request head wasn't complete in time"
+            raise RefusedError(Refusal(ErrorKind.HEAD_STALLED, message)) from exc
 
     async def _refuse_head(self, state: h11.Connection, stream: Stream, refusal: Refusal) -> None:
         self.on_refused(refusal, stream.peer)
         if state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = RequestHead(b"GET", b"/")
             await Exchange(head, stream.peer, stream, state, self.limits).refuse(refusal)
+
+
+def next_head_event(state: h11.Connection) -> object:
+    """Return the next event of a connection on which a request head is due.
+
+    Raises:
+        RefusedError: The bytes aren't a request head.
+    """
+    try:
+        return state.next_event()
+    except h11.RemoteProtocolError as exc:
+        raise RefusedError(make_protocol_refusal(exc)) from exc
+
+
+def check_framing(head: RequestHead) -> None:
+    """Refuse a head with two lengths.
+
+    The next hop might read the other length, and a second request inside the body.
+
+    Raises:
+        RefusedError: The head has two lengths.
+    """
+    if has_two_lengths(head.headers):
+        message = "the request has both a length and chunks"
+        raise RefusedError(Refusal(ErrorKind.MALFORMED_REQUEST, message))
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -192,6 +192,7 @@
             callers.limits = ConnectionLimits(
                 header_bytes=limits.header_bytes,
                 idle=limits.idle_time,
+                head=limits.header_time,
                 progress=limits.header_time,
                 connections_per_peer=CONNECTIONS_PER_PEER,
             )
--- a/camphorspread/request/errors.py
+++ b/camphorspread/request/errors.py
@@ -23,6 +23,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     MALFORMED_REQUEST = "malformed_request"
     HEADER_TOO_LARGE = "header_too_large"
+    HEAD_STALLED = "head_stalled"
     BODY_TOO_LARGE = "body_too_large"
     NO_BACKEND_SERVER = "no_backend_server"
     OVERLOADED = "overloaded"
@@ -67,6 +68,7 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404, Outcome.NOT_RUN),
     ErrorKind.MALFORMED_REQUEST: ErrorResponse(400, Outcome.NOT_RUN),
     ErrorKind.HEADER_TOO_LARGE: ErrorResponse(431, Outcome.NOT_RUN),
+    ErrorKind.HEAD_STALLED: ErrorResponse(408, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, Outcome.NOT_RUN),
     ErrorKind.NO_BACKEND_SERVER: ErrorResponse(503, Outcome.NOT_RUN),
     ErrorKind.OVERLOADED: ErrorResponse(503, Outcome.NOT_RUN),
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -119,6 +119,9 @@
       | bytes that aren't HTTP        | control  | 400    |
       | bytes that aren't HTTP        | lookup   | 400    |
       | a path that doesn't exist     | control  | 404    |
+      | a head that stops             | front    | 408    |
+      | a head that stops             | control  | 408    |
+      | a head in single bytes        | inner    | 408    |
 
   @fixture.platform_fleet
   Scenario: An entry VM that owns servers of a lost region keeps them from requests with other homes
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -28,6 +28,8 @@
     "send another answer before each one": "stray",
 }
 NEVER_S = 1000.0
+# Slower than any limit on a head, though no single wait is long.
+SLOW_BYTE_S = 0.9
 
 
 @given("configuration 1 is in force")
@@ -297,6 +299,8 @@
         b"POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n"
         + b"[" * 200_000
     ),
+    "a head that stops": b"GET /read/x HTTP/1.1\r\nHost: water.exam",
+    "a head in single bytes": b"GET /read/x HTTP/1.1\r\nHost: water.exam",
     "a path that doesn't exist": b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n",
 }
 LISTENERS = {
@@ -315,11 +319,14 @@
     async def exchange():
         stream = await context.fleet.network.host(OUTSIDE).connect(address)
         with contextlib.suppress(ConnectionError):
-            for start in range(0, len(INPUTS[what]), 10_000):
-                await stream.write(INPUTS[what][start : start + 10_000])
+            step = 1 if what.endswith("single bytes") else 10_000
+            for start in range(0, len(INPUTS[what]), step):
+                await stream.write(INPUTS[what][start : start + step])
+                if step == 1:
+                    await asyncio.sleep(SLOW_BYTE_S)
         received = b""
         with contextlib.suppress(ConnectionError, TimeoutError):
-            async with asyncio.timeout(5):
+            async with asyncio.timeout(20):
                 while part := await stream.read():
                     received += part
         stream.abort()
