Pass a request to two other entry VMs at most

Change: after the second pass only own servers are considered; what finds no room is refused. Shown by: a scenario in features/platform/faults.feature that fails without the limit.

--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -44,6 +44,9 @@
 LIMIT_MARGIN = timedelta(milliseconds=30)
 # Another endpoint that shows nothing within this time of the last attempt isn't tried.
 SHORTEST_ATTEMPT = timedelta(milliseconds=50)
+# Other VMs that a request is passed to. The second one makes up for an outdated summary of the
+# first; under overload more of them would carry bodies around without finding room.
+MOST_PASSES = 2
 
 
 @attrs.frozen
@@ -192,12 +195,16 @@
             case Refused(return_after=after, has_server=has_server):
                 if job.may_have_run:
                     return Denied(Refusal(ErrorKind.BACKEND_FAILED, "no attempt was answered"))
-                kind = ErrorKind.OVERLOADED if has_server else ErrorKind.NO_BACKEND_SERVER
+                is_known = has_server or job.passes
+                kind = ErrorKind.OVERLOADED if is_known else ErrorKind.NO_BACKEND_SERVER
                 return Denied(Refusal(kind, "no backend server has room"), after)
             case Start():
                 job.trail.append(f"start {place.instance.name}")
                 result = await attempt_start(state, job, place)
             case Pass():
+                job.passes += 1
+                if job.passes == MOST_PASSES:
+                    job.req = attrs.evolve(job.req, may_pass=False)
                 job.trail.append(f"pass {place.peer.vm}")
                 result = await attempt_pass(state, job, place)
         match result:
--- a/camphorspread/request/steered_request.py
+++ b/camphorspread/request/steered_request.py
@@ -24,6 +24,7 @@
         arrived: When its head had arrived.
         deadline: Until when it must have its final response.
         sends: Backend servers that it was sent to.
+        passes: Other entry VMs that it was passed to.
         may_have_run: True once a backend server may have begun to work on it.
         trail: What happened, for the log.
     """
@@ -35,5 +36,6 @@
     arrived: timedelta
     deadline: timedelta
     sends: int = 0
+    passes: int = 0
     may_have_run: bool = False
     trail: list[str] = attrs.field(factory=list)
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -35,6 +35,13 @@
     When a client of "sofia-a" sends 6 "file" requests about different objects
     Then each of them ran once at most, and those without 200 got 502
 
+  @fixture.platform_fleet
+  Scenario: A request for which no entry VM has room isn't passed from one to the next
+    Given the endpoints of "status" never answer
+    When a client of "sofia-a" sends 80 "read" requests about different objects
+    Then some of them got 503
+    And none of them was passed to more than 2 other VMs
+
   @fixture.platform_fleet
   Scenario: A client that leaves ends the work at the endpoint
     Given the endpoints of "status" never answer
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -119,6 +119,23 @@
     assert statuses <= {200, 502} and 502 in statuses, statuses
 
 
+@then("some of them got {status:d}")
+def step_some_status(context, status):
+    assert status in [answer and answer[0] for answer in context.answers]
+
+
+@then("none of them was passed to more than {count:d} other VMs")
+def step_passes(context, count):
+    ended = [
+        json.loads(line)
+        for log in context.fleet.logs.values()
+        for line in log.getvalue().splitlines()
+        if "steering_ended" in line
+    ]
+    passes = [sum(step.startswith("pass ") for step in item["trail"]) for item in ended]
+    assert 0 < max(passes) <= count, max(passes)
+
+
 @when('a client of "{zone}" sends one "read" request and leaves after {seconds:g} s')
 def step_leave(context, zone, seconds):
     async def leave():
