Lend servers on links of any width

Cause: lending was kept to thin links because trials on today's sites were worse with it. They had run before the first server of an object's order was assumed to know the object, so that passes to other regions looked better than they are.

--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -91,11 +91,6 @@
     return timedelta(milliseconds=float(text))
 
 
-def megabits(text: str) -> float:
-    """Return bits from a number of megabits."""
-    return float(text) * 1e6
-
-
 def seconds(text: str) -> timedelta:
     """Read a time in seconds."""
     return timedelta(seconds=float(text))
@@ -150,7 +145,6 @@
             reader.read("network.listen.front", parse_address, "host:port"),
             reader.read("network.listen.ready", parse_address, "host:port"),
             descriptors - RESERVED_DESCRIPTORS,
-            reader.read("self.limits.linkMbps", megabits, "a number", float("inf")),
         )
     lookups = reader.fields.get("network.listen.directory")
     return ControlVmSettings(
--- a/camphorspread/process/loans.py
+++ b/camphorspread/process/loans.py
@@ -1,7 +1,9 @@
 """Backend servers that an entry VM lends to the others of its region.
 
-The load pattern that this answers: many entry VMs on thin links before many backend servers. A pass
-carries each body over the links of two VMs, a send to a lent server over one.
+The load pattern that this answers: several entry VMs, on thin links or short of processor time,
+before many backend servers. A pass costs the work and the bytes of two VMs, a send to a lent server
+those of one. Besides, all VMs of a region choose among the same servers, so that an object keeps
+its server when the owners change.
 
 The owner lists what it lends. A loan holds for a short time from the newest instant at which the
 owner is known to have had contact, so that a departure that the owner confirms binds all borrowers
@@ -24,11 +26,7 @@
     yield_address,
 )
 
-__all__ = ["LentList", "extend_loans", "is_lending", "list_lent", "loan_time", "take_loans"]
-
-# On wider links the bodies of passes hardly count, and one owner that counts all requests of a
-# server fills its slots better than several VMs that learn of each other's from its reports.
-THIN_LINK_BITS = 20e6
+__all__ = ["LentList", "extend_loans", "list_lent", "loan_time", "take_loans"]
 
 # Summaries within a region come four times a second, so one or two may be lost.
 LOAN_TIME = timedelta(seconds=1.2)
@@ -36,15 +34,6 @@
 DRAIN_PART = 0.5
 
 
-def is_lending(link_bits: float) -> bool:
-    """Return True if a VM lends its servers.
-
-    Args:
-        link_bits: Bits a second that its link carries.
-    """
-    return link_bits < THIN_LINK_BITS
-
-
 def loan_time(drain_limit: timedelta) -> timedelta:
     """Return for how long a loan holds.
 
--- a/camphorspread/process/steering_settings.py
+++ b/camphorspread/process/steering_settings.py
@@ -72,13 +72,11 @@
         callers: Listener for callers.
         probes: Listener that tells whether the VM takes callers.
         connections: Sockets that the process may have open.
-        link_bits: Bits a second that the link of the VM carries in each direction.
     """
 
     callers: Address
     probes: Address
     connections: int
-    link_bits: float = float("inf")
 
 
 @attrs.frozen
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -12,7 +12,7 @@
 from camphorspread.process.clock import Clock
 from camphorspread.process.events import EventLog
 from camphorspread.process.instances import InstanceRegistry
-from camphorspread.process.loans import LentList, is_lending
+from camphorspread.process.loans import LentList
 from camphorspread.process.steering_metrics import SteeringMetrics
 from camphorspread.process.steering_settings import (
     CONNECT_LIMIT,
@@ -142,7 +142,6 @@
         place.availability_zone,
         place.region,
         InstanceRegistry(bounds.announcement_lease),
-        is_lending(settings.role.link_bits),
         settings.regions,
     )
 
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -64,8 +64,6 @@
     if state.is_leaving:
         # What it lends goes on holding for a moment, while the next owners take over.
         return value
-    if not state.board.is_lending:
-        return value
     list_lent(state.lent, state.board.registry, state.board.evacuated_zones, now)
     value["tag"] = tag = f"{state.incarnation:x}.{state.lent.number}"
     if peer.held_tag != tag:
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -127,7 +127,7 @@
         if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run = expect_run(board, req, times, is_warm, rank)
+        run = expect_run(req, times, is_warm, rank)
         if not is_probed:
             # A probe is chosen as if the server had recovered.
             run *= item.speed * (1.0 + 2.0 * more_failures)
@@ -144,13 +144,10 @@
         yield find_turn(board, item, times, totals, cost, run, is_warm, now)
 
 
-def expect_run(
-    board: PlacementBoard, req: PlacementRequest, times: RunTimes, is_warm: bool, rank: int
-) -> float:
+def expect_run(req: PlacementRequest, times: RunTimes, is_warm: bool, rank: int) -> float:
     """Return the expected time in seconds of a run at a usual server.
 
     Args:
-        board: State of servers and VMs.
         req: The request.
         times: Mean times of its route.
         is_warm: True if the server has handled the object for this VM.
@@ -158,7 +155,7 @@
     """
     if is_warm:
         return times.warm
-    if board.is_lending and req.object_key and rank == 0:
+    if req.object_key and rank == 0:
         # All VMs of the region send requests about the object there.
         return times.cold - (times.cold - times.warm) * HOME_WARM_PART
     return times.cold
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -90,7 +90,6 @@
         availability_zone: Zone of this VM.
         region: Region of this VM.
         registry: Backend servers that announce themselves here.
-        is_lending: True if the VMs of this region send to each other's servers.
         regions: Region of each availability zone.
         evacuated_zones: Availability zones whose backend servers get nothing.
         cold_bounds: Requests a second that a cold server of a service tolerates, from all VMs.
@@ -106,7 +105,6 @@
     availability_zone: str
     region: str
     registry: InstanceRegistry
-    is_lending: bool = False
     regions: dict[str, str] = attrs.field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     cold_bounds: dict[str, float] = attrs.field(factory=dict)
--- a/features/process/loans.feature
+++ b/features/process/loans.feature
@@ -64,26 +64,15 @@
 
   @fixture.platform_fleet
   Scenario: An entry VM sends to the servers of another zone of its region itself
-    Given links of entry VMs that carry 2.4 Mbit/s
-    And a fleet with an endpoint of each service in each zone
+    Given a fleet with an endpoint of each service in each zone
     And configuration 1 is in force
     When a client of "sofia-a" sends 24 "read" requests about different objects
     Then all of them get 200
     And some of them ran at "status-sofia-b" without a pass within the region
 
-  @fixture.platform_fleet
-  Scenario: On wide links only the owner sends to a server
-    Given links of entry VMs that carry 1000 Mbit/s
-    And a fleet with an endpoint of each service in each zone
-    And configuration 1 is in force
-    When a client of "sofia-a" sends 24 "read" requests about different objects
-    Then all of them get 200
-    And no entry VM has borrowed a server
-
   @fixture.platform_fleet
   Scenario: A departure that the owner confirms while a borrower is cut off binds it in time
-    Given links of entry VMs that carry 2.4 Mbit/s
-    And a fleet with an endpoint of each service in each zone
+    Given a fleet with an endpoint of each service in each zone
     And configuration 1 is in force
     When the entry VM of "sofia-a" is cut off from all other VMs
     And the endpoint "status-sofia-b" says that it is draining
