--- a/camphorspread/platform/control_calls.py
+++ b/camphorspread/platform/control_calls.py
@@ -17,7 +17,7 @@
     split_call,
 )
 from camphorspread.platform.routing_codec import decode_document, encode_document
-from camphorspread.process.announcements import NotAccepted
+from camphorspread.process.announcement_messages import NotAccepted
 from camphorspread.process.events import Event
 from camphorspread.process.order_shell import Done, Elsewhere, OrderResult, carry_out, read_newest
 from camphorspread.process.steering_control import (
--- a/camphorspread/platform/entry_calls.py
+++ b/camphorspread/platform/entry_calls.py
@@ -8,7 +8,8 @@
     respond_heartbeat,
     split_call,
 )
-from camphorspread.process.announcements import NotAccepted, take_announcement, take_departure
+from camphorspread.process.announcement_messages import NotAccepted
+from camphorspread.process.announcements import take_announcement, take_departure
 from camphorspread.process.events import Event
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.errors import ErrorKind, Refusal
--- a/camphorspread/platform/heartbeats.py
+++ b/camphorspread/platform/heartbeats.py
@@ -5,7 +5,7 @@
 
 from camphorspread.connection.exchange import Exchange
 from camphorspread.platform.settings_file import parse_address
-from camphorspread.process.announcements import Accepted, NotAccepted
+from camphorspread.process.announcement_messages import Accepted, NotAccepted
 from camphorspread.process.instances import InstanceReport
 
 __all__ = [
--- /dev/null
+++ b/camphorspread/process/announcement_messages.py
@@ -0,0 +1,49 @@
+"""What control VMs and entry VMs tell each other about announcements, and what comes of them."""
+
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.connection.link import JsonLink, LinkError
+from camphorspread.connection.network import Address
+
+__all__ = [
+    "ANNOUNCEMENT_PATH",
+    "FORWARD_LIMIT",
+    "LEAVE_PATH",
+    "Accepted",
+    "NotAccepted",
+    "tell_leave",
+]
+
+ANNOUNCEMENT_PATH = "/v1/entry/announcement"
+LEAVE_PATH = "/v1/entry/leave"
+# A backend server waits a second for its response.
+FORWARD_LIMIT = timedelta(milliseconds=450)
+
+
+@attrs.frozen
+class Accepted:
+    """The announcement counts.
+
+    Attributes:
+        owner: Where later announcements should go, None for here.
+    """
+
+    owner: Address | None = None
+
+
+@attrs.frozen
+class NotAccepted:
+    """The announcement can't be confirmed; the backend server asks another VM."""
+
+    cause: str
+
+
+async def tell_leave(link: JsonLink, address: Address, message: dict) -> bool:
+    """Tell an entry VM that a backend server leaves; return True if it knows now."""
+    try:
+        response = await link.call(address, "POST", LEAVE_PATH, message, FORWARD_LIMIT)
+    except LinkError:
+        return False  # The caller decides what an unanswered message means.
+    return response.status == 200
--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -3,11 +3,15 @@
 import asyncio
 from datetime import timedelta
 
-import attrs
-
-from camphorspread.connection.link import JsonLink, LinkError
-from camphorspread.connection.network import Address
+from camphorspread.connection.link import LinkError
 from camphorspread.process.announcement_codec import encode_leave, encode_report
+from camphorspread.process.announcement_messages import (
+    ANNOUNCEMENT_PATH,
+    FORWARD_LIMIT,
+    Accepted,
+    NotAccepted,
+    tell_leave,
+)
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import (
@@ -24,44 +28,17 @@
 from camphorspread.request.place_wait import give_free_places
 
 __all__ = [
-    "ANNOUNCEMENT_PATH",
-    "LEAVE_PATH",
-    "Accepted",
-    "NotAccepted",
     "hand_over_all",
     "take_announcement",
     "take_departure",
     "take_passed_announcement",
     "take_passed_departure",
-    "tell_leave",
 ]
 
-ANNOUNCEMENT_PATH = "/v1/entry/announcement"
-LEAVE_PATH = "/v1/entry/leave"
-# A backend server waits a second for its response.
-FORWARD_LIMIT = timedelta(milliseconds=450)
 # A VM that has just come back gets its backend servers once it has shown that it stays.
 SETTLED = timedelta(seconds=2)
 
 
-@attrs.frozen
-class Accepted:
-    """The announcement counts.
-
-    Attributes:
-        owner: Where later announcements should go, None for here.
-    """
-
-    owner: Address | None = None
-
-
-@attrs.frozen
-class NotAccepted:
-    """The announcement can't be confirmed; the backend server asks another VM."""
-
-    cause: str
-
-
 async def take_announcement(state: SteeringState, report: InstanceReport) -> Accepted | NotAccepted:
     """Take an announcement that a backend server sent here."""
     if report.is_leaving:
@@ -117,6 +94,7 @@
                 started_ms=report.started_ms,
                 sequence=report.sequence,
             )
+            state.note_start()
             give_free_places(state, report.service)
         case ReportOutcome.LEFT:
             log_left(state, report.instance)
@@ -175,15 +153,6 @@
     return NotAccepted("another VM that may send to it didn't answer")
 
 
-async def tell_leave(link: JsonLink, address: Address, message: dict) -> bool:
-    """Tell an entry VM that a backend server leaves; return True if it knows now."""
-    try:
-        response = await link.call(address, "POST", LEAVE_PATH, message, FORWARD_LIMIT)
-    except LinkError:
-        return False  # The caller decides what an unanswered message means.
-    return response.status == 200
-
-
 async def hand_over_all(state: SteeringState) -> None:
     """Give all backend servers to other VMs before this one stops."""
     instances = owned_instances(state.board.registry)
--- a/camphorspread/process/loans.py
+++ b/camphorspread/process/loans.py
@@ -11,6 +11,7 @@
 fleet and is kept by their owner alone.
 """
 
+import math
 from datetime import timedelta
 
 import attrs
@@ -26,12 +27,22 @@
     yield_address,
 )
 
-__all__ = ["LentList", "extend_loans", "list_lent", "loan_time", "take_loans"]
+__all__ = [
+    "LentList",
+    "extend_loans",
+    "list_lent",
+    "loan_time",
+    "slot_share",
+    "take_loans",
+]
 
 # Summaries within a region come four times a second, so one or two may be lost.
 LOAN_TIME = timedelta(seconds=1.2)
 # Part of the time in which a leaving server must get nothing more.
 DRAIN_PART = 0.5
+# Together the VMs may have this many times the slots under way, so that one of them can use those
+# that the others leave. A request then waits for one run at the server at most.
+SHARE_FACTOR = 2
 
 
 def loan_time(drain_limit: timedelta) -> timedelta:
@@ -43,6 +54,19 @@
     return min(LOAN_TIME, drain_limit * DRAIN_PART)
 
 
+def slot_share(slots: int, sharers: int) -> int:
+    """Return how many requests one VM may have at a server that several VMs send to.
+
+    Many VMs that each fill the slots of the server would pile up a queue there before any of them
+    hears of the others.
+
+    Args:
+        slots: Requests that the server works on at a time.
+        sharers: VMs that send to it.
+    """
+    return min(slots, math.ceil(SHARE_FACTOR * slots / max(sharers, 1)))
+
+
 @attrs.define(eq=False)
 class LentList:
     """What this VM lends.
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -9,7 +9,7 @@
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.process.announcement_codec import encode_leave, encode_report
-from camphorspread.process.announcements import (
+from camphorspread.process.announcement_messages import (
     ANNOUNCEMENT_PATH,
     FORWARD_LIMIT,
     Accepted,
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -12,9 +12,8 @@
 from camphorspread.connection.network import Address, Listener
 from camphorspread.connection.server import HttpServer
 from camphorspread.process.announcement_codec import decode_leave, decode_report
+from camphorspread.process.announcement_messages import ANNOUNCEMENT_PATH, LEAVE_PATH
 from camphorspread.process.announcements import (
-    ANNOUNCEMENT_PATH,
-    LEAVE_PATH,
     hand_over_all,
     take_passed_announcement,
     take_passed_departure,
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -75,6 +75,8 @@
         catalogue_version: Version of the catalogue in force, 0 before the first one.
         table: Routes in force, None before the first ones.
         controls: Control VMs by their address for own processes.
+        started_at: When the process started.
+        can_start: Set once there are routes and a known backend server.
         futures: Requests that wait, by ticket.
         next_ticket: Ticket of the next request.
         in_flight: Callers' requests in flight.
@@ -101,6 +103,8 @@
     catalogue_version: int = 0
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
+    started_at: timedelta = timedelta(0)
+    can_start: asyncio.Event = attrs.field(factory=asyncio.Event)
     futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
     next_ticket: int = 0
     in_flight: int = 0
@@ -119,6 +123,11 @@
             peer.loads for peer in self.board.peers.values()
         )
 
+    def note_start(self) -> None:
+        """Let the requests go on that wait for the first routes and the first backend server."""
+        if self.table is not None and self.can_place:
+            self.can_start.set()
+
     @property
     def live_vms(self) -> int:
         """Number of entry VMs that are alive, this one included."""
@@ -142,7 +151,7 @@
         place.availability_zone,
         place.region,
         InstanceRegistry(bounds.announcement_lease),
-        settings.regions,
+        regions=settings.regions,
     )
 
     def make_pool() -> ConnectionPool:
@@ -168,4 +177,5 @@
         make_pool(),
         board,
         FleetBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+        started_at=clock.monotonic(),
     )
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -16,7 +16,7 @@
 from camphorspread.process.events import Event
 from camphorspread.process.instances import assume_cold
 from camphorspread.process.steering_state import ControlVm, SteeringState
-from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_own_record
+from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_vm
 from camphorspread.version.catalogue import RoutingDocument
 from camphorspread.version.routing import RouteTable
 
@@ -33,6 +33,8 @@
 # Spreads the polls of a VM, so that their responses don't arrive together.
 STAGGER_S = 0.15
 
+MILLISECOND = timedelta(milliseconds=1)
+
 TableDecoder = Callable[[str], Result[RouteTable, str]]
 
 
@@ -101,6 +103,27 @@
     await asyncio.gather(*(tell(control) for control in list(state.controls.values())))
 
 
+def encode_own_record(state: SteeringState, fleet_tag: str, hold: timedelta) -> dict:
+    """Return a poll: the record of this VM and what it knows."""
+    place = state.settings.place
+    own = EntryVm(
+        place.vm,
+        state.incarnation,
+        place.availability_zone,
+        place.region,
+        state.role.callers,
+        state.settings.peers,
+        state.is_accepting,
+        state.is_leaving,
+    )
+    return {
+        **encode_vm(own),
+        "version": state.catalogue_version,
+        "fleet": fleet_tag,
+        "hold_ms": hold // MILLISECOND,
+    }
+
+
 def take_poll_response(
     state: SteeringState, control: ControlVm, value: object, decode_table: TableDecoder
 ) -> None:
@@ -189,6 +212,7 @@
             name: service.cold_per_second * bounds.cold_overage + bounds.cold_slack
             for name, service in table.services.items()
         }
+    state.note_start()
     state.log.write(
         Event.CATALOGUE_IN_FORCE,
         version=state.catalogue_version,
--- a/camphorspread/process/vm_record_codec.py
+++ b/camphorspread/process/vm_record_codec.py
@@ -1,14 +1,9 @@
 """JSON of the records of entry VMs in polls and their responses."""
 
-from datetime import timedelta
-
 from camphorspread.connection.network import Address
 from camphorspread.process.entry_vms import EntryVm
-from camphorspread.process.steering_state import SteeringState
-
-__all__ = ["decode_address", "decode_vm", "encode_address", "encode_own_record", "encode_vm"]
 
-MILLISECOND = timedelta(milliseconds=1)
+__all__ = ["decode_address", "decode_vm", "encode_address", "encode_vm"]
 
 
 def encode_address(address: Address) -> list:
@@ -51,24 +46,3 @@
         )
     except (KeyError, TypeError, ValueError):
         return None
-
-
-def encode_own_record(state: SteeringState, fleet_tag: str, hold: timedelta) -> dict:
-    """Return a poll: the record of this VM and what it knows."""
-    place = state.settings.place
-    own = EntryVm(
-        place.vm,
-        state.incarnation,
-        place.availability_zone,
-        place.region,
-        state.role.callers,
-        state.settings.peers,
-        state.is_accepting,
-        state.is_leaving,
-    )
-    return {
-        **encode_vm(own),
-        "version": state.catalogue_version,
-        "fleet": fleet_tag,
-        "hold_ms": hold // MILLISECOND,
-    }
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -126,6 +126,7 @@
     except (TypeError, ValueError):
         return None
     peer.summary_at = now
+    state.note_start()
     return peer
 
 
@@ -152,6 +153,10 @@
         while True:
             await asyncio.sleep(TICK.total_seconds())
             now = state.clock.monotonic()
+            state.board.sharers = 1 + sum(
+                peer.region == state.board.region and now < peer.alive_until
+                for peer in state.board.peers.values()
+            )
             for peer in list(state.board.peers.values()):
                 begins = state.settings.place.vm < peer.vm
                 if not begins or now >= peer.alive_until or now < due.get(peer.vm, now):
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -13,6 +13,7 @@
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, is_usable
+from camphorspread.process.loans import slot_share
 from camphorspread.request.object_homes import find_homes, find_order
 from camphorspread.request.placement_board import (
     Nowhere,
@@ -173,7 +174,7 @@
 ) -> Start | Wait:
     """Return whether a request may start at a server now or has to wait there."""
     in_use = item.count_busy(now)
-    if in_use < item.report.slots:
+    if has_free_slot(board, item, now):
         if not item.sends and not item.lender:
             cost -= UNTRIED_BONUS_S
         return Start(item, cost + BALANCE_S * in_use / item.report.slots, is_warm)
@@ -239,11 +240,19 @@
     return None
 
 
+def has_free_slot(board: PlacementBoard, instance: Instance, now: timedelta) -> bool:
+    """Return True if this VM may have one more request at a server."""
+    slots = instance.report.slots
+    return instance.count_busy(now) < slots and instance.in_flight < slot_share(
+        slots, board.sharers
+    )
+
+
 def has_room(board: PlacementBoard, instance: Instance, now: timedelta) -> bool:
     """Return True if a request may start at a server now."""
     if not is_usable(instance, board.evacuated_zones, now):
         return False
-    if instance.count_busy(now) >= instance.report.slots or instance.speed >= SLOW:
+    if not has_free_slot(board, instance, now) or instance.speed >= SLOW:
         return False
     if not instance.is_cold(now):
         return True
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -90,6 +90,7 @@
         availability_zone: Zone of this VM.
         region: Region of this VM.
         registry: Backend servers that announce themselves here.
+        sharers: Entry VMs of this region, which all send to its servers.
         regions: Region of each availability zone.
         evacuated_zones: Availability zones whose backend servers get nothing.
         cold_bounds: Requests a second that a cold server of a service tolerates, from all VMs.
@@ -105,6 +106,7 @@
     availability_zone: str
     region: str
     registry: InstanceRegistry
+    sharers: int = 1
     regions: dict[str, str] = attrs.field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     cold_bounds: dict[str, float] = attrs.field(factory=dict)
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -19,7 +19,7 @@
 )
 from camphorspread.request.place_wait import give_slot
 from camphorspread.request.placement_board import Pass, Start, find_run_times
-from camphorspread.request.run_learning import end_run, learn_load, learn_pass
+from camphorspread.request.run_learning import end_run, learn_pass
 from camphorspread.request.send import (
     Broken,
     NotSent,
@@ -123,9 +123,10 @@
             )
             is_good = run_s < 3 * times.cold
         counted_s = run_s if isinstance(result, Reply) else None
+        requests = None
         if isinstance(result, Reply | StreamedReply):
-            learn_load(instance, state.dialect.decode_reply(result.head).requests, now)
-        end_run(state.board, instance, job.req, is_good, counted_s, now)
+            requests = state.dialect.decode_reply(result.head).requests
+        end_run(state.board, instance, job.req, is_good, counted_s, now, requests)
         give_slot(state, instance)
 
 
--- a/camphorspread/request/run_learning.py
+++ b/camphorspread/request/run_learning.py
@@ -40,6 +40,7 @@
     is_good: bool,
     run_s: float | None,
     now: timedelta,
+    requests: int | None = None,
 ) -> None:
     """Learn from a request that has ended.
 
@@ -50,14 +51,18 @@
         is_good: True if the server answered it as it should.
         run_s: Time from sending to the response; None if there was none.
         now: The present instant.
+        requests: Requests that the server said it works on or lets wait; None if it didn't say.
     """
+    learn_load(instance, requests, now)
     instance.in_flight -= 1
     target = 0.0 if is_good else 1.0
     instance.failures += (target - instance.failures) * FAILURE_WEIGHT
     times = board.run_times.get((req.service, req.route))
     if not is_good or run_s is None or times is None:
         return
-    if instance.is_cold(now):
+    has_queue = requests is not None and requests > instance.report.slots
+    if instance.is_cold(now) or has_queue:
+        # The time says how long it waited there or warmed up, not how long it takes.
         return
     was_warm = req.object_key in instance.warm_objects
     learn_speed(instance, run_s / max(times.warm if was_warm else times.cold, 0.001))
--- a/features/process/loans.feature
+++ b/features/process/loans.feature
@@ -62,6 +62,25 @@
       | 3   | 3        | 3   |
       | 0   | 6        | 6   |
 
+  Scenario Outline: Together the VMs of a region have at most twice the slots under way
+    Then a VM may have <share> requests at a server of <slots> slots that <sharers> VMs share
+
+    Examples:
+      | slots | sharers | share |
+      | 6     | 1       | 6     |
+      | 6     | 2       | 6     |
+      | 6     | 3       | 4     |
+      | 6     | 8       | 2     |
+      | 3     | 8       | 1     |
+      | 3     | 0       | 3     |
+
+  Scenario: A run that waited in the server's queue doesn't change the usual times
+    Given a server of 6 slots whose runs take 0.1 s and 0.3 s
+    When a run of 2 s ends there while it has 9 requests
+    Then the usual times are 0.1 s and 0.3 s still
+    When a run of 2 s ends there while it has 5 requests
+    Then the usual times have grown
+
   @fixture.platform_fleet
   Scenario: An entry VM sends to the servers of another zone of its region itself
     Given a fleet with an endpoint of each service in each zone
--- a/features/steps/loans_steps.py
+++ b/features/steps/loans_steps.py
@@ -19,9 +19,12 @@
     extend_loans,
     list_lent,
     loan_time,
+    slot_share,
     take_loans,
 )
-from camphorspread.request.run_learning import learn_load, start_run
+from camphorspread.request.placement_board import find_run_times
+from camphorspread.request.run_learning import end_run, learn_load, start_run
+from features.fixtures.placement_simulation import make_board, make_request
 from features.fixtures.platform_fleet import ZONES
 from features.steps.instances_steps import LEASE, make_report
 
@@ -182,6 +185,36 @@
     assert context.server.count_busy(timedelta(seconds=seconds)) == own
 
 
+@then("a VM may have {share:d} requests at a server of {slots:d} slots that {sharers:d} VMs share")
+def step_share(context, share, slots, sharers):
+    assert slot_share(slots, sharers) == share
+
+
+@given("a server of 6 slots whose runs take {warm:g} s and {cold:g} s")
+def step_usual(context, warm, cold):
+    context.board = make_board(1)
+    context.server = context.board.registry.instances["i-0"]
+    context.times = find_run_times(context.board, "status", "read", 0.4)
+    context.times.warm, context.times.cold = warm, cold
+
+
+@when("a run of {run:g} s ends there while it has {count:d} requests")
+def step_run_ends(context, run, count):
+    start_run(context.server, ZERO)
+    end_run(context.board, context.server, make_request(0.0, "o"), True, run, ZERO, count)
+
+
+@then("the usual times are {warm:g} s and {cold:g} s still")
+def step_same_times(context, warm, cold):
+    assert (context.times.warm, context.times.cold) == (warm, cold), context.times
+    assert not context.server.run_ratios, context.server
+
+
+@then("the usual times have grown")
+def step_grown_times(context):
+    assert context.times.cold > 0.3, context.times
+
+
 @then('some of them ran at "{name}" without a pass within the region')
 def step_direct(context, name):
     assert context.new_runs[name], context.new_runs
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,155 @@
+"""The processes of a soak: control VMs and entry VMs on loopback addresses of their own."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+
+from camphorspread.connection.network import Address
+
+__all__ = ["ZONES", "Node", "SoakFleet"]
+
+ZONES = ("sofia-a", "plovdiv-a", "varna-a", "sofia-b", "plovdiv-b", "varna-b")
+CONTROL_PORT, LOOKUP_PORT, FRONT_PORT, READY_PORT, INNER_PORT = 8649, 8644, 8641, 8640, 7620
+SEEDS = 3
+REPOSITORY = Path(__file__).parent.parent
+
+
+@attrs.define(eq=False)
+class Node:
+    """One process and where it listens.
+
+    Attributes:
+        name: Name of its VM.
+        zone: Its availability zone.
+        host: Its loopback address.
+        is_control: True for a control VM.
+        process: The running process; None while it is down.
+        is_paused: True between a stop signal and the signal to go on.
+        is_first: True until its first start.
+    """
+
+    name: str
+    zone: str
+    host: str
+    is_control: bool
+    process: subprocess.Popen | None = None
+    is_paused: bool = False
+    is_first: bool = True
+
+    @property
+    def is_up(self) -> bool:
+        """True if it runs and isn't paused."""
+        return self.process is not None and self.process.poll() is None and not self.is_paused
+
+
+@attrs.define(eq=False)
+class SoakFleet:
+    """All processes of a soak.
+
+    Attributes:
+        folder: Settings, data folders and logs.
+        net: Second number of the loopback addresses, so that several soaks can run at once.
+        nodes: The processes, by name.
+    """
+
+    folder: Path
+    net: int
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+
+    def add_all(self) -> None:
+        """Add a control VM and an entry VM for each zone."""
+        for number, zone in enumerate(ZONES, start=1):
+            for is_control in (True, False):
+                host = f"127.{self.net}.{number}.{1 if is_control else 2}"
+                name = f"{'core' if is_control else 'front'}-{zone}"
+                self.nodes[name] = Node(name, zone, host, is_control)
+
+    def find(self, is_control: bool) -> list[Node]:
+        """Return the control VMs or the entry VMs."""
+        return [node for node in self.nodes.values() if node.is_control is is_control]
+
+    def start(self, node: Node) -> None:
+        """Start a process."""
+        settings = self.folder / f"{node.name}.conf"
+        settings.write_text("\n".join(self.list_settings(node)) + "\n")
+        with (self.folder / f"{node.name}.log").open("ab") as log:
+            node.process = subprocess.Popen(
+                [sys.executable, "-m", "camphorspread", "platform-node"],
+                cwd=REPOSITORY,
+                env={**os.environ, "CAMPHORSPREAD_NODE_FILE": str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+        node.is_first = node.is_paused = False
+
+    def list_settings(self, node: Node) -> list[str]:
+        """Return the lines of a settings file."""
+        seeds = [item.host for item in self.find(is_control=True)[:SEEDS]]
+        lines = [
+            f"self.node={node.name}",
+            f"self.serves={'control,directory' if node.is_control else 'front'}",
+            f"self.ip={node.host}",
+            f"self.zone={node.zone}",
+            f"self.region={node.zone[:-2]}",
+            f"self.bootstrap={'true' if node.is_first else 'false'}",
+            "self.limits.maxFds=1024",
+            f"network.internalPortRange={INNER_PORT},{INNER_PORT + 15}",
+            "network.seeds=" + ",".join(f"{seed}:{CONTROL_PORT}" for seed in seeds),
+            "provider.heartbeatMs=1500",
+            "terms.faultTolerance.machines=2",
+            *(f"network.zones.{zone}={zone[:-2]}" for zone in ZONES),
+        ]
+        if node.is_control:
+            return [
+                *lines,
+                f"self.dataDir={self.data_folder(node)}",
+                f"network.listen.control={node.host}:{CONTROL_PORT}",
+                f"network.listen.directory={node.host}:{LOOKUP_PORT}",
+            ]
+        return [
+            *lines,
+            f"network.listen.front={node.host}:{FRONT_PORT}",
+            f"network.listen.ready={node.host}:{READY_PORT}",
+        ]
+
+    def data_folder(self, node: Node) -> Path:
+        """Return the data folder of a control VM."""
+        return self.folder / f"data-{node.name}"
+
+    def kill(self, node: Node) -> None:
+        """Kill a process and wait for its end."""
+        if node.process is not None:
+            node.process.kill()
+            node.process.wait()
+        node.process, node.is_paused = None, False
+
+    def pause(self, node: Node) -> None:
+        """Freeze a process."""
+        node.process.send_signal(signal.SIGSTOP)
+        node.is_paused = True
+
+    def resume(self, node: Node) -> None:
+        """Let a frozen process go on."""
+        if node.is_paused and node.process is not None:
+            node.process.send_signal(signal.SIGCONT)
+        node.is_paused = False
+
+    def wipe(self, node: Node) -> None:
+        """Lose the disk of a control VM that is down."""
+        shutil.rmtree(self.data_folder(node), ignore_errors=True)
+
+    def tear(self, node: Node) -> None:
+        """Leave half a record at the end of the log of a control VM that is down."""
+        log = self.data_folder(node) / "log"
+        if log.exists():
+            with log.open("ab") as file:
+                file.write(b"\x00\x00\x01")
+
+    def control_address(self, node: Node) -> Address:
+        """Return where a control VM takes orders."""
+        return Address(node.host, CONTROL_PORT)
