--- a/camphorspread/process/entry_vms.py
+++ b/camphorspread/process/entry_vms.py
@@ -43,6 +43,7 @@
         peers: Where it listens for the project's own processes.
         is_accepting: True if callers may be sent to it.
         is_leaving: True from the signal to stop on.
+        caller_rate: Requests a second that it gets from callers.
         alive_until: Until when a control VM has vouched for it.
         first_alive: Since when it has been alive without a break.
         loads: Its backend servers by service, as of its newest summary.
@@ -63,6 +64,7 @@
     peers: Address
     is_accepting: bool = True
     is_leaving: bool = False
+    caller_rate: float = 0.0
     alive_until: timedelta = timedelta(0)
     first_alive: timedelta = timedelta(0)
     loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -16,6 +16,7 @@
     NotAccepted,
     tell_leave,
 )
+from camphorspread.process.caller_spread import CallerSpread, choose_entry_vms, update_parts
 from camphorspread.process.control_state import ControlState
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
@@ -74,6 +75,7 @@
         vms: Entry VMs by name.
         fleet_number: Grows with each change of the list.
         changed: Set and replaced at each change of the list.
+        spread: Callers of each zone that use the VMs of other zones.
     """
 
     settings: SteeringSettings
@@ -83,6 +85,7 @@
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     fleet_number: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    spread: CallerSpread = attrs.field(factory=CallerSpread)
 
     @property
     def fleet_tag(self) -> str:
@@ -185,6 +188,7 @@
     )
     if is_same:
         known.heard_at = now
+        known.record.caller_rate = record.caller_rate
         return
     steering.vms[record.vm] = ListedVm(record, now)
     log_vm(steering, record, True)
@@ -211,25 +215,31 @@
 
 
 async def watch_vms(steering: SteeringControl) -> None:
-    """Take silent entry VMs off the list, until cancelled."""
+    """Take silent entry VMs off the list and spread callers over the others, until cancelled."""
     while True:
         await asyncio.sleep(WATCH_INTERVAL.total_seconds())
         now = steering.control.clock.monotonic()
         for item in steering.vms.values():
             if item.is_alive and now - item.heard_at > ALIVE_LIMIT:
                 note_gone(steering, item.record)
+        update_parts(steering.spread, list_accepting(steering), WATCH_INTERVAL)
 
 
 def find_lookup_addresses(
     steering: SteeringControl, availability_zone: str, region: str
 ) -> list[Address]:
-    """Return where callers of a zone should connect: the nearest VMs that accept them."""
-    accepting = [
+    """Return where callers of a zone should connect."""
+    draw = steering.control.rng.random()
+    return choose_entry_vms(
+        steering.spread, list_accepting(steering), availability_zone, region, draw
+    )
+
+
+def list_accepting(steering: SteeringControl) -> list[EntryVm]:
+    """Return the entry VMs that take callers."""
+    return [
         item.record for item in steering.vms.values() if item.is_alive and item.record.is_accepting
     ]
-    same_zone = [vm.callers for vm in accepting if vm.availability_zone == availability_zone]
-    same_region = [vm.callers for vm in accepting if vm.region == region]
-    return sorted(same_zone or same_region or [vm.callers for vm in accepting])
 
 
 async def place_announcement(
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -24,14 +24,19 @@
 from camphorspread.request.placement_board import PlacementBoard
 from camphorspread.request.splitting import Splitter
 from camphorspread.request.waiting import WaitingList
+from camphorspread.request.window import SlidingWindow
 from camphorspread.version.routing import RouteTable
 
-__all__ = ["ControlVm", "SteeringState", "make_steering_state"]
+__all__ = ["RATE_TIME", "ControlVm", "SteeringState", "make_steering_state"]
 
 # Backend servers close idle connections after some seconds; a shorter time keeps requests off
 # connections that the other end is about to close.
 IDLE_LIMIT = timedelta(seconds=3)
 IDLE_PER_ADDRESS = 32
+# Time over which callers' requests are counted for the control VMs, about as long as callers keep
+# a lookup response.
+RATE_TIME = timedelta(seconds=3)
+RATE_BUCKETS = 12
 
 
 @attrs.define(eq=False)
@@ -79,6 +84,7 @@
         can_start: Set once there are routes and a known backend server.
         futures: Requests that wait, by ticket.
         next_ticket: Ticket of the next request.
+        arrivals: Callers' requests of the last seconds.
         in_flight: Callers' requests in flight.
         is_leaving: True from SIGTERM on.
         metrics: Counters and histograms.
@@ -107,6 +113,9 @@
     can_start: asyncio.Event = attrs.field(factory=asyncio.Event)
     futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
     next_ticket: int = 0
+    arrivals: SlidingWindow = attrs.field(
+        factory=lambda: SlidingWindow(RATE_TIME / RATE_BUCKETS, RATE_BUCKETS)
+    )
     in_flight: int = 0
     is_leaving: bool = False
     metrics: SteeringMetrics = attrs.field(factory=SteeringMetrics)
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -15,8 +15,9 @@
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import assume_cold
-from camphorspread.process.steering_state import ControlVm, SteeringState
+from camphorspread.process.steering_state import RATE_TIME, ControlVm, SteeringState
 from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_vm
+from camphorspread.request.window import count_recent
 from camphorspread.version.catalogue import RoutingDocument
 from camphorspread.version.routing import RouteTable
 
@@ -115,6 +116,7 @@
         state.settings.peers,
         state.is_accepting,
         state.is_leaving,
+        count_recent(state.arrivals, state.clock.monotonic()) / RATE_TIME.total_seconds(),
     )
     return {
         **encode_vm(own),
--- a/camphorspread/process/vm_record_codec.py
+++ b/camphorspread/process/vm_record_codec.py
@@ -28,6 +28,7 @@
         "peers": encode_address(vm.peers),
         "accepting": vm.is_accepting,
         "leaving": vm.is_leaving,
+        "rate": round(vm.caller_rate, 1),
     }
 
 
@@ -43,6 +44,7 @@
             decode_address(value["peers"]),
             bool(value["accepting"]),
             bool(value["leaving"]),
+            float(value["rate"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -19,6 +19,7 @@
 )
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.placement import SUMMARY_TTL
 from camphorspread.request.placement_board import PlacementBoard, usable_instances
 
 __all__ = ["exchange_summaries", "measure_load", "serve_summary"]
@@ -29,6 +30,10 @@
 # Between regions each message is priced, and moved traffic follows slowly by design.
 REGION_INTERVAL = timedelta(milliseconds=250)
 FAR_INTERVAL = timedelta(milliseconds=800)
+# With many VMs the interval grows, so that the messages of a VM take a bounded part of a thin link:
+# about 17 a second within its region and 8 to the others. Loans hold for two intervals of 8 VMs.
+REGION_STEP = timedelta(milliseconds=60)
+FAR_STEP = timedelta(milliseconds=120)
 SUMMARY_LIMIT = timedelta(milliseconds=1000)
 ROUND_TRIP_WEIGHT = 0.3
 
@@ -161,8 +166,7 @@
                 begins = state.settings.place.vm < peer.vm
                 if not begins or now >= peer.alive_until or now < due.get(peer.vm, now):
                     continue
-                is_near = peer.region == state.board.region
-                due[peer.vm] = now + (REGION_INTERVAL if is_near else FAR_INTERVAL)
+                due[peer.vm] = now + summary_interval(state, peer, now)
                 task = asyncio.create_task(exchange_summary(state, peer))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -171,6 +175,18 @@
             task.cancel()
 
 
+def summary_interval(state: SteeringState, peer: EntryVm, now: timedelta) -> timedelta:
+    """Return the time between two summaries to another VM."""
+    board = state.board
+    if peer.region == board.region:
+        longest = loan_time(state.settings.bounds.drain_limit) / 2
+        return min(max(REGION_INTERVAL, REGION_STEP * (board.sharers - 1)), longest)
+    far = sum(
+        other.region != board.region and now < other.alive_until for other in board.peers.values()
+    )
+    return min(max(FAR_INTERVAL, FAR_STEP * far), SUMMARY_TTL / 2)
+
+
 async def exchange_summary(state: SteeringState, peer: EntryVm) -> None:
     """Exchange one summary; a lost one shows by its age."""
     sent = state.clock.monotonic()
--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -36,6 +36,7 @@
 from camphorspread.request.splitting import pick_service
 from camphorspread.request.steered_request import SteeredRequest
 from camphorspread.request.waiting import Refused
+from camphorspread.request.window import record_event
 from camphorspread.version.routing import CallerLimits, Route, find_route
 
 __all__ = ["steer"]
@@ -72,6 +73,7 @@
             return
         case Success(call):
             pass
+    record_event(state.arrivals, arrived)
     state.in_flight += 1
     try:
         if not state.can_start.is_set():
--- a/camphorspread/request/waiting.py
+++ b/camphorspread/request/waiting.py
@@ -18,6 +18,7 @@
     Pass,
     PlacementBoard,
     PlacementRequest,
+    RunTimes,
     Start,
     Wait,
     find_run_times,
@@ -133,7 +134,7 @@
     match place:
         case Nowhere():
             return Refused(waiter.ticket, NO_SERVER_RETURN, has_server=False)
-        case Start() if not times.is_measured:
+        case Start() if not times.is_measured and has_time_for_run(waiter, times, now):
             # Nothing is known of this route yet, so nothing shows that it can't be served.
             return Granted(waiter.ticket, place)
         case _ if now + timedelta(seconds=place.cost_s) + ANSWER_MARGIN > req.deadline:
@@ -154,6 +155,11 @@
             return None
 
 
+def has_time_for_run(waiter: Waiter, times: RunTimes, now: timedelta) -> bool:
+    """Return True unless even a run about a known object would take longer than is left."""
+    return now + timedelta(seconds=times.warm) + ANSWER_MARGIN <= waiter.req.deadline
+
+
 def set_bound(board: PlacementBoard, waiter: Waiter, name: str) -> None:
     """Count the request at the backend server that it is expected to get."""
     if waiter.instance:
