Assume known objects at the first server of an order only, and log the wait before a start

Cause: with falling parts for the next servers, objects spread over more servers before the first one was full. Change: steering_ended has waited_ms, which tells a wait from a slow server.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -40,10 +40,7 @@
 # Part of the objects that the servers of an object's home are assumed to know before a run has
 # shown it; requests about an object go to one home in each region so that they meet there.
 HOME_WARM_PART = 0.7
-FAR_HOME_WARM_PART = 0.2
-# The same for the first servers in the order for an object: all VMs of the region send requests
-# about it to the first one, and to the next ones while that is full.
-ORDER_WARM_PARTS = (0.7, 0.5, 0.35)
+FAR_HOME_WARM_PART = 0.4
 # Bytes between regions are dear, so another region must be this much faster.
 REGION_SURCHARGE_S = 0.03
 ZONE_SURCHARGE_S = 0.004
@@ -160,8 +157,10 @@
     """
     if is_warm:
         return times.warm
-    part = ORDER_WARM_PARTS[rank] if req.object_key and rank < len(ORDER_WARM_PARTS) else 0.0
-    return times.cold - (times.cold - times.warm) * part
+    if req.object_key and rank == 0:
+        # All VMs of the region send requests about the object there.
+        return times.cold - (times.cold - times.warm) * HOME_WARM_PART
+    return times.cold
 
 
 def find_turn(
--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -222,6 +222,8 @@
     """Send a request to one place after the other until one answers or no more may be tried."""
     while True:
         place = await wait_for_place(state, job.req, job.route.promised)
+        if job.waited is None:
+            job.waited = state.clock.monotonic() - job.arrived
         match place:
             case Refused(return_after=after, has_server=has_server):
                 if job.may_have_run:
@@ -320,6 +322,7 @@
         result=result,
         outcome=denied.refusal.response.outcome.value if denied else Outcome.COMPLETED.value,
         trail=job.trail,
+        waited_ms=(spent if job.waited is None else job.waited) // timedelta(milliseconds=1),
         spent_ms=spent // timedelta(milliseconds=1),
         promised_ms=job.route.promised // timedelta(milliseconds=1),
         revision=state.table.revision,
--- a/camphorspread/request/steered_request.py
+++ b/camphorspread/request/steered_request.py
@@ -26,6 +26,7 @@
         sends: Backend servers that it was sent to.
         passes: Other entry VMs that it was passed to.
         may_have_run: True once a backend server may have begun to work on it.
+        waited: Time from its arrival until it got its first place or was refused.
         trail: What happened, for the log.
     """
 
@@ -38,4 +39,5 @@
     sends: int = 0
     passes: int = 0
     may_have_run: bool = False
+    waited: timedelta | None = None
     trail: list[str] = attrs.field(factory=list)
