Send each change of the catalogue to an entry VM once

Cause: all polls of an entry VM were answered with the whole catalogue at each change, by six or nine control VMs. On the grown deployments a storm of 25 changes in 1.5 s takes 9 x 25 copies over a link of 2.4 Mbit/s; between regions each copy is priced. Change: the nearest control VM sends the catalogue; the others announce its version, and one of them sends it 250 ms later if it hasn't come.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -152,20 +152,30 @@
 
 def has_news(steering: SteeringControl, poll: dict) -> bool:
     """Return True if an entry VM doesn't know something yet."""
-    is_behind = steering.control.catalogue.version > poll["version"]
+    known = poll["version"] if fetches(poll) else poll["announced"]
+    is_behind = steering.control.catalogue.version > known
     return is_behind or poll.get("fleet") != steering.fleet_tag
 
 
+def fetches(poll: dict) -> bool:
+    """Return True if an entry VM wants the catalogue itself, not only its version."""
+    return poll.get("fetches") is not False or type(poll.get("announced")) is not int
+
+
 def encode_poll_response(steering: SteeringControl, poll: dict) -> dict:
     """Return the response to a poll: what the entry VM doesn't know."""
-    value: dict[str, object] = {"current": is_current(steering), "fleet": steering.fleet_tag}
+    catalogue = steering.control.catalogue
+    value: dict[str, object] = {
+        "current": is_current(steering),
+        "fleet": steering.fleet_tag,
+        "version": catalogue.version,
+    }
     if poll.get("fleet") != steering.fleet_tag:
         value["vms"] = [encode_vm(item.record) for item in steering.vms.values() if item.is_alive]
         value["controls"] = [
             encode_address(member.peers) for member in steering.shell.state.members
         ]
-    catalogue = steering.control.catalogue
-    if catalogue.version > poll["version"]:
+    if fetches(poll) and catalogue.version > poll["version"]:
         routing = catalogue.routing
         value["catalogue"] = {
             "version": catalogue.version,
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -48,12 +48,14 @@
         heard_at: When it last answered; None before the first time.
         fleet_tag: Version of the list of entry VMs that it sent last.
         listed: Entry VMs in that list.
+        round_trip: Measured time of a message and its response; None before the first one.
     """
 
     peers: Address
     heard_at: timedelta | None = None
     fleet_tag: str = ""
     listed: frozenset[str] = frozenset()
+    round_trip: timedelta | None = None
 
 
 @attrs.define(eq=False)
@@ -78,6 +80,8 @@
         budget: Part of the fleet's budget of repeated sends.
         splitter: Division of routes among their services.
         catalogue_version: Version of the catalogue in force, 0 before the first one.
+        announced_version: Newest version that a control VM has told of.
+        announced_at: When it was first told.
         table: Routes in force, None before the first ones.
         controls: Control VMs by their address for own processes.
         started_at: When the process started.
@@ -107,6 +111,8 @@
     waiting: WaitingList = attrs.field(factory=WaitingList)
     splitter: Splitter = attrs.field(factory=Splitter)
     catalogue_version: int = 0
+    announced_version: int = 0
+    announced_at: timedelta = timedelta(0)
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
     started_at: timedelta = timedelta(0)
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -1,7 +1,8 @@
 """An entry VM's polls of all control VMs: the catalogue, the other entry VMs, and its own record.
 
-Each control VM is polled, so that a change arrives through any of them, and each of them sees for
-itself which entry VMs are alive.
+Each control VM is polled, so that a change is heard of through any of them, and each of them sees
+for itself which entry VMs are alive. The catalogue itself is sent by the nearest one only, or by
+another one if it doesn't come: many control VMs would fill a thin link with copies of it.
 """
 
 import asyncio
@@ -29,6 +30,10 @@
 # Longer than a round trip between regions that loses a packet.
 ANSWER_LIMIT = timedelta(milliseconds=900)
 RETRY_WAIT = timedelta(milliseconds=250)
+# Longer than a round trip between regions; what hasn't come by then is fetched elsewhere.
+FETCH_WAIT = timedelta(milliseconds=250)
+# A control VM that was heard within this time may be the one that sends the catalogue.
+SOURCE_TTL = timedelta(seconds=2)
 # An entry VM that no control VM has listed for this long counts as dead.
 ALIVE_TTL = timedelta(seconds=2.5)
 # Spreads the polls of a VM, so that their responses don't arrive together.
@@ -74,7 +79,7 @@
                 address,
                 "POST",
                 POLL_PATH,
-                encode_own_record(state, control.fleet_tag, HOLD),
+                encode_own_record(state, control, HOLD),
                 HOLD + ANSWER_LIMIT,
             )
         except LinkError as exc:
@@ -89,22 +94,48 @@
             state.log.write(Event.CONTROL_REGAINED, control=str(address))
         was_heard = True
         take_poll_response(state, control, response.value, decode_table)
+        if state.announced_version > state.catalogue_version and not is_source(state, control):
+            await asyncio.sleep(FETCH_WAIT.total_seconds())
 
 
 async def tell_control_vms(state: SteeringState) -> None:
     """Tell all control VMs at once that the record of this VM has changed."""
 
     async def tell(control: ControlVm) -> None:
-        value = encode_own_record(state, control.fleet_tag, timedelta(0))
+        sent = state.clock.monotonic()
+        value = encode_own_record(state, control, timedelta(0))
         try:
             await state.link.call(control.peers, "POST", POLL_PATH, value, ANSWER_LIMIT)
+            control.round_trip = state.clock.monotonic() - sent
         except LinkError as exc:
             state.log.write(Event.CONTROL_LOST, control=str(control.peers), cause=str(exc))
 
     await asyncio.gather(*(tell(control) for control in list(state.controls.values())))
 
 
-def encode_own_record(state: SteeringState, fleet_tag: str, hold: timedelta) -> dict:
+def is_source(state: SteeringState, control: ControlVm) -> bool:
+    """Return True if a control VM is the one that sends the catalogue.
+
+    It is the nearest one that was heard lately; while a catalogue that was announced hasn't come,
+    any one.
+    """
+    now = state.clock.monotonic()
+    is_behind = state.announced_version > state.catalogue_version
+    if not state.catalogue_version or (is_behind and now - state.announced_at >= FETCH_WAIT):
+        return True
+    heard = [
+        item
+        for item in state.controls.values()
+        if item.heard_at is not None and now - item.heard_at < SOURCE_TTL
+    ]
+
+    def distance(item: ControlVm) -> tuple[timedelta, str]:
+        return item.round_trip or timedelta.max, str(item.peers)
+
+    return not heard or control is min(heard, key=distance)
+
+
+def encode_own_record(state: SteeringState, control: ControlVm, hold: timedelta) -> dict:
     """Return a poll: the record of this VM and what it knows."""
     place = state.settings.place
     own = EntryVm(
@@ -121,7 +152,9 @@
     return {
         **encode_vm(own),
         "version": state.catalogue_version,
-        "fleet": fleet_tag,
+        "announced": state.announced_version,
+        "fetches": is_source(state, control),
+        "fleet": control.fleet_tag,
         "hold_ms": hold // MILLISECOND,
     }
 
@@ -144,6 +177,9 @@
             if now >= peer.alive_until:
                 peer.first_alive = now
             peer.alive_until = now + ALIVE_TTL
+    announced = value.get("version")
+    if type(announced) is int and announced > state.announced_version:
+        state.announced_version, state.announced_at = announced, now
     catalogue = value.get("catalogue")
     if isinstance(catalogue, dict) and catalogue["version"] > state.catalogue_version:
         take_catalogue(state, catalogue, decode_table)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import shutil
+from unittest import mock
 
 from behave import given, then, when
 from behave import step as any_step
 
+from camphorspread.process import steering_control
 from features.fixtures.golden import compare_with_golden
 from features.fixtures.platform_fleet import (
     CONTROL_PORT,
@@ -233,3 +235,36 @@
 @then('the session equals the golden file "{name}"')
 def step_golden(context, name):
     compare_with_golden(name, context.session)
+
+
+@when("configuration {version:d} is put while catalogues in poll responses are counted")
+def step_put_counted(context, version):
+    encode = steering_control.encode_poll_response
+    context.sent = 0
+
+    def count(steering, poll):
+        value = encode(steering, poll)
+        context.sent += "catalogue" in value
+        return value
+
+    with mock.patch.object(steering_control, "encode_poll_response", count):
+        answer = context.fleet.order("/-/Config.Put", make_configuration(version))
+        assert answer[0] == 200, answer
+        context.fleet.run(2.5)
+
+
+@then("configuration {version:d} is in force on every entry VM")
+def step_in_force_everywhere(context, version):
+    found = {vm: node.state.table.revision for vm, node in context.fleet.entries.items()}
+    assert set(found.values()) == {version}, found
+
+
+@then("each entry VM was sent {count:d} catalogues at most for it")
+def step_sent(context, count):
+    assert context.sent <= count * len(context.fleet.entries), context.sent
+
+
+@when('the control VM of "{zone}" is cut off from all entry VMs')
+def step_cut_control(context, zone):
+    fleet = context.fleet
+    fleet.network.cut({fleet.host(zone, 1)}, {fleet.host(item, 2) for item in ZONES})
