Learn which objects a server knows from runs that waited, and drop the wait for first routes

Change: only the time of such a run is left out. The wait for the first routes is taken out again with its two scenarios, which tested just that. Shown by: features/process/loans.feature, "A run that waited in the server's queue".

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -94,7 +94,6 @@
                 started_ms=report.started_ms,
                 sequence=report.sequence,
             )
-            state.note_start()
             give_free_places(state, report.service)
         case ReportOutcome.LEFT:
             log_left(state, report.instance)
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -84,8 +84,6 @@
         announced_at: When it was first told.
         table: Routes in force, None before the first ones.
         controls: Control VMs by their address for own processes.
-        started_at: When the process started.
-        can_start: Set once there are routes and a known backend server.
         futures: Requests that wait, by ticket.
         next_ticket: Ticket of the next request.
         arrivals: Callers' requests of the last seconds.
@@ -115,8 +113,6 @@
     announced_at: timedelta = timedelta(0)
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
-    started_at: timedelta = timedelta(0)
-    can_start: asyncio.Event = attrs.field(factory=asyncio.Event)
     futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
     next_ticket: int = 0
     arrivals: SlidingWindow = attrs.field(
@@ -138,11 +134,6 @@
             peer.loads for peer in self.board.peers.values()
         )
 
-    def note_start(self) -> None:
-        """Let the requests go on that wait for the first routes and the first backend server."""
-        if self.table is not None and self.can_place:
-            self.can_start.set()
-
     @property
     def live_vms(self) -> int:
         """Number of entry VMs that are alive, this one included."""
@@ -192,5 +183,4 @@
         make_pool(),
         board,
         FleetBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
-        started_at=clock.monotonic(),
     )
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -250,7 +250,6 @@
             name: service.cold_per_second * bounds.cold_overage + bounds.cold_slack
             for name, service in table.services.items()
         }
-    state.note_start()
     state.log.write(
         Event.CATALOGUE_IN_FORCE,
         version=state.catalogue_version,
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -131,7 +131,6 @@
     except (TypeError, ValueError):
         return None
     peer.summary_at = now
-    state.note_start()
     return peer
 
 
--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -1,7 +1,6 @@
 """Steers one request of a caller by the route table: places it, sends it, and answers."""
 
 import asyncio
-import contextlib
 from datetime import timedelta
 
 import attrs
@@ -46,11 +45,6 @@
 LIMIT_MARGIN = timedelta(milliseconds=30)
 # Another endpoint that shows nothing within this time of the last attempt isn't tried.
 SHORTEST_ATTEMPT = timedelta(milliseconds=50)
-# After the loss of all processes the control VMs start within a second and choose a leader within
-# another one; the routes come with it.
-START_WAIT = timedelta(seconds=2)
-# A caller that is refused after this part of its time can still return once.
-START_PART = 0.5
 # Other VMs that a request is passed to. The second one makes up for an outdated summary of the
 # first; under overload more of them would carry bodies around without finding room.
 MOST_PASSES = 2
@@ -76,8 +70,6 @@
     record_event(state.arrivals, arrived)
     state.in_flight += 1
     try:
-        if not state.can_start.is_set():
-            await wait_for_start(state, call, arrived)
         await steer_call(state, exchange, call, arrived)
     finally:
         state.in_flight -= 1
@@ -99,20 +91,6 @@
     await steer_on_route(state, exchange, call, route, arrived)
 
 
-async def wait_for_start(state: SteeringState, call: SteeredCall, now: timedelta) -> None:
-    """Wait for the first routes and the first backend server of a process that has just started.
-
-    Callers keep its address while it restarts. A refusal would only send them to the other VMs,
-    which have started at the same moment if all of them were lost.
-    """
-    limit = state.started_at + START_WAIT - now
-    if call.time_left is not None:
-        limit = min(limit, call.time_left * START_PART)
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(limit.total_seconds()):
-            await state.can_start.wait()
-
-
 async def steer_on_route(
     state: SteeringState, exchange: Exchange, call: SteeredCall, route: Route, arrived: timedelta
 ) -> None:
--- a/camphorspread/request/run_learning.py
+++ b/camphorspread/request/run_learning.py
@@ -60,25 +60,32 @@
     times = board.run_times.get((req.service, req.route))
     if not is_good or run_s is None or times is None:
         return
-    has_queue = requests is not None and requests > instance.report.slots
-    if instance.is_cold(now) or has_queue:
-        # The time says how long it waited there or warmed up, not how long it takes.
+    if instance.is_cold(now):
         return
+    if requests is None or requests <= instance.report.slots:
+        # With a queue at the server the time says how long it waited there, not how long it takes.
+        learn_run(instance, times, req, run_s)
+    if req.object_key:
+        instance.warm_objects[req.object_key] = None
+        instance.warm_objects.move_to_end(req.object_key)
+        while len(instance.warm_objects) > int(times.remembered):
+            instance.warm_objects.popitem(last=False)
+
+
+def learn_run(instance: Instance, times: RunTimes, req: PlacementRequest, run_s: float) -> None:
+    """Learn from the time of a run that began at once."""
     was_warm = req.object_key in instance.warm_objects
     learn_speed(instance, run_s / max(times.warm if was_warm else times.cold, 0.001))
     is_slow = instance.speed >= UNUSUAL_SPEED
     is_fast = run_s <= (times.warm + times.cold) / 2
     if not is_slow:
         learn_times(times, run_s, is_fast)
-    if req.object_key:
-        if was_warm and not is_fast and not is_slow:
-            forget_oldest(times, instance, req.object_key)
-        elif was_warm:
-            times.remembered = min(times.remembered + 0.05, MOST_REMEMBERED)
-        instance.warm_objects[req.object_key] = None
-        instance.warm_objects.move_to_end(req.object_key)
-        while len(instance.warm_objects) > int(times.remembered):
-            instance.warm_objects.popitem(last=False)
+    if not was_warm:
+        return
+    if is_fast:
+        times.remembered = min(times.remembered + 0.05, MOST_REMEMBERED)
+    elif not is_slow:
+        forget_oldest(times, instance, req.object_key)
 
 
 def learn_load(instance: Instance, requests: int | None, now: timedelta) -> None:
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -42,19 +42,6 @@
     Then some of them got 503
     And none of them was passed to more than 2 other VMs
 
-  @fixture.platform_fleet
-  Scenario: Requests that reach a process before its first routes wait for them
-    When all processes are killed and start again
-    And a client of "sofia-a" sends 6 "read" requests with 5 s left
-    Then all of them get 200
-
-  @fixture.platform_fleet
-  Scenario: A process that gets no routes refuses at once after its start
-    When all processes are killed and only the entry VM of "sofia-a" starts again
-    And 2.1 s go by on the platform
-    And a client of "sofia-a" sends 6 "read" requests with 5 s left
-    Then all of them get 503 within 0.1 s
-
   @fixture.platform_fleet
   Scenario: A client that leaves ends the work at the endpoint
     Given the endpoints of "status" never answer
--- a/features/process/loans.feature
+++ b/features/process/loans.feature
@@ -78,8 +78,9 @@
     Given a server of 6 slots whose runs take 0.1 s and 0.3 s
     When a run of 2 s ends there while it has 9 requests
     Then the usual times are 0.1 s and 0.3 s still
+    And the server counts as knowing the object
     When a run of 2 s ends there while it has 5 requests
-    Then the usual times have grown
+    Then the usual times follow it
 
   @fixture.platform_fleet
   Scenario: An entry VM sends to the servers of another zone of its region itself
