Ask for the list of lent servers again when some of them are gone

Cause: found in review. A VM that was cut off for longer than its loans are kept forgot the servers but not the version of the list, so an unchanged list was never sent to it again and it borrowed nothing until the list changed. Change: when fewer loans are extended than the list had, the version is forgotten and the list comes with the next summary. Metrics count lent servers apart; steering_ended has left_ms. Shown by: features/process/loans.feature, "A VM that was cut off for longer than its loans are kept borrows again", which fails without the change.

--- a/camphorspread/process/entry_vms.py
+++ b/camphorspread/process/entry_vms.py
@@ -53,6 +53,7 @@
         warm_objects: Objects that its servers handled for requests passed from here.
         stamp: Instant in its newest summary, in its own form; it is sent back with the next one.
         lent_tag: Version of its list of lent servers that this VM holds.
+        lent_count: Servers in that list.
         held_tag: Version of this VM's list of lent servers that it holds.
     """
 
@@ -74,4 +75,5 @@
     warm_objects: OrderedDict[tuple[str, str], bool] = attrs.field(factory=OrderedDict)
     stamp: str = ""
     lent_tag: str = ""
+    lent_count: int = 0
     held_tag: str = ""
--- a/camphorspread/process/loans.py
+++ b/camphorspread/process/loans.py
@@ -151,8 +151,9 @@
     add(registry, Instance(report, until, now, now, lender=lender))
 
 
-def extend_loans(registry: InstanceRegistry, lender: str, until: timedelta) -> None:
-    """Let all loans of another VM, whose list hasn't changed, hold longer."""
-    for item in registry.instances.values():
-        if item.lender == lender:
-            item.usable_until = max(item.usable_until, until)
+def extend_loans(registry: InstanceRegistry, lender: str, until: timedelta) -> int:
+    """Let all loans of another VM, whose list hasn't changed, hold longer; return their number."""
+    lent = [item for item in registry.instances.values() if item.lender == lender]
+    for item in lent:
+        item.usable_until = max(item.usable_until, until)
+    return len(lent)
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -19,7 +19,7 @@
     take_passed_departure,
 )
 from camphorspread.process.events import Event
-from camphorspread.process.instances import expire_instances
+from camphorspread.process.instances import expire_instances, owned_instances
 from camphorspread.process.metrics import METRICS_TYPE
 from camphorspread.process.steering_metrics import format_steering_metrics
 from camphorspread.process.steering_state import SteeringState
@@ -161,6 +161,8 @@
     live = sum(1 for peer in state.board.peers.values() if now < peer.alive_until)
     heard = [item.heard_at for item in state.controls.values() if item.heard_at is not None]
     age = (now - max(heard)).total_seconds() if heard else -1.0
+    known = len(state.board.registry.instances)
+    owned = len(owned_instances(state.board.registry))
     gauges = {
         "catalogue_version": ("Version of the catalogue in force.", state.catalogue_version),
         "routing_revision": (
@@ -168,7 +170,8 @@
             state.table.revision if state.table else 0,
         ),
         "control_age_seconds": ("Time since a control VM was last heard.", age),
-        "instances": ("Backend servers that announce here.", len(state.board.registry.instances)),
+        "instances": ("Backend servers that announce here.", owned),
+        "lent_instances": ("Backend servers that other entry VMs lend.", known - owned),
         "entry_vms": ("Other entry VMs that are alive.", live),
         "in_flight": ("Requests in flight.", state.in_flight),
     }
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -107,9 +107,10 @@
     lent = value.get("lent")
     if isinstance(lent, list):
         take_loans(registry, peer.vm, [decode_report(item) for item in lent], until, now)
-        peer.lent_tag = tag
-    elif tag and tag == peer.lent_tag:
-        extend_loans(registry, peer.vm, until)
+        peer.lent_tag, peer.lent_count = tag, len(lent)
+    elif tag and tag == peer.lent_tag and extend_loans(registry, peer.vm, until) < peer.lent_count:
+        # Some have expired here, or this VM was still their owner: the list is needed again.
+        peer.lent_tag = ""
 
 
 def take_summary(state: SteeringState, value: object, now: timedelta) -> EntryVm | None:
--- a/camphorspread/request/route_steer.py
+++ b/camphorspread/request/route_steer.py
@@ -300,6 +300,7 @@
         result=result,
         outcome=denied.refusal.response.outcome.value if denied else Outcome.COMPLETED.value,
         trail=job.trail,
+        left_ms=(job.deadline - job.arrived) // timedelta(milliseconds=1),
         waited_ms=(spent if job.waited is None else job.waited) // timedelta(milliseconds=1),
         spent_ms=spent // timedelta(milliseconds=1),
         promised_ms=job.route.promised // timedelta(milliseconds=1),
--- a/features/process/loans.feature
+++ b/features/process/loans.feature
@@ -90,6 +90,18 @@
     Then all of them get 200
     And some of them ran at "status-sofia-b" without a pass within the region
 
+  @fixture.platform_fleet
+  Scenario: A VM that was cut off for longer than its loans are kept borrows again
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When the entry VM of "sofia-a" is cut off from all other VMs
+    And 12 s go by on the platform
+    And the entry VMs reach each other again
+    And 6 s go by on the platform
+    And a client of "sofia-a" sends 24 "read" requests about different objects
+    Then all of them get 200
+    And some of them ran at "status-sofia-b" without a pass within the region
+
   @fixture.platform_fleet
   Scenario: A departure that the owner confirms while a borrower is cut off binds it in time
     Given a fleet with an endpoint of each service in each zone
