Explain a request from the logs of all VMs

explain-log prints the lines about a request, and those about the servers and VMs of its trail within 5 s. platform-node works through the command line parser again; the program itself starts it directly.

--- a/camphorspread/process/command/commands.py
+++ b/camphorspread/process/command/commands.py
@@ -20,6 +20,7 @@
     "CheckSettings",
     "Command",
     "Explain",
+    "ExplainLog",
     "Load",
     "LocalFleet",
     "MembersAdd",
@@ -141,6 +142,15 @@
     caller: str
 
 
+@attrs.frozen
+class ExplainLog:
+    """Explain one request from log files."""
+
+    request: str
+    files: tuple[Path, ...]
+    as_json: bool
+
+
 @attrs.frozen
 class Report:
     """Print the bookkeeper's report."""
@@ -246,6 +256,7 @@
     | CatalogueUndrain
     | Status
     | Explain
+    | ExplainLog
     | Report
     | MembersList
     | MembersAdd
--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Sequence
 from functools import partial
+from pathlib import Path
 
 from returns.result import Failure, Success
 
+from camphorspread.process.clock import SystemClock
 from camphorspread.process.command import commands
-from camphorspread.process.command.output import print_faults
+from camphorspread.process.command.output import print_faults, print_result
 from camphorspread.process.command.parser import parse_command
 
 __all__ = ["run_command"]
@@ -29,7 +31,7 @@
         case commands.PlatformNode():
             from camphorspread.platform.run import run_platform_node
 
-            return run_platform_node()
+            return run_platform_node(SystemClock().monotonic())
         case commands.CheckSettings(files=files):
             from camphorspread.process.command.check_settings import check_settings_files
 
@@ -56,6 +58,8 @@
                 command.slots,
                 command.service_time,
             )
+        case commands.ExplainLog(request=request, files=files, as_json=as_json):
+            return run_explain_log(request, files, as_json)
         case commands.Version(as_json=as_json):
             from camphorspread.process.command.version import show_version
 
@@ -74,6 +78,16 @@
             return run_catalogue_command(command)
 
 
+def run_explain_log(request: str, files: tuple[Path, ...], as_json: bool) -> int:
+    """Explain a request from log files."""
+    from camphorspread.process.command.explain_log import explain_from_logs
+
+    try:
+        return print_result(explain_from_logs(request, files), as_json)
+    except OSError as exc:
+        return print_faults((f"{exc.filename}: {exc.strerror}",))
+
+
 def run_fleet_command(command: commands.Status | commands.Explain | commands.Report) -> int:
     """Run a command that asks all processes of the fleet."""
     from camphorspread.process.command.explain import explain
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -16,6 +16,7 @@
     CheckCatalogue,
     CheckSettings,
     Command,
+    ExplainLog,
     LocalFleet,
     PlatformNode,
     Run,
@@ -67,6 +68,10 @@
     explain.add_argument("--service", default="", help="name of a service")
     explain.add_argument("--request", default="", help="trace identifier of a request")
     explain.add_argument("--caller", type=read_ip_number, help="IP number of a caller")
+    logs = commands.add_parser("explain-log", help="explain one request from log files")
+    logs.add_argument("request", help="identifier of the request")
+    logs.add_argument("files", type=Path, nargs="+", help="logs of any number of VMs")
+    logs.add_argument("--json", action="store_true", help="print JSON")
     add_fleet_command(commands, "report", "print the report for the bookkeeper")
     add_members_commands(commands)
     add_load_command(commands)
@@ -197,6 +202,8 @@
             return make_catalogue_command(args)
         case "status" | "explain" | "report":
             return make_fleet_command(parser, args)
+        case "explain-log":
+            return ExplainLog(args.request, tuple(args.files), args.json)
         case "members":
             return make_members_command(args)
         case "load":
--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -36,6 +36,21 @@
       | stub-backends --settings FOLDER/control.json status-svc       | 2    | role must be 'entry'                       |
       | version --short                                               | 2    | unrecognized arguments                     |
 
+  Scenario Outline: A request is explained from the logs of all VMs
+    Given the log lines of two VMs, of which one passed request "q1" to the other
+    When "explain-log <request>" reads them
+    Then the exit code is <code> and these events are shown: <events>
+
+    Examples:
+      | request | code | events                                                 |
+      | q1      | 0    | instance_added steering_ended steering_ended           |
+      | q2      | 0    | steering_ended                                         |
+      | q9      | 1    | none                                                   |
+
+  Scenario: A missing log file is named
+    When "explain-log q1" reads a file that doesn't exist
+    Then the exit code is 2 and the file is named
+
   @fixture.session
   Scenario: An operator drains a VM, sees the effect and takes the drain back
     Given the operator adds the entries "status-svc" and "filing-svc"
