Tell entry VMs of other regions of a departure while those of its region are lost

Cause: found in review. While all entry VMs of a region are lost, VMs of other regions own its servers; a departure that came through a control VM was told to the region's VMs only, which were dead for longer than a lease, so it was acknowledged and the owner went on sending. Change: unless a VM of the region has been alive for two leases, all VMs have to know. Shown by: features/platform/faults.feature, "A departure binds an owner in another region", which failed before: the server got requests after the acknowledgement. instances.add and drop are named add_instance and drop_instance.

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -18,7 +18,7 @@
     Instance,
     InstanceReport,
     ReportOutcome,
-    drop,
+    drop_instance,
     owned_instances,
     remove_instance,
     take_report,
@@ -45,7 +45,7 @@
         return await take_departure(state, report.instance, report)
     owner = find_better_owner(state, report)
     if owner is not None and await hand_over(state, owner, report):
-        drop(state.board.registry, report.instance)
+        drop_instance(state.board.registry, report.instance)
         return Accepted(owner.peers)
     take_and_log(state, report)
     return Accepted()
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -14,9 +14,9 @@
     "InstanceRegistry",
     "InstanceReport",
     "ReportOutcome",
-    "add",
+    "add_instance",
     "assume_cold",
-    "drop",
+    "drop_instance",
     "expire_instances",
     "is_usable",
     "owned_instances",
@@ -189,8 +189,8 @@
         and known.report.service == report.service
     )
     if not is_same_start:
-        drop(registry, report.instance)
-        add(registry, Instance(report, now + registry.lease, now, now + report.cold_for))
+        drop_instance(registry, report.instance)
+        add_instance(registry, Instance(report, now + registry.lease, now, now + report.cold_for))
         return ReportOutcome.ADDED
     if known.lender:
         known.lender = ""
@@ -203,7 +203,7 @@
     return ReportOutcome.RENEWED
 
 
-def add(registry: InstanceRegistry, instance: Instance) -> None:
+def add_instance(registry: InstanceRegistry, instance: Instance) -> None:
     """Add a backend server that isn't known."""
     registry.instances[instance.name] = instance
     same_service = registry.by_service.setdefault(instance.report.service, [])
@@ -253,11 +253,11 @@
     if previous is not None:
         order = max(order, previous.order)
     registry.tombstones[name] = Tombstone(order, now + TOMBSTONE_TTL)
-    drop(registry, name)
+    drop_instance(registry, name)
     return known is not None
 
 
-def drop(registry: InstanceRegistry, name: str) -> None:
+def drop_instance(registry: InstanceRegistry, name: str) -> None:
     """Forget a backend server."""
     instance = registry.instances.pop(name, None)
     if instance is None:
@@ -297,7 +297,7 @@
         item for item in registry.instances.values() if now >= item.usable_until + registry.lease
     ]
     for instance in expired:
-        drop(registry, instance.name)
+        drop_instance(registry, instance.name)
     for name in [name for name, item in registry.tombstones.items() if item.until <= now]:
         del registry.tombstones[name]
     return expired
--- a/camphorspread/process/loans.py
+++ b/camphorspread/process/loans.py
@@ -20,8 +20,8 @@
     Instance,
     InstanceRegistry,
     InstanceReport,
-    add,
-    drop,
+    add_instance,
+    drop_instance,
     is_usable,
     owned_instances,
     yield_address,
@@ -122,7 +122,7 @@
     listed = {report.instance for report in reports}
     for item in list(registry.instances.values()):
         if item.lender == lender and item.name not in listed:
-            drop(registry, item.name)
+            drop_instance(registry, item.name)
 
 
 def take_loan(
@@ -147,8 +147,8 @@
             return
     if not yield_address(registry, report, now):
         return
-    drop(registry, report.instance)
-    add(registry, Instance(report, until, now, now, lender=lender))
+    drop_instance(registry, report.instance)
+    add_instance(registry, Instance(report, until, now, now, lender=lender))
 
 
 def extend_loans(registry: InstanceRegistry, lender: str, until: timedelta) -> int:
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -55,11 +55,13 @@
     Attributes:
         record: What it says of itself.
         heard_at: When it last polled.
+        alive_since: Since when this process of it has polled without a break.
         is_alive: False once it was silent for too long or its connection was reset.
     """
 
     record: EntryVm
     heard_at: timedelta
+    alive_since: timedelta
     is_alive: bool = True
 
 
@@ -200,7 +202,11 @@
         known.heard_at = now
         known.record.caller_rate = record.caller_rate
         return
-    steering.vms[record.vm] = ListedVm(record, now)
+    is_continued = (
+        known is not None and known.is_alive and known.record.incarnation == record.incarnation
+    )
+    alive_since = known.alive_since if is_continued else now
+    steering.vms[record.vm] = ListedVm(record, now, alive_since)
     log_vm(steering, record, True)
     steering.note_change()
 
@@ -279,6 +285,23 @@
     return NotAccepted("no entry VM took the announcement")
 
 
+def list_holders(steering: SteeringControl, region: str | None, lease: timedelta) -> list[ListedVm]:
+    """Return the entry VMs that may send to a backend server of a region.
+
+    VMs of other regions own it while those of its region are lost, and until these have been back
+    for long enough that its announcements go to them again.
+    """
+    known = list(steering.vms.values())
+    now = steering.control.clock.monotonic()
+    is_settled = any(
+        item.is_alive and item.record.region == region and now - item.alive_since >= 2 * lease
+        for item in known
+    )
+    if region is None or not is_settled:
+        return known
+    return [item for item in known if item.record.region == region]
+
+
 async def spread_departure(
     steering: SteeringControl, name: str, report: InstanceReport | None
 ) -> Accepted | NotAccepted:
@@ -295,7 +318,7 @@
     region = None
     if report is not None:
         region = steering.settings.regions.get(report.availability_zone)
-    items = [item for item in steering.vms.values() if region in (None, item.record.region)]
+    items = list_holders(steering, region, lease)
 
     async def tell(item: ListedVm) -> bool:
         if not item.is_alive:
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -60,6 +60,16 @@
     Then that is acknowledged
     And none of 12 "read" requests of "sofia-a" runs there
 
+  @fixture.platform_fleet
+  Scenario: A departure binds an owner in another region
+    When the entry VM of "varna-a" is killed
+    And the entry VM of "varna-b" is killed
+    And 8 s go by on the platform
+    And the endpoint "status-varna-a" departs through the control VM of "varna-a"
+    Then that is acknowledged
+    And none of 24 "read" requests of "sofia-a" runs there
+    And none of 24 "read" requests of "plovdiv-a" runs there
+
   @fixture.platform_fleet
   Scenario: A cut-off control VM doesn't acknowledge a departure
     Given the control VM of "varna-a" is cut off from the others
