--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,7 @@
     "proxy",
     "endpoint",
 )
+# Longer than the lease of a leader and shorter than the silence after which a member is removed.
 LONGEST_S = 3.0
 POLL_S = 0.05
 MISBEHAVIOURS = ("reset", "shed", "cut", "stray")
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,8 +20,11 @@
 
 __all__ = ["main", "run_seed"]
 
+# Twelve interpreters start at once, on a machine that may be busy.
 START_LIMIT_S = 60
+# Requests that must succeed one after the other before callers count as served: about two seconds.
 SERVED_IN_A_ROW = 40
+# A replaced disk has caught up by then, so that the next one may be lost.
 STORAGE_PAUSE_S = 8.0
 
 
@@ -49,7 +52,7 @@
         await world.start_outside()
         await world.put_configuration()
         callers = asyncio.create_task(run_callers(world))
-        if not await wait_until_served(world, START_LIMIT_S):
+        if not await wait_until_served(world, max(START_LIMIT_S, recovery_s)):
             return ["nothing was served after the start"]
         tasks = await inject_faults(world, seconds, kinds)
         await asyncio.gather(*tasks)
--- a/soak/world.py
+++ b/soak/world.py
@@ -23,8 +23,10 @@
 __all__ = ["SoakEndpoint", "World", "call_operator", "run_callers"]
 
 SERVER_PORT = 8080
+# About 200 requests a second together, well under the slots of the backend servers.
 CALLERS = 24
 CALL_PAUSE_S = 0.05
+# As long as callers of the users' deployments wait.
 TIME_LEFT_S = 3.0
 OBJECTS = 30
 
