Let downloads be repeated like other idempotent requests

Cause: the codec knew one repeatable kind of route only, so that a failed download ended with 502 although it may run twice, and a kind of any other type than text was accepted.

Change: the kinds "safe" and "download" are idempotent; every other kind, also an unknown one, runs at most once, so that a configuration of a newer version is accepted and can't cause a second run. A kind that isn't text is invalid.

--- a/camphorspread/platform/routing_codec.py
+++ b/camphorspread/platform/routing_codec.py
@@ -18,6 +18,9 @@
 __all__ = ["decode_document", "decode_table", "encode_document"]
 
 VERSION_PREFIX = "r"
+# Kinds of routes whose requests may run twice, regardless of their method. The requests of any
+# other kind, also of one that this version doesn't know, run at most once.
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 
 
 def decode_document(data: bytes) -> Result[RoutingDocument, str]:
@@ -79,8 +82,7 @@
         name=require_string(value["name"]),
         host=require_string(value["host"]),
         path_prefix=prefix,
-        # Only requests of such a route may run twice, regardless of their method.
-        is_idempotent=value["kind"] == "safe",
+        is_idempotent=require_string(value["kind"]) in IDEMPOTENT_KINDS,
         time_limit=parse_milliseconds(value["timeoutMs"]),
         promised=parse_milliseconds(value.get("targetLatencyMs", value["timeoutMs"])),
         rank=int(value.get("priority", 0)),
--- a/features/platform/codec.feature
+++ b/features/platform/codec.feature
@@ -44,6 +44,21 @@
       | no routes at all                            | invalid  |
       | its last byte cut off                       | invalid  |
       | 200000 nested brackets                      | invalid  |
+      | a route without a kind                      | invalid  |
+      | a route whose kind is a list                | invalid  |
+      | a route of an unknown kind                  | accepted |
+
+  Scenario Outline: Only requests of the kinds that the platform calls repeatable may run twice
+    When the configuration has a route of the kind "<kind>"
+    Then its requests are <repetition>
+
+    Examples:
+      | kind     | repetition     |
+      | safe     | idempotent     |
+      | download | idempotent     |
+      | unsafe   | not idempotent |
+      | keyed    | not idempotent |
+      | Safe     | not idempotent |
 
   Scenario Outline: Decoding the settings file
     When the settings file has <change>
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -42,6 +42,13 @@
     Then some of them got 503
     And none of them was forwarded to more than 2 other VMs
 
+  @fixture.platform_fleet
+  Scenario: A failed download is repeated at another endpoint
+    Given the operator submits a configuration in which "read" has the kind "download"
+    And the endpoint "status-sofia-a" resets connections after the run
+    When a client of "sofia-a" sends 6 "read" requests about different objects
+    Then all of them get 200
+
   @fixture.platform_fleet
   Scenario: A request is cancelled at the endpoint when its client disconnects
     Given the endpoints of "status" never answer
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -11,7 +11,7 @@
 from camphorspread.connection.messages import RequestHead
 from camphorspread.platform.dialect import PlatformDialect
 from camphorspread.platform.heartbeats import InvalidHeartbeatError, decode_heartbeat
-from camphorspread.platform.routing_codec import decode_document
+from camphorspread.platform.routing_codec import decode_document, decode_table
 from camphorspread.platform.settings_file import decode_settings
 from camphorspread.request.errors import ErrorKind, Refusal
 from features.fixtures.platform_fleet import make_configuration, make_route
@@ -102,9 +102,21 @@
     return make_configuration(3, [{**make_route("read", "/read/", "safe", "status"), **fields}])
 
 
+@when('the configuration has a route of the kind "{kind}"')
+def step_kind(context, kind):
+    context.routes = decode_table(change_route(kind=kind)).unwrap().routes
+
+
+@then("its requests are {repetition}")
+def step_repetition(context, repetition):
+    found = "idempotent" if context.routes[0].is_idempotent else "not idempotent"
+    assert found == repetition, found
+
+
 @when("the configuration has {change}")
 def step_configuration(context, change):
     value = json.loads(make_configuration(3))
+    route = make_route("read", "/read/", "safe", "status")
     weighted_services = [{"service": "status", "weight": 9}, {"service": "filing", "weight": 1}]
     without_routes = {name: item for name, item in value.items() if name != "routes"}
     changed = {
@@ -121,6 +133,12 @@
         "an aim 59 s above the time limit": change_route(timeoutMs=1000, targetLatencyMs=60000),
         "a version without its letter": {**value, "version": "3"},
         "no routes at all": without_routes,
+        "a route without a kind": {
+            **value,
+            "routes": [{name: item for name, item in route.items() if name != "kind"}],
+        },
+        "a route whose kind is a list": change_route(kind=["safe"]),
+        "a route of an unknown kind": change_route(kind="keyed"),
         "its last byte cut off": make_configuration(3)[:-1],
         "200000 nested brackets": NESTED,
     }[change]
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -276,6 +276,13 @@
     context.fleet.run(2)
 
 
+@given('the operator submits a configuration in which "{name}" has the kind "{kind}"')
+def step_kind(context, name, kind):
+    configuration = make_configuration(2, [make_route(name, f"/{name}/", kind, "status")])
+    assert context.fleet.send_operator_call("/-/Config.Put", configuration)[0] == 200
+    context.fleet.run(2)
+
+
 @then('all of {count:d} "{kind}" requests of "{zone}" run in "{region}"')
 def step_run_home(context, count, kind, zone, region):
     answers = send(context, zone, kind, count)
