Take only a response that names the request as its response

Cause: a response without a request id counted as the response to whatever request was in flight. A faulty backend server that wrote an earlier refusal once more on a kept connection so made an entry VM tell its caller that the request hadn't run, while it ran, or send it to a second server. A response to another request was read to its end, status 100 could be sent without end, and the body of a streamed response was relayed for as long as it came.

Change: a response belongs to a request if it names its id; any other one is skipped, at most two of them with 64 KiB each. A request without an id is sent on a new connection. At most 8 informational responses precede a final one.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -21,6 +21,9 @@
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 CONTINUE_STATUS = 100
+# A server may send several informational responses before the final one; one that sends them
+# without end would otherwise keep the loop busy until the deadline.
+MAX_INFORMATIONAL_RESPONSES = 8
 
 
 class InvalidResponseError(Exception):
@@ -38,6 +41,7 @@
     Attributes:
         head_sent: Set once the head of the current request may have been sent.
         completed_requests: Number of exchanges that were completed on this connection.
+        informational_responses: Number of informational responses before the current response.
     """
 
     address: Address
@@ -46,6 +50,7 @@
     limits: ConnectionLimits
     head_sent: asyncio.Event = attrs.field(factory=asyncio.Event)
     completed_requests: int = 0
+    informational_responses: int = 0
 
     async def send_head(self, head: RequestHead) -> None:
         """Send the head of a request.
@@ -84,11 +89,15 @@
         upload may take longer than that limit.
 
         Raises:
-            InvalidResponseError: The connection was closed, or the response isn't valid HTTP.
+            InvalidResponseError: The connection was closed, the response isn't valid HTTP, or too
+                many informational responses precede it.
         """
         while True:
             match await self._next_event(has_limit=False):
                 case h11.InformationalResponse(status_code=status, headers=headers):
+                    self.informational_responses += 1
+                    if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                        raise InvalidResponseError("too many informational responses")
                     if status == CONTINUE_STATUS:
                         return ResponseHead(status, tuple(headers))
                 case h11.Response(status_code=status, headers=headers):
@@ -132,6 +141,7 @@
         The response that was read belongs to an earlier request. `h11` accepts one response for
         each request, so its state is rebuilt.
         """
+        self.informational_responses = 0
         unread = self.state.trailing_data[0]
         self.state = h11.Connection(h11.CLIENT, max_incomplete_event_size=self.limits.header_bytes)
         # These events only set the state; their encoded bytes are discarded.
@@ -158,6 +168,7 @@
         """Reset the HTTP state for the next request."""
         self.state.start_next_cycle()
         self.head_sent.clear()
+        self.informational_responses = 0
         self.completed_requests += 1
 
     def close(self) -> None:
--- a/camphorspread/connection/pool.py
+++ b/camphorspread/connection/pool.py
@@ -56,6 +56,14 @@
             if now - entry.idle_since < self.idle_limit and entry.conn.is_idle:
                 return entry.conn
             entry.conn.close()
+        return await self.open(address)
+
+    async def open(self, address: Address) -> ClientConnection:
+        """Open a new connection.
+
+        Raises:
+            OSError: The connection can't be opened.
+        """
         return await open_connection(self.network, address, self.limits, self.connect_limit)
 
     def release(self, conn: ClientConnection) -> None:
--- a/camphorspread/request/reply.py
+++ b/camphorspread/request/reply.py
@@ -1,32 +1,58 @@
 """Sends a backend server's response to the caller or to the entry VM that forwarded the request."""
 
+import asyncio
+from datetime import timedelta
+
+from camphorspread.connection.client import InvalidResponseError
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
+from camphorspread.process.events import Event
+from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.send import Reply, StreamedReply
 
 __all__ = ["send_reply"]
 
 
-async def send_reply(exchange: Exchange, head: ResponseHead, reply: Reply | StreamedReply) -> None:
+async def send_reply(
+    state: SteeringState,
+    exchange: Exchange,
+    head: ResponseHead,
+    reply: Reply | StreamedReply,
+    service: str,
+    limit: timedelta,
+) -> None:
     """Send a response; if it breaks off, reset the connection so that it can't appear complete.
 
     Args:
+        state: State of this VM.
         exchange: Exchange of the request.
         head: Head to send.
         reply: Response of the backend server, whose body is sent.
+        service: Service of the backend server, for the log.
+        limit: Time after which a streamed response is cut, as its body may never end.
     """
     match reply:
         case Reply(body=body):
             await exchange.respond(head, body)
-        case StreamedReply(held=held, conn=conn, pool=pool):
+        case StreamedReply():
             try:
-                exchange.start_response(head)
-                await exchange.send_body(held)
-                while chunk := await conn.read_body():
-                    await exchange.send_body(chunk)
-                await exchange.finish()
-            except BaseException:
-                conn.abort()
-                exchange.abort()
-                raise
-            pool.release(conn)
+                async with asyncio.timeout(max(limit.total_seconds(), 0)):
+                    await stream_body(exchange, head, reply)
+            except (InvalidResponseError, TimeoutError) as exc:
+                cause = str(exc) or "the body didn't end before the deadline"
+                state.log.write(Event.RESPONSE_CUT, service=service, cause=cause)
+
+
+async def stream_body(exchange: Exchange, head: ResponseHead, reply: StreamedReply) -> None:
+    """Send head and body of a streamed response; reset both connections if it breaks off."""
+    try:
+        exchange.start_response(head)
+        await exchange.send_body(reply.held)
+        while chunk := await reply.conn.read_body():
+            await exchange.send_body(chunk)
+        await exchange.finish()
+    except BaseException:
+        reply.conn.abort()
+        exchange.abort()
+        raise
+    reply.pool.release(reply.conn)
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -99,15 +99,22 @@
         job.sends += 1
 
     def is_answer(response: ResponseHead) -> bool:
-        echoed_id = state.dialect.decode_response(response).request_id
-        return not echoed_id or not job.call.request_id or echoed_id == job.call.request_id
+        # A response that names no request may be a late copy of an earlier one. Taken for the
+        # response to this request, a copied refusal would assure that this request didn't run.
+        return state.dialect.decode_response(response).request_id == job.call.request_id
 
     result: SendResult | None = None
     may_have_run = job.may_have_run
     job.may_have_run = True
     try:
         result = await send_request(
-            state.pool, instance.report.address, head, job.body, is_answer, on_sent
+            state.pool,
+            instance.report.address,
+            head,
+            job.body,
+            is_answer,
+            on_sent,
+            needs_new_connection=not job.call.request_id,
         )
         outcome = classify_send(state, job, place, result, was_sent)
         if isinstance(outcome, Rejected):
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -28,6 +28,10 @@
 
 __all__ = ["serve_forwarded"]
 
+# The forwarding VM, which knows how long the caller waits, resets the connection before; this only
+# ends a body without end if that VM doesn't.
+FORWARD_BODY_LIMIT = timedelta(minutes=5)
+
 
 async def serve_forwarded(state: SteeringState, exchange: Exchange) -> None:
     """Answer a forwarded request with a backend server's response or with its outcome."""
@@ -147,4 +151,4 @@
         case _:
             head = state.dialect.encode_response(reply.head)
             head = attrs.evolve(head, headers=(*head.headers, *headers))
-            await send_reply(exchange, head, reply)
+            await send_reply(state, exchange, head, reply, forward.service, FORWARD_BODY_LIMIT)
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -122,7 +122,7 @@
             await respond_denied(state, exchange, denied)
         case Reply() | StreamedReply():
             record_end(state, job, str(result.head.status))
-            await respond_reply(state, exchange, result)
+            await respond_reply(state, exchange, job, result)
 
 
 async def read_first_part(state: SteeringState, exchange: Exchange) -> RequestBody:
@@ -274,11 +274,17 @@
 
 
 async def respond_reply(
-    state: SteeringState, exchange: Exchange, reply: Reply | StreamedReply
+    state: SteeringState, exchange: Exchange, job: RoutedRequest, reply: Reply | StreamedReply
 ) -> None:
-    """Send a backend server's response to the caller."""
+    """Send a backend server's response to the caller.
+
+    A caller that states how long it will wait gets the rest of a body also after the time limit of
+    the route.
+    """
+    until = job.arrived + max(job.call.time_left or timedelta(0), job.route.time_limit)
+    limit = until - state.clock.monotonic()
     head = state.dialect.encode_response(reply.head)
-    await send_reply(exchange, head, reply)
+    await send_reply(state, exchange, head, reply, job.req.service, limit)
 
 
 async def respond_denied(state: SteeringState, exchange: Exchange, denied: Denied) -> None:
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -102,6 +102,7 @@
     body: RequestBody,
     is_answer: Callable[[ResponseHead], bool],
     on_sent: Callable[[], None],
+    needs_new_connection: bool = False,
 ) -> SendResult:
     """Send a request and read the response.
 
@@ -114,13 +115,15 @@
         body: Body of the request.
         is_answer: Returns True if a response belongs to this request.
         on_sent: Called once, before the first byte is sent.
+        needs_new_connection: True if the response can only be recognised on a connection that has
+            carried no other request.
     """
     full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
     conn: ClientConnection | None = None
     is_complete = False
     try:
         try:
-            conn = await acquire_clean(pool, address)
+            conn = await acquire_clean(pool, address, needs_new_connection)
         except (OSError, TimeoutError) as exc:
             return NotSent(str(exc) or "connection timed out")
         on_sent()
@@ -150,10 +153,16 @@
             conn.abort()
 
 
-async def acquire_clean(pool: ConnectionPool, address: Address) -> ClientConnection:
-    """Acquire a connection on which no unexpected data has arrived."""
+async def acquire_clean(pool: ConnectionPool, address: Address, is_new: bool) -> ClientConnection:
+    """Acquire a connection on which no unexpected data has arrived.
+
+    Args:
+        pool: Connection pool.
+        address: Address of the next hop.
+        is_new: True if the connection must not have carried another request.
+    """
     while True:
-        conn = await pool.acquire(address)
+        conn = await (pool.open(address) if is_new else pool.acquire(address))
         if conn.is_idle:
             return conn
         conn.close()
@@ -179,12 +188,24 @@
         response = await conn.read_final_head()
         if is_answer(response):
             return await read_reply(pool, conn, response)
-        while await conn.read_body():
-            pass
+        await discard_body(conn)
         conn.prepare_next_response(head)
     raise InvalidResponseError("the received responses belong to other requests")
 
 
+async def discard_body(conn: ClientConnection) -> None:
+    """Discard the body of a response to another request.
+
+    Raises:
+        InvalidResponseError: The body is incomplete or exceeds `HELD_BYTES`.
+    """
+    size = 0
+    while chunk := await conn.read_body():
+        size += len(chunk)
+        if size > HELD_BYTES:
+            raise InvalidResponseError("the response to another request exceeds the size limit")
+
+
 async def read_reply(
     pool: ConnectionPool, conn: ClientConnection, head: ResponseHead
 ) -> Reply | StreamedReply:
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -22,6 +22,48 @@
       | status  | reject everything                   | read | 503    | never         |
       | filing  | send another answer before each one | file | 200    | once          |
       | filing  | never answer                        | file | 504    | once          |
+      | filing  | write an earlier refusal first      | file | 200    | once          |
+      | filing  | write an unnamed refusal first      | file | 200    | once          |
+      | filing  | write an unnamed success first      | file | 200    | once          |
+
+  @fixture.platform_fleet
+  Scenario Outline: Bytes without a named request on a connection that is used again
+    Given a client of "sofia-a" sends 6 "file" requests about different objects
+    And the endpoints of "filing" <fault>
+    When a client of "sofia-a" sends 6 "file" requests about different objects
+    Then all of them get the response of their own run
+
+    Examples:
+      | fault                          |
+      | write an unnamed refusal first |
+      | write an unnamed success first |
+      | write an earlier refusal first |
+
+  @fixture.platform_fleet
+  Scenario Outline: An endpoint sends bytes without end
+    Given the endpoints of "filing" send <bytes> without end
+    When a client of "sofia-a" sends one "file" request
+    Then it gets 502 and the request ran once
+    And its endpoint could write at most 256 KiB
+    And all of 6 "read" requests of "sofia-a" get 200 within 0.4 s
+
+    Examples:
+      | bytes                       |
+      | one header                  |
+      | headers                     |
+      | status 100                  |
+      | status 103                  |
+      | a chunk size                |
+      | the body of another request |
+      | other responses             |
+      | no HTTP                     |
+
+  @fixture.platform_fleet
+  Scenario: The body of a response doesn't end
+    Given the endpoints of "filing" send a body without end
+    When a client of "sofia-a" sends one "file" request and reads its response
+    Then it gets no complete response
+    And its endpoint can write nothing more after 2.3 s
 
   @fixture.platform_fleet
   Scenario: An idempotent request whose endpoint fails is served by another one
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -26,6 +26,18 @@
     "cut answers short": "cut",
     "reject everything": "shed",
     "send another answer before each one": "stray",
+    "write an earlier refusal first": "earlier refusal",
+    "write an unnamed refusal first": "unnamed refusal",
+    "write an unnamed success first": "unnamed success",
+    "send one header without end": "endless header",
+    "send headers without end": "endless headers",
+    "send status 100 without end": "endless continues",
+    "send status 103 without end": "endless hints",
+    "send a chunk size without end": "endless chunk size",
+    "send the body of another request without end": "endless other body",
+    "send other responses without end": "endless responses",
+    "send no HTTP without end": "endless bytes",
+    "send a body without end": "endless body",
 }
 NEVER_S = 1000.0
 # At this interval the whole head exceeds every time limit, although no single wait does.
@@ -119,6 +131,60 @@
     assert statuses <= {200, 502} and 502 in statuses, statuses
 
 
+@then("all of them get the response of their own run")
+def step_own_responses(context):
+    runs = list_runs(context)
+    assert len(runs) == len(set(runs)) == len(context.answers), runs
+    signatures = {answer[1][b"response-signature"].decode() for answer in context.answers}
+    assert signatures == {f"s.{item}" for item in runs}, signatures
+
+
+@then("its endpoint could write at most {size:d} KiB")
+def step_written(context, size):
+    context.fleet.run(1)
+    written = max(endpoint.written for endpoint in context.fleet.endpoints.values())
+    assert 0 < written <= size * 1024, written
+
+
+@then('all of {count:d} "read" requests of "{zone}" get 200 within {seconds:g} s')
+def step_others_served(context, count, zone, seconds):
+    started = context.fleet.clock.monotonic()
+    answers = send(context, zone, "read", count)
+    assert {answer and answer[0] for answer in answers} == {200}, answers
+    spent = (context.fleet.clock.monotonic() - started).total_seconds()
+    assert spent <= seconds, spent
+
+
+@when('a client of "{zone}" sends one "file" request and reads its response')
+def step_read_endless(context, zone):
+    fleet = context.fleet
+    started = fleet.clock.monotonic()
+
+    async def wait_for_end():
+        while not any(endpoint.written for endpoint in fleet.endpoints.values()):
+            await asyncio.sleep(0.05)
+        written = -1
+        while written != (written := sum(item.written for item in fleet.endpoints.values())):
+            await asyncio.sleep(0.05)
+        return (fleet.clock.monotonic() - started).total_seconds()
+
+    async def send_and_wait():
+        return await asyncio.gather(fleet.request(zone, "/file/x", "POST", b"form"), wait_for_end())
+
+    answer, context.ended_s = fleet.run_coroutine(send_and_wait())
+    context.answers = [answer]
+
+
+@then("it gets no complete response")
+def step_incomplete(context):
+    assert context.answers == [None], context.answers
+
+
+@then("its endpoint can write nothing more after {seconds:g} s")
+def step_cut(context, seconds):
+    assert context.ended_s <= seconds, context.ended_s
+
+
 @then("some of them got {status:d}")
 def step_some_status(context, status):
     assert status in [answer and answer[0] for answer in context.answers]
