Limit how fast requests move from one region to another

Cause: at the start of traffic no server knows an object, so the servers of a small region are full and a third of its requests runs elsewhere; two seconds later they are fast enough for all.

Change: request/region_shift.py compares the regions of this VM's requests in two consecutive windows of 2 s. Above 0.65 of the limit a request runs where it doesn't shift if it is on time there, above 0.8 in any case. It binds what leaves and what returns, except what leaves a region that has just lost more than 15 percent of its slots for the service.

--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -23,6 +23,7 @@
 from camphorspread.request.fleet_retry_budget import FleetRetryBudget
 from camphorspread.request.placement_board import PlacementBoard
 from camphorspread.request.placement_queue import PlacementQueue
+from camphorspread.request.region_shift import RegionShares
 from camphorspread.request.splitting import Splitter
 from camphorspread.request.window import SlidingWindow
 from camphorspread.version.routing import RouteTable
@@ -158,6 +159,7 @@
         place.region,
         InstanceRegistry(bounds.announcement_lease),
         regions=settings.regions,
+        region_shares=RegionShares(bounds.region_shift_limit),
     )
 
     def make_pool() -> ConnectionPool:
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -10,6 +10,7 @@
 after its start (`Instance.is_cold`): it then tolerates only a low request rate.
 """
 
+import math
 from collections.abc import Iterator
 from datetime import timedelta
 
@@ -28,9 +29,17 @@
     PlacementRequest,
     QueuedPlacement,
     RunTimes,
+    find_region,
     find_run_times,
     usable_instances,
 )
+from camphorspread.request.region_shift import (
+    HARD_LIMIT_FRACTION,
+    SOFT_LIMIT_FRACTION,
+    CapacityHistory,
+    has_lost_capacity,
+    is_shift_allowed,
+)
 from camphorspread.request.window import count_recent
 
 __all__ = [
@@ -89,7 +98,53 @@
         placements += list_peer_placements(board, req, times, instances, now)
     if not placements:
         return NoPlacement()
-    return min(placements, key=lambda placement: placement.cost_s)
+    if not req.may_forward:
+        return min(placements, key=get_cost)
+    slots = sum(item.report.slots for item in instances)
+    return choose_within_shift_limit(board, req, placements, slots, now)
+
+
+def get_cost(place: LocalPlacement | ForwardPlacement | QueuedPlacement) -> float:
+    """Return the expected time until the response, in seconds."""
+    return place.cost_s
+
+
+def choose_within_shift_limit(
+    board: PlacementBoard,
+    req: PlacementRequest,
+    placements: list[LocalPlacement | ForwardPlacement | QueuedPlacement],
+    slots: int,
+    now: timedelta,
+) -> LocalPlacement | ForwardPlacement | QueuedPlacement:
+    """Return the placement with the lowest cost whose region may get one more request.
+
+    Args:
+        board: State of servers and VMs.
+        req: The request.
+        placements: All possible placements.
+        slots: Slots of the usable servers of this VM.
+        now: Current monotonic time.
+    """
+    history = board.capacities.setdefault(req.service, CapacityHistory())
+    has_lost = has_lost_capacity(history, slots, now)
+    best = min(placements, key=get_cost)
+    region = find_region(board, best)
+    if has_lost and region != board.region:
+        return best
+    left_s = (req.promised_at - now).total_seconds()
+    for fraction, longest_s in ((SOFT_LIMIT_FRACTION, left_s), (HARD_LIMIT_FRACTION, math.inf)):
+        if is_shift_allowed(board.region_shares, region, fraction, now):
+            return best
+        others = [
+            place
+            for place in placements
+            if place.cost_s <= longest_s
+            and (other := find_region(board, place)) != region
+            and is_shift_allowed(board.region_shares, other, fraction, now)
+        ]
+        if others:
+            return min(others, key=get_cost)
+    return best
 
 
 @attrs.frozen
@@ -281,7 +336,6 @@
     """Return True if the backend server is in a region that may run the request."""
     if not req.home_regions:
         return True
-    # A VM may own servers of another region after that region has lost its VMs.
     region = board.regions.get(instance.report.availability_zone, board.region)
     return region in req.home_regions
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -7,6 +7,7 @@
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
+from camphorspread.request.region_shift import CapacityHistory, RegionShares
 
 __all__ = [
     "ForwardPlacement",
@@ -17,6 +18,7 @@
     "PlacementRequest",
     "QueuedPlacement",
     "RunTimes",
+    "find_region",
     "find_run_times",
     "usable_instances",
 ]
@@ -102,6 +104,8 @@
         rankings_revision: Revision of the registry for which `rankings` is valid.
         homes: Cached home VMs of objects by service, with the VMs and slots for which they are
             valid.
+        region_shares: Regions to which the requests of this VM's callers were sent.
+        capacities: Recent maximum of the region's slots by service.
     """
 
     vm: str
@@ -118,6 +122,8 @@
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
     homes: dict[str, tuple[tuple, dict[str, tuple[str, str]]]] = attrs.field(factory=dict)
+    region_shares: RegionShares = attrs.field(factory=RegionShares)
+    capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -157,6 +163,18 @@
     """No backend server is known that may run the request."""
 
 
+def find_region(board: PlacementBoard, place: "Placement") -> str:
+    """Return the region in which a request with this placement runs, empty for none."""
+    match place:
+        case LocalPlacement(instance=instance) | QueuedPlacement(instance=instance):
+            # A VM may own servers of another region after that region has lost its VMs.
+            return board.regions.get(instance.report.availability_zone, board.region)
+        case ForwardPlacement(peer=peer):
+            return peer.region
+        case NoPlacement():
+            return ""
+
+
 Placement = LocalPlacement | ForwardPlacement | QueuedPlacement | NoPlacement
 
 
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -19,9 +19,15 @@
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.fleet_retry_budget import record_first_send, try_fleet_retry
-from camphorspread.request.placement_board import ForwardPlacement, LocalPlacement, PlacementRequest
+from camphorspread.request.placement_board import (
+    ForwardPlacement,
+    LocalPlacement,
+    PlacementRequest,
+    find_region,
+)
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused
+from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import (
     SERVER_ERROR,
@@ -212,9 +218,11 @@
                 kind = ErrorKind.OVERLOADED if is_known else ErrorKind.NO_BACKEND_SERVER
                 return Denied(Refusal(kind, "no backend server has capacity"), return_delay)
             case LocalPlacement():
+                record_placement(state, place)
                 job.trail.append(f"start {place.instance.name}")
                 result = await attempt_local(state, job, place)
             case ForwardPlacement():
+                record_placement(state, place)
                 job.forwards += 1
                 if job.forwards == MAX_FORWARDS:
                     job.req = attrs.evolve(job.req, may_forward=False)
@@ -232,6 +240,12 @@
         state.metrics.repeats[(job.req.service,)] += 1
 
 
+def record_placement(state: SteeringState, place: LocalPlacement | ForwardPlacement) -> None:
+    """Record the region to which a request is sent."""
+    region = find_region(state.board, place)
+    record_region(state.board.region_shares, region, state.clock.monotonic())
+
+
 def is_worth_repeating(job: RoutedRequest, reply: Reply | StreamedReply) -> bool:
     """Return True if an idempotent request got a server error that a retry may avoid."""
     is_held = isinstance(reply, Reply)
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -50,7 +50,7 @@
 @when("{rate:g} requests per second arrive for {seconds:g} s")
 def step_run(context, rate, seconds):
     context.rate, context.seconds = rate, seconds
-    context.simulation.run(rate, seconds)
+    context.simulation.run((rate, seconds))
 
 
 @then("at least {percent:g} percent are on time with placement by expected time")
@@ -67,7 +67,7 @@
         chosen.servers, chosen.slots, chosen.objects, chosen.cold_s, chosen.warm_s
     )
     other.is_least_load = True
-    other.run(context.rate, context.seconds)
+    other.run((context.rate, context.seconds))
     assert other.on_time < chosen.on_time, (other.on_time, chosen.on_time)
 
 
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -161,12 +161,13 @@
     started = fleet.clock.monotonic()
 
     async def wait_for_end():
-        while not any(endpoint.written for endpoint in fleet.endpoints.values()):
+        written = 0
+        while True:
             await asyncio.sleep(0.05)
-        written = -1
-        while written != (written := sum(item.written for item in fleet.endpoints.values())):
-            await asyncio.sleep(0.05)
-        return (fleet.clock.monotonic() - started).total_seconds()
+            total = sum(item.written for item in fleet.endpoints.values())
+            if 0 < total == written:
+                return (fleet.clock.monotonic() - started).total_seconds()
+            written = total
 
     async def send_and_wait():
         return await asyncio.gather(fleet.request(zone, "/file/x", "POST", b"form"), wait_for_end())
