Report every malformed response of another process as a link error

Cause: a process that sent bytes before the request, or a JSON body nested more deeply than the decoder allows, raised an error that the callers of JsonLink.call don't expect; it ended the poll or the exchange of summaries that had called it.

Change: both are link errors. Messages and requests with a complete body are sent in one write (send_whole), so that the receiver wakes once for them.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -61,15 +61,24 @@
                 request.
             ConnectionError: The stream was reset.
         """
-        if not self.is_idle:
-            raise RequestNotSentError(
-                "the connection was closed or received data before the request"
-            )
-        event = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
-        data = self.state.send(event)
+        data = self._encode_head(head)
         self.head_sent.set()
         await self.stream.write(data)
 
+    async def send_whole(self, head: RequestHead, body: bytes) -> None:
+        """Send a request in one write, so that the server needn't wake twice for it.
+
+        Raises:
+            RequestNotSentError: As for `send_head`.
+            ConnectionError: The stream was reset, or accepted no bytes within the progress limit.
+        """
+        parts = [self._encode_head(head)]
+        if body:
+            parts.append(self.state.send(h11.Data(data=body)))
+        parts.append(self.state.send(h11.EndOfMessage()))
+        self.head_sent.set()
+        await self._write(b"".join(parts))
+
     async def send_body(self, data: bytes) -> None:
         """Send a part of the request body.
 
@@ -179,6 +188,14 @@
         """Reset the connection, which cancels the request at the server."""
         self.stream.abort()
 
+    def _encode_head(self, head: RequestHead) -> bytes:
+        if not self.is_idle:
+            raise RequestNotSentError(
+                "the connection was closed or received data before the request"
+            )
+        event = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+        return self.state.send(event)
+
     async def _write(self, data: bytes | None) -> None:
         if not data:
             return
--- a/camphorspread/connection/link.py
+++ b/camphorspread/connection/link.py
@@ -7,7 +7,11 @@
 import attrs
 
 from camphorspread.connection.access_key import ACCESS_KEY_HEADER
-from camphorspread.connection.client import ClientConnection, InvalidResponseError
+from camphorspread.connection.client import (
+    ClientConnection,
+    InvalidResponseError,
+    RequestNotSentError,
+)
 from camphorspread.connection.messages import RequestHead
 from camphorspread.connection.network import Address
 from camphorspread.connection.pool import ConnectionPool
@@ -17,6 +21,15 @@
 
 FORMAT_HEADER = b"camphorspread-format"
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# A deeply nested JSON body raises a RecursionError.
+LINK_FAILURES = (
+    OSError,
+    InvalidResponseError,
+    RequestNotSentError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+)
 
 
 class LinkError(Exception):
@@ -64,7 +77,7 @@
             async with asyncio.timeout(limit.total_seconds()):
                 conn = await self.pool.acquire(address)
                 response = await self._exchange(conn, address, method, target, value)
-        except (OSError, InvalidResponseError, TimeoutError, ValueError) as exc:
+        except LINK_FAILURES as exc:
             if conn is not None:
                 conn.abort()
             raise LinkError(f"{method} {target} at {address}: {exc or 'no response'}") from exc
@@ -85,10 +98,7 @@
             (FORMAT_HEADER, b"%d" % self.format_version),
             (b"content-length", b"%d" % len(body)),
         )
-        await conn.send_head(RequestHead(method.encode(), target.encode(), headers))
-        if body:
-            await conn.send_body(body)
-        await conn.finish_request()
+        await conn.send_whole(RequestHead(method.encode(), target.encode(), headers), body)
         head = await conn.read_head()
         parts: list[bytes] = []
         size = 0
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -176,14 +176,15 @@
     is_answer: Callable[[ResponseHead], bool],
 ) -> SendResult:
     """Send the request and read its response; responses to other requests are skipped."""
-    await conn.send_head(head)
-    if body.held:
+    if body.is_complete:
+        await conn.send_whole(head, body.held)
+    else:
+        await conn.send_head(head)
         await conn.send_body(body.held)
-    if not body.is_complete:
         body.is_consumed = True
         while chunk := await body.read_rest():
             await conn.send_body(chunk)
-    await conn.finish_request()
+        await conn.finish_request()
     for _ in range(MAX_STRAY_RESPONSES + 1):
         response = await conn.read_final_head()
         if is_answer(response):
--- /dev/null
+++ b/features/connection/link.feature
@@ -0,0 +1,25 @@
+Feature: Messages between the project's own processes
+  Guards against a process whose malformed response ends the task that called it, such as the poll
+  of a control VM.
+
+  @fixture.virtual_loop
+  Scenario Outline: Another process sends something other than a response
+    Given a process that <behaviour>
+    When a message is sent to it
+    Then the call fails with a link error within 1.1 s
+
+    Examples:
+      | behaviour                                    |
+      | sends bytes before the request               |
+      | sends a body that isn't JSON                 |
+      | sends a body with 200000 nested brackets     |
+      | sends a head without end                     |
+      | sends status 100 without end                 |
+      | closes the connection without a response     |
+      | never responds                               |
+
+  @fixture.virtual_loop
+  Scenario: A message arrives in one piece
+    Given a process that counts the pieces of a message
+    When a message is sent to it
+    Then it has received 1 piece
