Exchange summaries with few VMs of other regions, and keep homes of objects

Cause: at 73 entry VMs every pair exchanges summaries, 49 of each VM's 72 partners in other regions, and each request compares the slots of all of them to find the homes of its object.

Change: between regions with more than 12 VMs, a VM begins exchanges with 3 VMs of each other region (process/summary_partners.py); a VM of a large region reports its part of the load of the whole region. Homes of objects are compared with the slots of the VMs at most every 100 ms.

Result: features/process/summary_partners.feature: at most 12 partners in other regions at 73 and at 720 VMs.

--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from datetime import timedelta
 
 from camphorspread.connection.exchange import Exchange
@@ -19,6 +20,11 @@
     update_lent_list,
 )
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.process.summary_partners import (
+    OBSERVERS_PER_REGION,
+    choose_partners,
+    is_large_region,
+)
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.placement import SUMMARY_TTL
 from camphorspread.request.placement_board import PlacementBoard, usable_instances
@@ -33,8 +39,7 @@
 OTHER_REGION_INTERVAL = timedelta(milliseconds=800)
 # With many VMs the interval grows, so that the messages of a VM use a bounded part of a slow link:
 # about 17 per second within its region and 8 to others. With 8 VMs in a region, a loan of 1.2 s
-# lasts for more than two intervals. The interval is at most half of a loan or of SUMMARY_TTL; with
-# so many VMs that this limit applies, the rates exceed these bounds.
+# lasts for more than two intervals. The interval is at most half of a loan or of SUMMARY_TTL.
 SAME_REGION_STEP = timedelta(milliseconds=60)
 OTHER_REGION_STEP = timedelta(milliseconds=120)
 SUMMARY_TIMEOUT = timedelta(milliseconds=1000)
@@ -42,14 +47,25 @@
 
 
 def measure_load(state: SteeringState, service: str, now: timedelta) -> ServiceLoad | None:
-    """Return the load of this VM's backend servers of a service, None if it has none."""
+    """Return the load that this VM reports for a service, None if it has no backend server.
+
+    It is the load of its own servers. In a large region, of which a VM of another region sees few
+    VMs, it is this VM's part of the load of all servers of the region.
+    """
     board: PlacementBoard = state.board
-    instances = [item for item in usable_instances(board, service, now) if not item.lender]
+    instances = [
+        item
+        for item in usable_instances(board, service, now)
+        if board.is_large_region or not item.lender
+    ]
     if not instances:
         return None
     slots = sum(0 if item.is_cold(now) else item.report.slots for item in instances)
     used = sum(0 if item.is_cold(now) else item.count_busy(now) for item in instances)
     queued = state.waiting.count(service)
+    if board.is_large_region:
+        parts = min(board.sharers, OBSERVERS_PER_REGION)
+        slots, used = math.ceil(slots / parts), math.ceil(used / parts)
     times = [item for key, item in board.run_times.items() if key[0] == service]
     mean = sum(item.warm_s for item in times) / len(times) if times else 0.3
     return ServiceLoad(max(slots - used - queued, 0), slots, queued, mean)
@@ -161,25 +177,28 @@
 
 
 async def exchange_summaries(state: SteeringState) -> None:
-    """Exchange summaries with all other entry VMs, until cancelled.
+    """Exchange summaries with other entry VMs, until cancelled.
 
-    Of two VMs the one with the lower name sends, and its summary and the response serve both.
+    Of two VMs one sends, and its summary and the response serve both.
     """
     due: dict[str, timedelta] = {}
+    alive: frozenset[str] = frozenset()
+    partners: frozenset[str] = frozenset()
     tasks: set[asyncio.Task] = set()
     try:
         while True:
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
             now = state.clock.monotonic()
-            state.board.sharers = 1 + sum(
-                peer.region == state.board.region and now < peer.alive_until
-                for peer in state.board.peers.values()
-            )
-            for peer in list(state.board.peers.values()):
-                is_initiator = state.settings.place.vm < peer.vm
-                if not is_initiator or now >= peer.alive_until or now < due.get(peer.vm, now):
+            peers = state.board.peers
+            newly_alive = frozenset(name for name, peer in peers.items() if now < peer.alive_until)
+            if newly_alive != alive:
+                alive = newly_alive
+                partners = update_partners(state, alive)
+            for name in partners:
+                if now < due.get(name, now):
                     continue
-                due[peer.vm] = now + summary_interval(state, peer, now)
+                peer = peers[name]
+                due[name] = now + summary_interval(state, peer, now)
                 task = asyncio.create_task(exchange_summary(state, peer))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -188,16 +207,28 @@
             task.cancel()
 
 
+def update_partners(state: SteeringState, alive: frozenset[str]) -> frozenset[str]:
+    """Update the size of the region; return the VMs with which this VM begins exchanges."""
+    board, place = state.board, state.settings.place
+    regions = {name: peer.region for name, peer in board.peers.items()} | {place.vm: place.region}
+    board.is_large_region = is_large_region(regions, board.region)
+    board.sharers = 1 + sum(regions[name] == board.region for name in alive)
+    return choose_partners(place.vm, regions, alive)
+
+
 def summary_interval(state: SteeringState, peer: EntryVm, now: timedelta) -> timedelta:
     """Return the time between two summaries to another VM."""
     board = state.board
     if peer.region == board.region:
         longest = loan_duration(state.settings.bounds.drain_limit) / 2
         return min(max(SAME_REGION_INTERVAL, SAME_REGION_STEP * (board.sharers - 1)), longest)
-    other_region_vms = sum(
-        other.region != board.region and now < other.alive_until for other in board.peers.values()
+    others = sum(
+        other.summary_at is not None
+        and now - other.summary_at <= SUMMARY_TTL
+        and other.region != board.region
+        for other in board.peers.values()
     )
-    return min(max(OTHER_REGION_INTERVAL, OTHER_REGION_STEP * other_region_vms), SUMMARY_TTL / 2)
+    return min(max(OTHER_REGION_INTERVAL, OTHER_REGION_STEP * others), SUMMARY_TTL / 2)
 
 
 async def exchange_summary(state: SteeringState, peer: EntryVm) -> None:
--- a/camphorspread/request/object_affinity.py
+++ b/camphorspread/request/object_affinity.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from camphorspread.process.instances import Instance
-from camphorspread.request.placement_board import PlacementBoard
+from camphorspread.request.placement_board import HomeCache, PlacementBoard
 from camphorspread.request.rendezvous import order_by_rendezvous
 
 __all__ = [
@@ -11,6 +11,9 @@
     "rank_instances",
 ]
 
+# Summaries, which change the weights, arrive less often from each VM.
+HOME_CACHE_TTL = timedelta(milliseconds=100)
+
 
 def rank_instances(board: PlacementBoard, service: str, key: str) -> tuple[Instance, ...]:
     """Return the servers of a service in the preference order of an object, equal on all VMs."""
@@ -41,6 +44,25 @@
     Returns:
         The home in this region and the home in the other regions, each empty if there is none.
     """
+    cache = board.homes.get(service)
+    if cache is None or now >= cache.valid_until:
+        near, far = weigh_vms(board, service, slots, now)
+        if cache is None or (near, far) != (cache.near, cache.far):
+            cache = board.homes[service] = HomeCache(near, far)
+        cache.valid_until = now + HOME_CACHE_TTL
+    homes = cache.homes.get(key)
+    if homes is None:
+        homes = cache.homes[key] = (
+            order_by_rendezvous(f"{service}/{key}", cache.near)[0],
+            order_by_rendezvous(f"{service}/{key}", cache.far)[0] if cache.far else "",
+        )
+    return homes
+
+
+def weigh_vms(
+    board: PlacementBoard, service: str, slots: int, now: timedelta
+) -> tuple[dict[str, float], dict[str, float]]:
+    """Return the slots of the VMs of this region, and those of the VMs of other regions."""
     near = {board.vm: float(slots)}
     far: dict[str, float] = {}
     for peer in board.peers.values():
@@ -48,14 +70,4 @@
         if load is not None and load.slots and now < peer.alive_until:
             weights = near if peer.region == board.region else far
             weights[peer.vm] = float(load.slots)
-    cache_key = (service, tuple(near.items()), tuple(far.items()))
-    cache = board.homes.get(service)
-    if cache is None or cache[0] != cache_key:
-        cache = board.homes[service] = (cache_key, {})
-    homes = cache[1].get(key)
-    if homes is None:
-        homes = cache[1][key] = (
-            order_by_rendezvous(f"{service}/{key}", near)[0],
-            order_by_rendezvous(f"{service}/{key}", far)[0] if far else "",
-        )
-    return homes
+    return near, far
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -84,6 +84,23 @@
     may_forward: bool = True
 
 
+@attrs.define(eq=False)
+class HomeCache:
+    """Home VMs of the objects of one service.
+
+    Attributes:
+        near: Slots of the VMs of this region, for which the homes are valid.
+        far: Slots of the VMs of other regions.
+        homes: The home among each of them by object.
+        valid_until: When the slots are to be compared again.
+    """
+
+    near: dict[str, float]
+    far: dict[str, float]
+    homes: dict[str, tuple[str, str]] = attrs.field(factory=dict)
+    valid_until: timedelta = timedelta(0)
+
+
 @attrs.define(eq=False)
 class PlacementBoard:
     """State of servers and VMs on which placement decisions are based.
@@ -94,6 +111,7 @@
         region: Region of this VM.
         registry: Backend servers announced to this VM or lent by others.
         sharers: Number of entry VMs of this region, which share the slots of its servers.
+        is_large_region: True if few VMs of another region see this VM's summaries.
         regions: Region of each availability zone.
         evacuated_zones: Availability zones whose backend servers are sent no requests.
         cold_rate_limits: Requests per second of all VMs that a cold server tolerates, by service.
@@ -102,8 +120,7 @@
         queued_per_server: Number of queued requests by the server that they wait for.
         rankings: Cached preference order of servers by (service, object key).
         rankings_revision: Revision of the registry for which `rankings` is valid.
-        homes: Cached home VMs of objects by service, with the VMs and slots for which they are
-            valid.
+        homes: Cached home VMs of objects by service.
         region_shares: Regions to which the requests of this VM's callers were sent.
         capacities: Recent maximum of the region's slots by service.
     """
@@ -113,6 +130,7 @@
     region: str
     registry: InstanceRegistry
     sharers: int = 1
+    is_large_region: bool = False
     regions: dict[str, str] = attrs.field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     cold_rate_limits: dict[str, float] = attrs.field(factory=dict)
@@ -121,7 +139,7 @@
     queued_per_server: Counter[str] = attrs.field(factory=Counter)
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
-    homes: dict[str, tuple[tuple, dict[str, tuple[str, str]]]] = attrs.field(factory=dict)
+    homes: dict[str, HomeCache] = attrs.field(factory=dict)
     region_shares: RegionShares = attrs.field(factory=RegionShares)
     capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
 
--- /dev/null
+++ b/features/process/summary_partners.feature
@@ -0,0 +1,38 @@
+Feature: Entry VMs that exchange summaries
+  Guards against control work that grows with the square of the fleet: with 24 VMs in each of three
+  regions, each VM exchanged summaries with 72 others.
+
+  Scenario Outline: Each pair of VMs in small regions, or in one region, exchanges summaries once
+    Given regions with <sizes> VMs
+    Then exactly one VM of each pair in <pairs> begins exchanges with the other
+
+    Examples:
+      | sizes      | pairs           |
+      | 3, 2, 2    | all regions     |
+      | 12, 12, 12 | all regions     |
+      | 24, 24, 25 | the same region |
+
+  Scenario Outline: VMs of large regions have few partners in other regions
+    Given regions with <sizes> VMs
+    Then each VM begins exchanges with 3 VMs of each other region
+    And on average a VM has at most <partners> partners in other regions
+
+    Examples:
+      | sizes         | partners |
+      | 24, 24, 25    | 12       |
+      | 240, 240, 240 | 12       |
+      | 13, 13        | 6        |
+
+  Scenario: A small region beside a large one
+    Given regions with 2, 2, 20 VMs
+    Then each VM knows a VM of each other region
+
+  Scenario: The loss of partners moves the exchanges to other VMs
+    Given regions with 24, 24, 25 VMs
+    When the partners of one VM in another region are lost
+    Then it begins exchanges with 3 others there
+
+  Scenario: A region stays large while its VMs restart
+    Given regions with 24, 24, 25 VMs
+    When only 4 VMs of a region are alive
+    Then they begin exchanges with 3 VMs of each other region
--- /dev/null
+++ b/features/steps/summary_partners_steps.py
@@ -0,0 +1,98 @@
+"""Steps of the choice of entry VMs that exchange summaries."""
+
+import itertools
+from collections import Counter
+
+from behave import given, then, when
+
+from camphorspread.process.summary_partners import choose_partners
+
+REGIONS = ("sofia", "plovdiv", "varna")
+
+
+def choose_all(context, lost=frozenset()):
+    """Choose the partners of all VMs that aren't lost."""
+    names = frozenset(context.regions) - lost
+    context.partners = {
+        name: choose_partners(name, context.regions, names - {name}) for name in names
+    }
+
+
+@given("regions with {sizes} VMs")
+def step_regions(context, sizes):
+    context.regions = {
+        f"{region}-{number:03}": region
+        for region, size in zip(REGIONS, sizes.split(","), strict=False)
+        for number in range(int(size))
+    }
+    choose_all(context)
+
+
+@then("exactly one VM of each pair in {pairs} begins exchanges with the other")
+def step_pairs(context, pairs):
+    for one, other in itertools.combinations(context.regions, 2):
+        if pairs == "all regions" or context.regions[one] == context.regions[other]:
+            begins = (other in context.partners[one]) + (one in context.partners[other])
+            assert begins == 1, (one, other, begins)
+
+
+def list_far_partners(context, name):
+    """Return the partners of a VM in other regions."""
+    here = context.regions[name]
+    return [item for item in context.partners[name] if context.regions[item] != here]
+
+
+def check_far_partners(context, names, count):
+    """Check the number of partners of each VM in each other region."""
+    for name in names:
+        counts = Counter(context.regions[item] for item in list_far_partners(context, name))
+        others = set(context.regions.values()) - {context.regions[name]}
+        assert counts == dict.fromkeys(others, count), (name, counts)
+
+
+@then("each VM begins exchanges with {count:d} VMs of each other region")
+def step_far_partners(context, count):
+    check_far_partners(context, context.regions, count)
+
+
+@then("on average a VM has at most {limit:d} partners in other regions")
+def step_average(context, limit):
+    begun = sum(len(list_far_partners(context, name)) for name in context.regions)
+    assert 2 * begun / len(context.regions) <= limit, 2 * begun / len(context.regions)
+
+
+@then("each VM knows a VM of each other region")
+def step_known_regions(context):
+    known = {name: set(partners) for name, partners in context.partners.items()}
+    for name, partners in context.partners.items():
+        for partner in partners:
+            known[partner].add(name)
+    for name, here in context.regions.items():
+        found = {context.regions[other] for other in known[name]}
+        assert found | {here} == set(REGIONS), (name, found)
+
+
+@when("the partners of one VM in another region are lost")
+def step_lose(context):
+    context.name = next(iter(context.regions))
+    partners = list_far_partners(context, context.name)
+    context.lost = frozenset(item for item in partners if context.regions[item] == "varna")
+    choose_all(context, context.lost)
+
+
+@then("it begins exchanges with {count:d} others there")
+def step_others(context, count):
+    check_far_partners(context, [context.name], count)
+    assert not context.lost & context.partners[context.name]
+
+
+@when("only {count:d} VMs of a region are alive")
+def step_few(context, count):
+    names = [name for name, region in context.regions.items() if region == "sofia"]
+    context.alive = names[:count]
+    choose_all(context, frozenset(names[count:]))
+
+
+@then("they begin exchanges with {count:d} VMs of each other region")
+def step_still_large(context, count):
+    check_far_partners(context, context.alive, count)
