Add up the servers of a service once for each decision

Cause: a placement decision went over all servers of the service several times: for their slots, their load, the queue for them and their lenders.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -93,15 +93,17 @@
     """
     times = find_run_times(board, req.service, req.route, promised_s)
     instances = usable_instances(board, req.service, now)
-    placements: list[Placement] = list(list_local_placements(board, req, times, instances, now))
+    totals = sum_servers(board, req.service, instances, now)
+    placements: list[LocalPlacement | ForwardPlacement | QueuedPlacement] = list(
+        list_local_placements(board, req, times, instances, totals, now)
+    )
     if req.may_forward and board.peers:
-        placements += list_peer_placements(board, req, times, instances, now)
+        placements += list_peer_placements(board, req, times, totals, now)
     if not placements:
         return NoPlacement()
     if not req.may_forward:
         return min(placements, key=get_cost)
-    slots = sum(item.report.slots for item in instances)
-    return choose_within_shift_limit(board, req, placements, slots, now)
+    return choose_within_shift_limit(board, req, placements, totals.slots, now)
 
 
 def get_cost(place: LocalPlacement | ForwardPlacement | QueuedPlacement) -> float:
@@ -156,20 +158,36 @@
         busy_fraction: Fraction of the slots in use.
         waiting: Requests queued at this VM for any of the servers.
         lowest_failure_rate: Lowest failure rate among the servers.
+        lenders: VMs that lend some of them.
     """
 
     slots: int
     busy_fraction: float
     waiting: int
     lowest_failure_rate: float
-
-
-def sum_servers(board: PlacementBoard, instances: list[Instance], now: timedelta) -> ServiceTotals:
-    """Return the totals over a non-empty list of servers."""
-    slots = sum(item.report.slots for item in instances)
-    used = sum(item.count_busy(now) for item in instances)
-    waiting = sum(board.queued_per_server.get(item.name, 0) for item in instances)
-    return ServiceTotals(slots, used / slots, waiting, min(item.failure_rate for item in instances))
+    lenders: frozenset[str]
+
+
+def sum_servers(
+    board: PlacementBoard, service: str, instances: list[Instance], now: timedelta
+) -> ServiceTotals:
+    """Return the totals over servers of one service, in a single pass."""
+    slots = used = 0
+    lowest_failure_rate = 1.0
+    lenders = set()
+    for item in instances:
+        slots += item.report.slots
+        used += item.count_busy(now)
+        lowest_failure_rate = min(lowest_failure_rate, item.failure_rate)
+        lenders.add(item.lender)
+    waiting = sum(
+        count
+        for name, count in board.queued_per_server.items()
+        if (item := board.registry.instances.get(name)) and item.report.service == service
+    )
+    return ServiceTotals(
+        slots, used / max(slots, 1), waiting, lowest_failure_rate, frozenset(lenders)
+    )
 
 
 def list_local_placements(
@@ -177,13 +195,11 @@
     req: PlacementRequest,
     times: RunTimes,
     instances: list[Instance],
+    totals: ServiceTotals,
     now: timedelta,
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
-    if not instances:
-        return
-    totals = sum_servers(board, instances, now)
-    for rank, item in enumerate(list_candidates(board, req, instances)):
+    for rank, item in enumerate(list_candidates(board, req, instances, now)):
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
             continue
@@ -252,25 +268,25 @@
 
 
 def list_candidates(
-    board: PlacementBoard, req: PlacementRequest, instances: list[Instance]
+    board: PlacementBoard, req: PlacementRequest, instances: list[Instance], now: timedelta
 ) -> list[Instance]:
     """Return the candidate servers of a request, in the preference order of its object."""
-    usable = {
-        item.name: item
-        for item in instances
-        if item.name not in req.excluded and is_region_allowed(board, req, item)
-    }
     if not req.object_key:
-        return list(usable.values())
+        return [item for item in instances if may_run_at(board, req, item)]
     candidates = []
     for item in rank_instances(board, req.service, req.object_key):
-        if item.name in usable:
+        if may_run_at(board, req, item) and is_usable(item, board.evacuated_zones, now):
             candidates.append(item)
             if len(candidates) == MAX_CANDIDATES:
                 break
     return candidates
 
 
+def may_run_at(board: PlacementBoard, req: PlacementRequest, instance: Instance) -> bool:
+    """Return True if the request may be sent to the backend server."""
+    return instance.name not in req.excluded and is_region_allowed(board, req, instance)
+
+
 def cold_limit(board: PlacementBoard, service: str) -> int:
     """Return the requests per second that this VM may send to a cold backend server."""
     return max(int(board.cold_rate_limits.get(service, 10.0) * COLD_RATE_SHARE), 1)
@@ -292,7 +308,7 @@
         instance: The server with the freed slot.
         awaited_name: Name of the server that the request waits for.
     """
-    if instance.name in req.excluded or not is_region_allowed(board, req, instance):
+    if not may_run_at(board, req, instance):
         return None
     times = board.run_times[(req.service, req.route)]
     is_warm = req.object_key in instance.warm_objects
@@ -344,18 +360,16 @@
     board: PlacementBoard,
     req: PlacementRequest,
     times: RunTimes,
-    instances: list[Instance],
+    totals: ServiceTotals,
     now: timedelta,
 ) -> Iterator[ForwardPlacement]:
     """Yield a forward with its cost for each eligible entry VM."""
     homes = ("", "")
     if req.object_key:
-        slots = sum(item.report.slots for item in instances)
-        homes = find_home_vms(board, req.service, req.object_key, slots, now)
-    # The servers of a lender are already among the candidates of this VM.
-    lenders = {item.lender for item in instances}
+        homes = find_home_vms(board, req.service, req.object_key, totals.slots, now)
     for peer in board.peers.values():
-        if peer.vm in lenders or not may_forward_to(board, peer, req, now):
+        # The servers of a lender are already among the candidates of this VM.
+        if peer.vm in totals.lenders or not may_forward_to(board, peer, req, now):
             continue
         load = peer.loads[req.service]
         warm = peer.warm_objects.get((req.service, req.object_key)) if req.object_key else None
