Sleep while no request is queued

Cause: every idle entry VM woke 25 times a second to review an empty queue.

Change: the review waits until a request is queued.

--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -86,6 +86,7 @@
         table: Routes in force; None before the first catalogue with routes.
         controls: Control VMs by their address for other processes of the fleet.
         waiting_futures: Future of each waiting request, by ticket.
+        has_waiting: Set while a request waits.
         next_ticket: Ticket of the next request.
         arrivals: Callers' requests in the window of the request rate.
         in_flight: Callers' requests in flight.
@@ -115,6 +116,7 @@
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
     waiting_futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    has_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
     next_ticket: int = 0
     arrivals: SlidingWindow = attrs.field(
         factory=lambda: SlidingWindow(RATE_WINDOW / RATE_BUCKETS, RATE_BUCKETS)
--- a/camphorspread/request/placement_driver.py
+++ b/camphorspread/request/placement_driver.py
@@ -39,6 +39,7 @@
     if decision is None:
         fut = asyncio.get_running_loop().create_future()
         state.waiting_futures[waiter.ticket] = fut
+        state.has_waiting.set()
         try:
             decision = await fut
         except asyncio.CancelledError:
@@ -107,8 +108,14 @@
 
 
 async def review_periodically(state: SteeringState) -> None:
-    """Review the queued requests of all services periodically, until cancelled."""
+    """Review the queued requests of all services periodically, until cancelled.
+
+    The task sleeps while no request is queued, as each wake-up of an idle VM costs processor time.
+    """
     while True:
+        if not state.waiting_futures:
+            state.has_waiting.clear()
+            await state.has_waiting.wait()
         await asyncio.sleep(REVIEW_INTERVAL.total_seconds())
         for service in [name for name, waiters in state.waiting.by_service.items() if waiters]:
             review_queue(state, service)
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -97,6 +97,14 @@
     When a client of "sofia-a" sends one "read" request and disconnects after 0.3 s
     Then no endpoint runs it 0.5 s later
 
+  @fixture.platform_fleet
+  Scenario: The queue is reviewed only while requests are queued
+    When 2 s go by on the platform
+    Then no entry VM reviews its queue within 2 s
+    When a client of "sofia-a" sends 60 "read" requests about different objects
+    Then some of them got 200
+    And no entry VM reviews its queue within 2 s
+
   @fixture.platform_fleet
   Scenario: A draining endpoint gets no more requests once its heartbeat is acknowledged
     When the endpoint "status-sofia-a" says that it is draining
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -186,6 +186,29 @@
     assert context.ended_s <= seconds, context.ended_s
 
 
+@then("no entry VM reviews its queue within {seconds:g} s")
+def step_no_review(context, seconds):
+    for entry in context.fleet.entries.values():
+        entry.state.waiting.by_service = CountingDict(entry.state.waiting.by_service)
+    context.fleet.run(seconds)
+    reviews = {
+        name: entry.state.waiting.by_service.listings
+        for name, entry in context.fleet.entries.items()
+    }
+    assert not any(reviews.values()), reviews
+
+
+class CountingDict(dict):
+    """A dictionary that counts how often its items are listed."""
+
+    listings = 0
+
+    def items(self):
+        """Count and return the items."""
+        self.listings += 1
+        return super().items()
+
+
 @then("some of them got {status:d}")
 def step_some_status(context, status):
     assert status in [answer and answer[0] for answer in context.answers]
