Treat the departure of a backend server as final until its next start

Cause: a departure that came with an announcement rejected later announcements only up to its own sequence number. An endpoint that sent a heartbeat while its departure was being confirmed was added again after the acknowledgement and got requests. Seen in features/platform/faults.feature (A departure that a control VM receives ...) once other polls changed the order of events there: departure 6, heartbeat 7.

Change: a departure rejects all announcements of the same start (InstanceReport.departure_order).

--- a/camphorspread/process/announcement_codec.py
+++ b/camphorspread/process/announcement_codec.py
@@ -48,12 +48,12 @@
         raise ValueError(f"the announcement is malformed: {exc}") from exc
 
 
-def encode_leave(name: str, order: tuple[float, float] | None) -> dict:
-    """Return the JSON of a departure; `order` is that of the announcement that reported it."""
+def encode_leave(name: str, order: tuple[int, int] | None) -> dict:
+    """Return the JSON of a departure; `order` is None if no announcement reported it."""
     return {"instance": name, "order": list(order) if order else None}
 
 
-def decode_leave(value: object) -> tuple[str, tuple[float, float] | None]:
+def decode_leave(value: object) -> tuple[str, tuple[int, int] | None]:
     """Decode a departure.
 
     Raises:
--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -120,7 +120,7 @@
 
 
 def process_forwarded_departure(
-    state: SteeringState, name: str, order: tuple[float, float] | None
+    state: SteeringState, name: str, order: tuple[int, int] | None
 ) -> None:
     """Stop sending to a backend server whose departure another VM forwarded."""
     if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
@@ -135,7 +135,7 @@
     Another VM may have owned it until shortly before and may not know yet that it no longer does.
     """
     known: Instance | None = state.board.registry.instances.get(name)
-    order = report.order if report else None
+    order = report.departure_order if report else None
     if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
         log_left(state, name)
     now = state.clock.monotonic()
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -22,6 +22,7 @@
     "list_owned_instances",
     "mark_zone_cold",
     "remove_instance",
+    "set_lender",
     "suspend_instance",
     "take_over_address",
 ]
@@ -34,6 +35,8 @@
 SLOW_RUNS = 5
 COLD_BUCKET = timedelta(milliseconds=50)
 COLD_BUCKETS = 20
+# A higher sequence number than any announcement has.
+LAST_SEQUENCE = 2**63 - 1
 
 
 @attrs.frozen
@@ -67,6 +70,15 @@
         """Sort key of the announcements of one identifier, oldest first."""
         return self.started_ms, self.sequence
 
+    @property
+    def departure_order(self) -> tuple[int, int]:
+        """Order of the departure that this announcement reports.
+
+        A server that has begun to leave doesn't return before its next start, so the departure
+        also follows announcements that were sent after it.
+        """
+        return self.started_ms, LAST_SEQUENCE
+
 
 @attrs.define(eq=False)
 class Instance:
@@ -131,7 +143,7 @@
 class Tombstone:
     """A departed identifier; rejects its announcements up to and including `order`."""
 
-    order: tuple[float, float]
+    order: tuple[int, int]
     until: timedelta
 
 
@@ -143,6 +155,8 @@
         lease: For how long an announcement is valid.
         instances: Backend servers by identifier.
         by_service: Backend servers by service, sorted by identifier.
+        by_lender: Backend servers by the VM that lends them, then by identifier; those that
+            announce themselves to this VM are under the empty name.
         tombstones: Departed backend servers, so that late announcements don't add them again.
         revision: Incremented with each change of the set; caches that depend on it compare it.
     """
@@ -150,6 +164,7 @@
     lease: timedelta
     instances: dict[str, Instance] = attrs.field(factory=dict)
     by_service: dict[str, list[Instance]] = attrs.field(factory=dict)
+    by_lender: dict[str, dict[str, Instance]] = attrs.field(factory=dict)
     tombstones: dict[str, Tombstone] = attrs.field(factory=dict)
     revision: int = 0
 
@@ -180,7 +195,7 @@
     if known is not None and report.order < known.report.order:
         return ReportOutcome.OUTDATED
     if report.is_leaving:
-        remove_instance(registry, report.instance, now, report.order)
+        remove_instance(registry, report.instance, now, report.departure_order)
         return ReportOutcome.LEFT
     if not take_over_address(registry, report, now):
         return ReportOutcome.OUTDATED
@@ -195,7 +210,7 @@
         add_instance(registry, Instance(report, now + registry.lease, now, now + report.cold_for))
         return ReportOutcome.ADDED
     if known.lender:
-        known.lender = ""
+        set_lender(registry, known, "")
         known.owned_since = now
     known.report = report
     known.usable_until = now + registry.lease
@@ -208,6 +223,7 @@
 def add_instance(registry: InstanceRegistry, instance: Instance) -> None:
     """Add a backend server that isn't known yet."""
     registry.instances[instance.name] = instance
+    registry.by_lender.setdefault(instance.lender, {})[instance.name] = instance
     same_service = registry.by_service.setdefault(instance.report.service, [])
     same_service.append(instance)
     same_service.sort(key=lambda item: item.name)
@@ -216,7 +232,14 @@
 
 def list_owned_instances(registry: InstanceRegistry) -> list[Instance]:
     """Return the backend servers that announce themselves to this VM."""
-    return [item for item in registry.instances.values() if not item.lender]
+    return list(registry.by_lender.get("", {}).values())
+
+
+def set_lender(registry: InstanceRegistry, instance: Instance, lender: str) -> None:
+    """Record that another VM lends a known backend server now, or that this VM owns it."""
+    del registry.by_lender[instance.lender][instance.name]
+    instance.lender = lender
+    registry.by_lender.setdefault(lender, {})[instance.name] = instance
 
 
 def take_over_address(registry: InstanceRegistry, report: InstanceReport, now: timedelta) -> bool:
@@ -234,7 +257,7 @@
     registry: InstanceRegistry,
     name: str,
     now: timedelta,
-    order: tuple[float, float] | None = None,
+    order: tuple[int, int] | None = None,
 ) -> bool:
     """Remove a backend server and leave a tombstone that rejects its late announcements.
 
@@ -242,7 +265,7 @@
         registry: Known backend servers.
         name: Identifier of the backend server.
         now: The present instant.
-        order: Its last announcement; None rejects all announcements of its present start.
+        order: Order of its departure; None rejects all announcements of its present start.
 
     Returns:
         True if it was known.
@@ -250,7 +273,7 @@
     known = registry.instances.get(name)
     if order is None:
         started = known.report.started_ms if known else 0
-        order = (started, float("inf"))
+        order = (started, LAST_SEQUENCE)
     previous = registry.tombstones.get(name)
     if previous is not None:
         order = max(order, previous.order)
@@ -264,6 +287,7 @@
     instance = registry.instances.pop(name, None)
     if instance is None:
         return
+    del registry.by_lender[instance.lender][name]
     registry.by_service[instance.report.service].remove(instance)
     registry.revision += 1
 
--- a/features/process/instances.feature
+++ b/features/process/instances.feature
@@ -22,6 +22,7 @@
       | i-4 10:2 150 1 ready       | outdated | i-1 i-2     |
       | i-3 10:3 100 7 ready       | outdated | i-1 i-2     |
       | i-3 10:3 100 8 ready       | outdated | i-1 i-2     |
+      | i-3 10:3 100 9 ready       | outdated | i-1 i-2     |
       | i-3 10:3 400 1 ready       | added    | i-1 i-2 i-3 |
 
   Scenario: A departure overrides late announcements, but not the next start
