Spend less processor time on each request and each summary

Cause: each request ran two tasks, a wait for both and a gather; each read and write set a timer, also when it needn't wait; each summary went over all servers of the region. In a large region, summaries to VMs of the same region stated a part of the region's load, so that a VM could forward a request to one that has the same servers.

Change: run_while_connected needs one task and one timer and is told by the stream when the client leaves; a stream sends without a wait while its buffer has room. The load of a region is measured at most every 200 ms, for other regions only. Servers are indexed by the VM that lends them. In regions with more than 10 VMs loans last for up to the drain limit less 0.9 s, and summaries follow every 0.95 s (25 VMs, drain limit 3 s) instead of 0.6 s; two intervals are shorter than a loan by 0.2 s, since a VM that only responds learns of a contact one interval later.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -200,8 +200,10 @@
         if not data:
             return
         try:
+            if self.stream.send(data):
+                return
             async with asyncio.timeout(self.limits.progress.total_seconds()):
-                await self.stream.write(data)
+                await self.stream.drain()
         except TimeoutError as exc:
             self.abort()
             raise ConnectionResetError("the upload timed out without progress") from exc
@@ -211,7 +213,6 @@
         has_limit: bool = True,
         before_wait: Callable[[], Awaitable[None]] | None = None,
     ) -> object:
-        limit_s = self.limits.progress.total_seconds() if has_limit else None
         while True:
             try:
                 event = self.state.next_event()
@@ -222,8 +223,11 @@
             if before_wait is not None:
                 await before_wait()
             try:
-                async with asyncio.timeout(limit_s):
+                if self.stream.has_unread or not has_limit:
                     data = await self.stream.read()
+                else:
+                    async with asyncio.timeout(self.limits.progress.total_seconds()):
+                        data = await self.stream.read()
             except TimeoutError as exc:
                 raise InvalidResponseError("the response timed out without progress") from exc
             except ConnectionError as exc:
--- a/camphorspread/connection/exchange.py
+++ b/camphorspread/connection/exchange.py
@@ -279,8 +279,10 @@
     async def _write(self, data: bytes) -> None:
         data, self.unsent_head = self.unsent_head + data, b""
         try:
+            if self.stream.send(data):
+                return
             async with asyncio.timeout(self.limits.progress.total_seconds()):
-                await self.stream.write(data)
+                await self.stream.drain()
         except TimeoutError as exc:
             raise ProgressTimeoutError from exc
         except ConnectionError as exc:
@@ -305,8 +307,11 @@
         ProgressTimeoutError: Nothing arrived within the limit.
     """
     try:
-        async with asyncio.timeout(limit.total_seconds()):
+        if stream.has_unread:
             data = await stream.read()
+        else:
+            async with asyncio.timeout(limit.total_seconds()):
+                data = await stream.read()
     except TimeoutError as exc:
         raise ProgressTimeoutError from exc
     except ConnectionError as exc:
--- a/camphorspread/connection/network.py
+++ b/camphorspread/connection/network.py
@@ -28,7 +28,13 @@
 
 
 class Stream(Protocol):
-    """One byte stream in both directions."""
+    """One byte stream in both directions.
+
+    Attributes:
+        on_ended: Called once the peer has closed or reset the stream, unless None.
+    """
+
+    on_ended: Callable[[], None] | None
 
     @property
     def peer(self) -> Address:
@@ -49,6 +55,20 @@
             ConnectionError: The stream was reset.
         """
 
+    def send(self, data: bytes) -> bool:
+        """Send bytes without a wait; return False if the send buffer is full.
+
+        Raises:
+            ConnectionError: The stream was reset.
+        """
+
+    async def drain(self) -> None:
+        """Wait until the send buffer has room.
+
+        Raises:
+            ConnectionError: The stream was reset.
+        """
+
     async def write(self, data: bytes) -> None:
         """Send bytes and wait until the send buffer has room.
 
@@ -107,13 +127,14 @@
 class TcpStream(asyncio.BufferedProtocol):
     """A TCP stream that buffers at most `READ_BYTES` unread and `WRITE_BYTES` unsent bytes.
 
-    One task may read and one may write at a time, as on every `Stream`. A single call of `write`
-    may exceed the limit for unsent bytes; it then waits until the send buffer drains.
+    One task may read and one may write at a time, as on every `Stream`. A single call of `send`
+    may exceed the limit for unsent bytes; `drain` then waits for the send buffer.
     """
 
     def __init__(self, on_open: Callable[["TcpStream"], None] | None = None) -> None:
         """Store the function to call once the connection is open."""
         self.on_open = on_open
+        self.on_ended: Callable[[], None] | None = None
         self.receive_buffer = memoryview(bytearray(READ_BYTES))
         self.unread_bytes = 0
         self.is_eof = False
@@ -147,6 +168,7 @@
         """Record the end of the stream; the write direction stays open."""
         self.is_eof = True
         wake_waiter(self.read_waiter)
+        self.report_end()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -155,6 +177,12 @@
         self.loss_cause = exc
         wake_waiter(self.read_waiter)
         wake_waiter(self.write_waiter)
+        self.report_end()
+
+    def report_end(self) -> None:
+        """Report that the peer closed or reset the stream."""
+        if self.on_ended is not None:
+            self.on_ended()
 
     def pause_writing(self) -> None:
         """Block writers until the send buffer drains."""
@@ -190,10 +218,19 @@
             self.transport.resume_reading()
         return data
 
-    async def write(self, data: bytes) -> None:
-        """Send bytes and wait until the send buffer has room."""
+    def send(self, data: bytes) -> bool:
+        """Send bytes without a wait; return False if the send buffer is full."""
         self.check_open()
         self.transport.write(data)
+        return not self.is_write_paused
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes and wait until the send buffer has room."""
+        if not self.send(data):
+            await self.drain()
+
+    async def drain(self) -> None:
+        """Wait until the send buffer has room."""
         while self.is_write_paused:
             self.write_waiter = asyncio.get_running_loop().create_future()
             await self.write_waiter
--- a/camphorspread/connection/server.py
+++ b/camphorspread/connection/server.py
@@ -106,28 +106,33 @@
             RequestRefusedError: The head is malformed, or isn't complete within the time limit.
         """
         try:
-            async with asyncio.timeout(None) as timer:
-                while True:
-                    event = next_head_event(state)
-                    match event:
-                        case h11.Request(method=method, target=target, headers=headers):
-                            head = RequestHead(bytes(method), bytes(target), tuple(headers))
-                            check_framing(head)
-                            return head
-                        case h11.NEED_DATA if not state.trailing_data[0]:
-                            await receive_into(state, stream, self.limits.idle)
-                        case h11.NEED_DATA:
-                            if timer.when() is None:
-                                now = asyncio.get_running_loop().time()
-                                timer.reschedule(now + self.limits.head.total_seconds())
-                            await receive_into(state, stream, self.limits.head)
-                        case _:
-                            return None
+            event = await self._receive_head_event(state, stream)
         except (ProgressTimeoutError, TimeoutError) as exc:
             if not state.trailing_data[0]:
                 raise
             message = "the request head wasn't complete within the time limit"
             raise RequestRefusedError(Refusal(ErrorKind.HEAD_STALLED, message)) from exc
+        match event:
+            case h11.Request(method=method, target=target, headers=headers):
+                head = RequestHead(bytes(method), bytes(target), tuple(headers))
+                check_framing(head)
+                return head
+            case _:
+                return None
+
+    async def _receive_head_event(self, state: h11.Connection, stream: Stream) -> object:
+        """Return the next event; a head that has begun must be complete within its limit."""
+        event = next_head_event(state)
+        while event is h11.NEED_DATA and not state.trailing_data[0]:
+            await receive_into(state, stream, self.limits.idle)
+            event = next_head_event(state)
+        if event is not h11.NEED_DATA:
+            return event
+        async with asyncio.timeout(self.limits.head.total_seconds()):
+            while event is h11.NEED_DATA:
+                await receive_into(state, stream, self.limits.head)
+                event = next_head_event(state)
+        return event
 
     async def _refuse_head(self, state: h11.Connection, stream: Stream, refusal: Refusal) -> None:
         self.on_refused(refusal, stream.peer)
--- a/camphorspread/process/loans.py
+++ b/camphorspread/process/loans.py
@@ -24,6 +24,7 @@
     drop_instance,
     is_usable,
     list_owned_instances,
+    set_lender,
     take_over_address,
 )
 
@@ -36,22 +37,28 @@
     "update_lent_list",
 ]
 
-# Summaries within a region are sent four times a second, so one or two may be lost.
-MAX_LOAN_TIME = timedelta(seconds=1.2)
-# Fraction of the time within which a leaving server must stop getting requests.
-DRAIN_FRACTION = 0.5
+# Summaries within a small region are sent four times a second, so one or two may be lost.
+LOAN_TIME = timedelta(seconds=1.2)
+# Summaries between two VMs during a loan in a large region. A VM that only responds to them learns
+# of a contact one interval later.
+INTERVALS_PER_LOAN = 2.2
+# Time for which requests that were sent before the end of a loan may take to arrive; at most half
+# of the time within which a leaving server must stop getting requests.
+ARRIVAL_TIME = timedelta(milliseconds=900)
 # Overcommit: together the VMs may have this many times the server's slots in flight, so that one VM
 # can use the slots that others leave idle. A request then waits for at most one run at the server.
 OVERCOMMIT_FACTOR = 2
 
 
-def loan_duration(drain_limit: timedelta) -> timedelta:
+def loan_duration(drain_limit: timedelta, interval: timedelta) -> timedelta:
     """Return the duration of a loan.
 
     Args:
         drain_limit: Time after a confirmed departure by which requests to the server must stop.
+        interval: Desired time between two summaries, which is long in a region with many VMs.
     """
-    return min(MAX_LOAN_TIME, drain_limit * DRAIN_FRACTION)
+    longest = max(drain_limit - ARRIVAL_TIME, drain_limit / 2)
+    return min(max(LOAN_TIME, INTERVALS_PER_LOAN * interval), longest)
 
 
 def max_requests_per_vm(slots: int, sharers: int) -> int:
@@ -120,9 +127,8 @@
     for report in reports:
         borrow_instance(registry, lender, report, until, now)
     listed = {report.instance for report in reports}
-    for item in list(registry.instances.values()):
-        if item.lender == lender and item.name not in listed:
-            drop_instance(registry, item.name)
+    for name in [name for name in registry.by_lender.get(lender, ()) if name not in listed]:
+        drop_instance(registry, name)
 
 
 def borrow_instance(
@@ -142,7 +148,7 @@
         if is_own or report.started_ms < known.report.started_ms:
             return
         if known.lender and report.started_ms == known.report.started_ms:
-            known.lender = lender
+            set_lender(registry, known, lender)
             known.usable_until = max(known.usable_until, until)
             return
     if not take_over_address(registry, report, now):
@@ -153,7 +159,7 @@
 
 def extend_loans(registry: InstanceRegistry, lender: str, until: timedelta) -> int:
     """Extend all loans of a VM whose list hasn't changed; return their number."""
-    lent = [item for item in registry.instances.values() if item.lender == lender]
-    for item in lent:
+    lent = registry.by_lender.get(lender, {})
+    for item in lent.values():
         item.usable_until = max(item.usable_until, until)
     return len(lent)
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -13,6 +13,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.instances import InstanceRegistry
 from camphorspread.process.loans import LentList
+from camphorspread.process.reported_load import RegionLoads
 from camphorspread.process.steering_metrics import SteeringMetrics
 from camphorspread.process.steering_settings import (
     CONNECT_TIMEOUT,
@@ -77,6 +78,7 @@
         pool: Connections to backend servers.
         board: State of servers and VMs on which placement depends.
         lent_instances: Backend servers that the other VMs of the region may use.
+        region_loads: Load of the servers of the region, as reported to other regions.
         waiting: Requests that wait for a placement.
         retry_budget: This VM's part of the fleet's retry budget.
         splitter: Division of routes among their services.
@@ -108,6 +110,7 @@
     board: PlacementBoard
     retry_budget: FleetRetryBudget
     lent_instances: LentList = attrs.field(factory=LentList)
+    region_loads: RegionLoads = attrs.field(factory=RegionLoads)
     waiting: PlacementQueue = attrs.field(factory=PlacementQueue)
     splitter: Splitter = attrs.field(factory=Splitter)
     catalogue_version: int = 0
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 from datetime import timedelta
 
 from camphorspread.connection.exchange import Exchange
@@ -19,17 +18,18 @@
     replace_loans,
     update_lent_list,
 )
+from camphorspread.process.reported_load import measure_loads, measure_owned_loads
 from camphorspread.process.steering_state import SteeringState
-from camphorspread.process.summary_partners import (
-    OBSERVERS_PER_REGION,
-    choose_partners,
-    is_large_region,
-)
+from camphorspread.process.summary_partners import choose_partners, is_large_region
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.placement import SUMMARY_TTL
-from camphorspread.request.placement_board import PlacementBoard, usable_instances
 
-__all__ = ["exchange_summaries", "measure_load", "serve_summary"]
+__all__ = [
+    "desired_interval",
+    "exchange_summaries",
+    "same_region_interval",
+    "serve_summary",
+]
 
 SUMMARY_PATH = "/v1/entry/summary"
 MILLISECOND = timedelta(milliseconds=1)
@@ -38,39 +38,15 @@
 SAME_REGION_INTERVAL = timedelta(milliseconds=250)
 OTHER_REGION_INTERVAL = timedelta(milliseconds=800)
 # With many VMs the interval grows, so that the messages of a VM use a bounded part of a slow link:
-# about 17 per second within its region and 8 to others. With 8 VMs in a region, a loan of 1.2 s
-# lasts for more than two intervals. The interval is at most half of a loan or of SUMMARY_TTL.
+# about 17 per second within its region and 8 to others. Two intervals are shorter than a loan by
+# this slack, as a VM that only responds learns of a contact one interval later.
 SAME_REGION_STEP = timedelta(milliseconds=60)
 OTHER_REGION_STEP = timedelta(milliseconds=120)
+LOAN_SLACK = timedelta(milliseconds=200)
 SUMMARY_TIMEOUT = timedelta(milliseconds=1000)
 ROUND_TRIP_WEIGHT = 0.3
 
 
-def measure_load(state: SteeringState, service: str, now: timedelta) -> ServiceLoad | None:
-    """Return the load that this VM reports for a service, None if it has no backend server.
-
-    It is the load of its own servers. In a large region, of which a VM of another region sees few
-    VMs, it is this VM's part of the load of all servers of the region.
-    """
-    board: PlacementBoard = state.board
-    instances = [
-        item
-        for item in usable_instances(board, service, now)
-        if board.is_large_region or not item.lender
-    ]
-    if not instances:
-        return None
-    slots = sum(0 if item.is_cold(now) else item.report.slots for item in instances)
-    used = sum(0 if item.is_cold(now) else item.count_busy(now) for item in instances)
-    queued = state.waiting.count(service)
-    if board.is_large_region:
-        parts = min(board.sharers, OBSERVERS_PER_REGION)
-        slots, used = math.ceil(slots / parts), math.ceil(used / parts)
-    times = [item for key, item in board.run_times.items() if key[0] == service]
-    mean = sum(item.warm_s for item in times) / len(times) if times else 0.3
-    return ServiceLoad(max(slots - used - queued, 0), slots, queued, mean)
-
-
 def encode_summary(state: SteeringState, peer: EntryVm | None, now: timedelta) -> dict:
     """Return the JSON form of the summary of this VM for another one.
 
@@ -78,13 +54,20 @@
     a timestamp (`stamp`), the newest timestamp of the other VM (`echo`), the version of the list
     (`tag`) and the version of the other VM's list that this VM holds (`held`).
     """
-    loads = {}
-    for service in state.board.registry.by_service:
-        load = measure_load(state, service, now)
-        if load is not None:
-            loads[service] = [load.free, load.slots, load.queued, round(load.mean_run_s, 3)]
-    value = {"vm": state.settings.place.vm, "loads": loads}
-    if peer is None or peer.region != state.board.region:
+    is_same_region = peer is not None and peer.region == state.board.region
+    loads = (
+        measure_owned_loads(state.board, state.waiting, now)
+        if is_same_region
+        else measure_loads(state.board, state.waiting, state.region_loads, now)
+    )
+    value = {
+        "vm": state.settings.place.vm,
+        "loads": {
+            service: [load.free, load.slots, load.queued, round(load.mean_run_s, 3)]
+            for service, load in loads.items()
+        },
+    }
+    if not is_same_region:
         return value
     value |= {
         "stamp": encode_timestamp(state, now),
@@ -127,7 +110,9 @@
     if contact is None:
         return
     registry = state.board.registry
-    until = contact + loan_duration(state.settings.bounds.drain_limit)
+    until = contact + loan_duration(
+        state.settings.bounds.drain_limit, desired_interval(state.board.sharers)
+    )
     tag = str(value.get("tag", ""))
     lent = value.get("lent")
     if isinstance(lent, list):
@@ -220,8 +205,7 @@
     """Return the time between two summaries to another VM."""
     board = state.board
     if peer.region == board.region:
-        longest = loan_duration(state.settings.bounds.drain_limit) / 2
-        return min(max(SAME_REGION_INTERVAL, SAME_REGION_STEP * (board.sharers - 1)), longest)
+        return same_region_interval(board.sharers, state.settings.bounds.drain_limit)
     others = sum(
         other.summary_at is not None
         and now - other.summary_at <= SUMMARY_TTL
@@ -231,6 +215,26 @@
     return min(max(OTHER_REGION_INTERVAL, OTHER_REGION_STEP * others), SUMMARY_TTL / 2)
 
 
+def same_region_interval(sharers: int, drain_limit: timedelta) -> timedelta:
+    """Return the time between two summaries within a region, which must keep loans alive.
+
+    Args:
+        sharers: Number of entry VMs of the region.
+        drain_limit: Time after a confirmed departure by which requests to the server must stop.
+    """
+    desired = desired_interval(sharers)
+    return min(desired, (loan_duration(drain_limit, desired) - LOAN_SLACK) / 2)
+
+
+def desired_interval(sharers: int) -> timedelta:
+    """Return the time between two summaries within a region that bounds the number of messages.
+
+    Args:
+        sharers: Number of entry VMs of the region.
+    """
+    return max(SAME_REGION_INTERVAL, SAME_REGION_STEP * (sharers - 1))
+
+
 async def exchange_summary(state: SteeringState, peer: EntryVm) -> None:
     """Exchange one summary with another VM; a failed exchange isn't repeated."""
     sent = state.clock.monotonic()
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -1,14 +1,19 @@
 """Serves a request that another entry VM forwarded to this one."""
 
-import asyncio
 from datetime import timedelta
 
 import attrs
 
+from camphorspread.connection.disconnect import (
+    Disconnected,
+    Finished,
+    TimedOut,
+    run_while_connected,
+)
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
+from camphorspread.process.reported_load import measure_loads
 from camphorspread.process.steering_state import SteeringState
-from camphorspread.process.vm_summary import measure_load
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.peer_forward_codec import (
     ForwardMetadata,
@@ -56,32 +61,21 @@
     )
     body = await read_first_part(state, exchange)
     job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
-    run_task = asyncio.create_task(run_forwarded(state, job))
-    disconnect_task = (
-        asyncio.create_task(exchange.wait_for_disconnect()) if body.is_complete else None
-    )
-    tasks = {run_task} if disconnect_task is None else {run_task, disconnect_task}
+    stream = exchange.stream if body.is_complete else None
     state.in_flight += 1
     try:
-        await asyncio.wait(
-            tasks,
-            timeout=max(forward.time_left.total_seconds(), 0),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if run_task.done():
-            facts, reply = run_task.result()
-        elif disconnect_task is not None and disconnect_task.done():
-            exchange.abort()
-            return
-        else:
-            outcome = Outcome.UNKNOWN if job.may_have_run else Outcome.NOT_RUN
-            facts, reply = ForwardResult(outcome, ErrorKind.DEADLINE_EXCEEDED, job.sends), None
+        match await run_while_connected(run_forwarded(state, job), stream, forward.time_left):
+            case Finished(value=(facts, reply)):
+                pass
+            case Disconnected():
+                exchange.abort()
+                return
+            case TimedOut():
+                outcome = Outcome.UNKNOWN if job.may_have_run else Outcome.NOT_RUN
+                facts, reply = ForwardResult(outcome, ErrorKind.DEADLINE_EXCEEDED, job.sends), None
         await respond_forwarded(state, exchange, forward, facts, reply)
     finally:
         state.in_flight -= 1
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def make_route(forward: ForwardMetadata) -> Route:
@@ -141,7 +135,8 @@
     reply: Reply | StreamedReply | None,
 ) -> None:
     """Send the response and its metadata to the forwarding VM."""
-    load = measure_load(state, forward.service, state.clock.monotonic())
+    now = state.clock.monotonic()
+    load = measure_loads(state.board, state.waiting, state.region_loads, now).get(forward.service)
     facts = attrs.evolve(facts, free=load.free if load else 0)
     headers = encode_forward_result(facts)
     match reply:
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -1,11 +1,16 @@
 """Serves one caller's request by the route table: placement, attempts and response."""
 
-import asyncio
 from datetime import timedelta
 
 import attrs
 from returns.result import Failure, Success
 
+from camphorspread.connection.disconnect import (
+    Disconnected,
+    Finished,
+    TimedOut,
+    run_while_connected,
+)
 from camphorspread.connection.exchange import (
     CallerDisconnectedError,
     Exchange,
@@ -173,28 +178,20 @@
     state: SteeringState, exchange: Exchange, job: RoutedRequest
 ) -> Denied | Reply | StreamedReply | None:
     """Run a request until it has a result, its deadline passes, or its caller leaves (None)."""
-    run_task = asyncio.create_task(run_attempts(state, job))
     # While the rest of a body is being read, reading it detects a disconnect.
-    disconnect_task = (
-        asyncio.create_task(exchange.wait_for_disconnect()) if job.body.is_complete else None
-    )
+    stream = exchange.stream if job.body.is_complete else None
     remaining = job.deadline - RESPONSE_MARGIN - state.clock.monotonic()
-    tasks = {run_task} if disconnect_task is None else {run_task, disconnect_task}
     try:
-        await asyncio.wait(
-            tasks, timeout=max(remaining.total_seconds(), 0), return_when=asyncio.FIRST_COMPLETED
-        )
-        if run_task.done():
-            return run_task.result()
-        if disconnect_task is not None and disconnect_task.done():
-            return None
-        return Denied(make_deadline_refusal(job))
+        result = await run_while_connected(run_attempts(state, job), stream, remaining)
     except (CallerDisconnectedError, ProgressTimeoutError):
         return None
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    match result:
+        case Finished(value=value):
+            return value
+        case Disconnected():
+            return None
+        case TimedOut():
+            return Denied(make_deadline_refusal(job))
 
 
 def make_deadline_refusal(job: RoutedRequest) -> Refusal:
--- a/features/process/loans.feature
+++ b/features/process/loans.feature
@@ -12,6 +12,17 @@
   Scenario: A loan ends well before a confirmed departure must be in effect
     Then a loan lasts 1.2 s if departures take effect within 2.5 s, and 0.5 s if within 1 s
 
+  Scenario Outline: Loans in a region with many VMs allow for less frequent summaries
+    Then with <sharers> VMs and departures in effect within <limit> s, a loan ends <reserve> s before and outlasts two summaries by 0.2 s
+
+    Examples:
+      | sharers | limit | reserve |
+      | 8       | 2.5   | 0.9     |
+      | 12      | 2.5   | 0.9     |
+      | 25      | 3     | 0.9     |
+      | 240     | 3     | 0.9     |
+      | 25      | 1.5   | 0.75    |
+
   Scenario: A server that is no longer listed is no longer borrowed
     Given a VM that has borrowed "i-1" and "i-2" from "vm-a" until second 1.2
     When "vm-a" lists only "i-2"
--- a/features/process/summary_partners.feature
+++ b/features/process/summary_partners.feature
@@ -32,6 +32,19 @@
     When the partners of one VM in another region are lost
     Then it begins exchanges with 3 others there
 
+  Scenario: A VM of a large region reports its part of the servers of the region
+    Given a VM that owns 1 server with 2 of 6 slots in use and borrows 11, in a region of 24 VMs
+    Then it reports 12 slots with 11 free to another region
+    And it reports 6 slots with 4 free within its region
+    When 6 slots of the borrowed servers are taken
+    Then it reports 12 slots with 11 free to another region
+    And it reports 12 slots with 10 free to another region 0.2 s later
+
+  Scenario: A VM of a small region reports its own servers to all others
+    Given a VM that owns 1 server with 2 of 6 slots in use and borrows 11, in a region of 8 VMs
+    Then it reports 6 slots with 4 free to another region
+    And it reports 6 slots with 4 free within its region
+
   Scenario: A region stays large while its VMs restart
     Given regions with 24, 24, 25 VMs
     When only 4 VMs of a region are alive
--- a/features/steps/loans_steps.py
+++ b/features/steps/loans_steps.py
@@ -21,6 +21,7 @@
     replace_loans,
     update_lent_list,
 )
+from camphorspread.process.vm_summary import desired_interval, same_region_interval
 from camphorspread.request.placement_board import find_run_times
 from camphorspread.request.run_statistics import (
     record_reported_load,
@@ -76,8 +77,21 @@
     "and {short:g} s if within 1 s"
 )
 def step_loan_time(context, loan, limit, short):
-    assert loan_duration(timedelta(seconds=limit)) == timedelta(seconds=loan)
-    assert loan_duration(timedelta(seconds=1)) == timedelta(seconds=short)
+    interval = desired_interval(sharers=8)
+    assert loan_duration(timedelta(seconds=limit), interval) == timedelta(seconds=loan)
+    assert loan_duration(timedelta(seconds=1), interval) == timedelta(seconds=short)
+
+
+@then(
+    "with {sharers:d} VMs and departures in effect within {limit:g} s, a loan ends "
+    "{reserve:g} s before and outlasts two summaries by {slack:g} s"
+)
+def step_loan_of_large_region(context, sharers, limit, reserve, slack):
+    drain_limit = timedelta(seconds=limit)
+    loan = loan_duration(drain_limit, desired_interval(sharers))
+    interval = same_region_interval(sharers, drain_limit)
+    assert loan <= drain_limit - timedelta(seconds=reserve), loan
+    assert loan - 2 * interval >= timedelta(seconds=slack), (loan, interval)
 
 
 @when('"{lender}" lists only "{name}"')
--- a/features/steps/summary_partners_steps.py
+++ b/features/steps/summary_partners_steps.py
@@ -2,10 +2,15 @@
 
 import itertools
 from collections import Counter
+from datetime import timedelta
 
 from behave import given, then, when
 
-from camphorspread.process.summary_partners import choose_partners
+from camphorspread.process.instances import list_owned_instances, set_lender
+from camphorspread.process.reported_load import RegionLoads, measure_loads, measure_owned_loads
+from camphorspread.process.summary_partners import choose_partners, is_large_region
+from camphorspread.request.placement_queue import PlacementQueue
+from features.fixtures.placement_simulation import make_board
 
 REGIONS = ("sofia", "plovdiv", "varna")
 
@@ -96,3 +101,50 @@
 @then("they begin exchanges with {count:d} VMs of each other region")
 def step_still_large(context, count):
     check_far_partners(context, context.alive, count)
+
+
+@given(
+    "a VM that owns {owned:d} server with {used:d} of {slots:d} slots in use and borrows "
+    "{lent:d}, in a region of {sharers:d} VMs"
+)
+def step_reporting_vm(context, owned, used, slots, lent, sharers):
+    context.board = make_board(owned + lent, slots)
+    context.board.sharers = sharers
+    regions = {f"vm-{number}": "sofia" for number in range(sharers)}
+    context.board.is_large_region = is_large_region(regions, "sofia")
+    instances = list(context.board.registry.instances.values())
+    for item in instances[owned:]:
+        set_lender(context.board.registry, item, "vm-1")
+    assert list_owned_instances(context.board.registry) == instances[:owned]
+    instances[0].in_flight = used
+    context.region_loads = RegionLoads()
+
+
+@when("{count:d} slots of the borrowed servers are taken")
+def step_take_slots(context, count):
+    for item in list(context.board.registry.by_lender["vm-1"].values())[:count]:
+        item.in_flight += 1
+
+
+def check_loads(loads, slots, free):
+    """Check the load of the only service."""
+    (load,) = loads.values()
+    assert (load.slots, load.free) == (slots, free), load
+
+
+@then("it reports {slots:d} slots with {free:d} free to another region")
+def step_report_far(context, slots, free):
+    loads = measure_loads(context.board, PlacementQueue(), context.region_loads, timedelta(0))
+    check_loads(loads, slots, free)
+
+
+@then("it reports {slots:d} slots with {free:d} free to another region {later:g} s later")
+def step_report_later(context, slots, free, later):
+    now = timedelta(seconds=later)
+    loads = measure_loads(context.board, PlacementQueue(), context.region_loads, now)
+    check_loads(loads, slots, free)
+
+
+@then("it reports {slots:d} slots with {free:d} free within its region")
+def step_report_near(context, slots, free):
+    check_loads(measure_owned_loads(context.board, PlacementQueue(), timedelta(0)), slots, free)
