Compute the totals over the servers of a service at most every 50 ms

Cause: each placement, and each review of a queued request, went over all servers of the service for its totals.

Change: request/service_totals.py keeps them for 50 ms or until the set of servers changes; queued requests are counted by service. Free slots of single servers are always current.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -14,8 +14,6 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-import attrs
-
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, is_usable
 from camphorspread.process.loans import max_requests_per_vm
@@ -29,6 +27,7 @@
     PlacementRequest,
     QueuedPlacement,
     RunTimes,
+    ServiceTotals,
     find_region,
     find_run_times,
     usable_instances,
@@ -40,6 +39,7 @@
     has_lost_capacity,
     is_shift_allowed,
 )
+from camphorspread.request.service_totals import find_totals
 from camphorspread.request.window import count_recent
 
 __all__ = [
@@ -92,10 +92,9 @@
         now: Current monotonic time.
     """
     times = find_run_times(board, req.service, req.route, promised_s)
-    instances = usable_instances(board, req.service, now)
-    totals = sum_servers(board, req.service, instances, now)
+    totals = find_totals(board, req.service, now)
     placements: list[LocalPlacement | ForwardPlacement | QueuedPlacement] = list(
-        list_local_placements(board, req, times, instances, totals, now)
+        list_local_placements(board, req, times, totals, now)
     )
     if req.may_forward and board.peers:
         placements += list_peer_placements(board, req, times, totals, now)
@@ -149,57 +148,15 @@
     return best
 
 
-@attrs.frozen
-class ServiceTotals:
-    """Totals over the usable servers of a service.
-
-    Attributes:
-        slots: Number of slots.
-        busy_fraction: Fraction of the slots in use.
-        waiting: Requests queued at this VM for any of the servers.
-        lowest_failure_rate: Lowest failure rate among the servers.
-        lenders: VMs that lend some of them.
-    """
-
-    slots: int
-    busy_fraction: float
-    waiting: int
-    lowest_failure_rate: float
-    lenders: frozenset[str]
-
-
-def sum_servers(
-    board: PlacementBoard, service: str, instances: list[Instance], now: timedelta
-) -> ServiceTotals:
-    """Return the totals over servers of one service, in a single pass."""
-    slots = used = 0
-    lowest_failure_rate = 1.0
-    lenders = set()
-    for item in instances:
-        slots += item.report.slots
-        used += item.count_busy(now)
-        lowest_failure_rate = min(lowest_failure_rate, item.failure_rate)
-        lenders.add(item.lender)
-    waiting = sum(
-        count
-        for name, count in board.queued_per_server.items()
-        if (item := board.registry.instances.get(name)) and item.report.service == service
-    )
-    return ServiceTotals(
-        slots, used / max(slots, 1), waiting, lowest_failure_rate, frozenset(lenders)
-    )
-
-
 def list_local_placements(
     board: PlacementBoard,
     req: PlacementRequest,
     times: RunTimes,
-    instances: list[Instance],
     totals: ServiceTotals,
     now: timedelta,
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
-    for rank, item in enumerate(list_candidates(board, req, instances, now)):
+    for rank, item in enumerate(list_candidates(board, req, now)):
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
             continue
@@ -263,16 +220,16 @@
         )
     wait_here_s = (board.queued_per_server.get(item.name, 0) + 1) * times.mean_s / item.report.slots
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
-    wait_any_s = (totals.waiting + 1) * times.mean_s / totals.slots
+    waiting = board.queued_per_service.get(item.report.service, 0)
+    wait_any_s = (waiting + 1) * times.mean_s / max(totals.slots, item.report.slots)
     return QueuedPlacement(item, cost_s + max(wait_here_s, wait_any_s), run_s)
 
 
-def list_candidates(
-    board: PlacementBoard, req: PlacementRequest, instances: list[Instance], now: timedelta
-) -> list[Instance]:
+def list_candidates(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> list[Instance]:
     """Return the candidate servers of a request, in the preference order of its object."""
     if not req.object_key:
-        return [item for item in instances if may_run_at(board, req, item)]
+        usable = usable_instances(board, req.service, now)
+        return [item for item in usable if may_run_at(board, req, item)]
     candidates = []
     for item in rank_instances(board, req.service, req.object_key):
         if may_run_at(board, req, item) and is_usable(item, board.evacuated_zones, now):
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -18,6 +18,7 @@
     "PlacementRequest",
     "QueuedPlacement",
     "RunTimes",
+    "ServiceTotals",
     "find_region",
     "find_run_times",
     "usable_instances",
@@ -101,6 +102,27 @@
     valid_until: timedelta = timedelta(0)
 
 
+@attrs.frozen
+class ServiceTotals:
+    """Totals over the usable servers of a service.
+
+    Attributes:
+        slots: Number of slots.
+        busy_fraction: Fraction of the slots in use.
+        lowest_failure_rate: Lowest failure rate among the servers.
+        lenders: VMs that lend some of them.
+        valid_until: When they are to be computed again.
+        revision: Revision of the registry for which they are valid.
+    """
+
+    slots: int
+    busy_fraction: float
+    lowest_failure_rate: float
+    lenders: frozenset[str]
+    valid_until: timedelta
+    revision: int
+
+
 @attrs.define(eq=False)
 class PlacementBoard:
     """State of servers and VMs on which placement decisions are based.
@@ -118,6 +140,8 @@
         peers: Other entry VMs by name.
         run_times: Mean run times by (service, route).
         queued_per_server: Number of queued requests by the server that they wait for.
+        queued_per_service: Number of queued requests that wait for a server, by service.
+        totals: Cached totals over the servers by service.
         rankings: Cached preference order of servers by (service, object key).
         rankings_revision: Revision of the registry for which `rankings` is valid.
         homes: Cached home VMs of objects by service.
@@ -137,6 +161,8 @@
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
     run_times: dict[tuple[str, str], RunTimes] = attrs.field(factory=dict)
     queued_per_server: Counter[str] = attrs.field(factory=Counter)
+    queued_per_service: Counter[str] = attrs.field(factory=Counter)
+    totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
     homes: dict[str, HomeCache] = attrs.field(factory=dict)
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -22,8 +22,8 @@
     QueuedPlacement,
     RunTimes,
     find_run_times,
-    usable_instances,
 )
+from camphorspread.request.service_totals import find_totals
 
 __all__ = [
     "Granted",
@@ -172,18 +172,20 @@
     """
     if waiter.instance:
         board.queued_per_server[waiter.instance] -= 1
+        board.queued_per_service[waiter.req.service] -= 1
         if not board.queued_per_server[waiter.instance]:
             del board.queued_per_server[waiter.instance]
     waiter.instance = name
     if name:
         board.queued_per_server[name] += 1
+        board.queued_per_service[waiter.req.service] += 1
 
 
 def may_queue_late(
     board: PlacementBoard, queue: PlacementQueue, waiter: Waiter, now: timedelta
 ) -> bool:
     """Return True if the limit on queued late requests allows one more."""
-    slots = sum(item.report.slots for item in usable_instances(board, waiter.req.service, now))
+    slots = find_totals(board, waiter.req.service, now).slots
     others = queue.by_service.get(waiter.req.service, {})
     late = sum(1 for other in others.values() if other is not waiter and other.is_late)
     return late < max(slots * LATE_FRACTION, 1)
@@ -260,7 +262,7 @@
     board: PlacementBoard, queue: PlacementQueue, req: PlacementRequest, now: timedelta
 ) -> timedelta:
     """Return the time after which the backlog of a service is expected to have cleared."""
-    slots = sum(item.report.slots for item in usable_instances(board, req.service, now))
+    slots = find_totals(board, req.service, now).slots
     times = board.run_times.get((req.service, req.route))
     if not slots or times is None:
         return NO_SERVER_RETRY_DELAY
