Hold polls longer where there are many control VMs

Change: a poll is held for 0.2 s for each control VM, at least 0.9 s and at most 2 s; a control VM counts an entry VM as dead 1.3 s after the end of that time. A waiting poll needs one task.

--- a/camphorspread/process/control_state.py
+++ b/camphorspread/process/control_state.py
@@ -35,7 +35,8 @@
         catalogue: The newest accepted catalogue.
         encoded_catalogue: Cached JSON of the catalogue, with the catalogue from which it was
             encoded.
-        catalogue_changed: Event that is set, and replaced by a new one, at each accepted change.
+        poll_changed: Event that is set, and replaced by a new one, at each change that waiting
+            polls report, such as an accepted change of the catalogue.
         view: Leadership as this replica sees it.
         delivery: History of changes and acknowledgements of entry VMs.
         allocator: Allocation of shares to entry VMs while this replica leads.
@@ -53,10 +54,15 @@
     access_key: bytes
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     encoded_catalogue: tuple[Catalogue, bytes] | None = None
-    catalogue_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    poll_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     view: ReplicaView = attrs.field(factory=ReplicaView)
     delivery: Delivery = attrs.field(factory=Delivery)
     allocator: Allocator = attrs.field(factory=Allocator)
     refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
     metrics: ControlMetrics = attrs.field(factory=ControlMetrics)
     file_calls: FileOperations = attrs.field(factory=FileOperations)
+
+    def wake_polls(self) -> None:
+        """Wake the waiting polls, which look for changes that their senders don't have."""
+        self.poll_changed.set()
+        self.poll_changed = asyncio.Event()
--- a/camphorspread/process/poll_listener.py
+++ b/camphorspread/process/poll_listener.py
@@ -51,7 +51,7 @@
             return
         try:
             async with asyncio.timeout((end - now).total_seconds()):
-                await state.catalogue_changed.wait()
+                await state.poll_changed.wait()
         except TimeoutError:
             return
 
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -193,8 +193,7 @@
         now = self.control.clock.monotonic()
         observe_catalogue(self.control.allocator, self.control.catalogue, now)
         self.control.log.write(Event.CHANGE_ACCEPTED, version=self.control.catalogue.version)
-        self.control.catalogue_changed.set()
-        self.control.catalogue_changed = asyncio.Event()
+        self.control.wake_polls()
 
     def report_isolation(self, now: timedelta) -> None:
         """Log the loss and the return of contact to a majority."""
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from camphorspread.connection.disconnect import Disconnected, run_while_connected
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
@@ -38,10 +39,10 @@
     "watch_vms",
 ]
 
-LONG_POLL_LIMIT = timedelta(seconds=1)
-# A poll is held for up to a second, and the next one arrives within a round trip of the response;
-# the rest is for the retransmission of lost packets.
-POLL_TIMEOUT = timedelta(seconds=2.2)
+LONG_POLL_LIMIT = timedelta(seconds=2)
+# The next poll arrives within a round trip of the response to the last one; the rest is for the
+# retransmission of lost packets.
+POLL_DELAY_LIMIT = timedelta(seconds=1.3)
 WATCH_INTERVAL = timedelta(milliseconds=200)
 # A follower whose catalogue isn't known to have been current within this time may be partitioned.
 MAX_STALENESS = timedelta(seconds=1.2)
@@ -56,12 +57,14 @@
     Attributes:
         record: The record in its last poll.
         last_poll_at: When it last polled.
+        hold: For how long that poll may be held.
         alive_since: Since when its present process has polled without interruption.
         is_alive: False after too long a silence, or once its connection was closed.
     """
 
     record: EntryVm
     last_poll_at: timedelta
+    hold: timedelta
     alive_since: timedelta
     is_alive: bool = True
 
@@ -77,7 +80,6 @@
         started_at: When the process started.
         vms: Entry VMs by name.
         list_revision: Incremented with each change of `vms`.
-        list_changed: Set and replaced at each change of `vms`.
         caller_spread: Callers of each zone that use the VMs of other zones.
     """
 
@@ -87,7 +89,6 @@
     started_at: timedelta
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     list_revision: int = 0
-    list_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     caller_spread: CallerSpread = attrs.field(factory=CallerSpread)
 
     @property
@@ -99,8 +100,7 @@
     def publish_list_change(self) -> None:
         """Advance the version of the lists and wake the polls that wait for a change of it."""
         self.list_revision += 1
-        self.list_changed.set()
-        self.list_changed = asyncio.Event()
+        self.control.wake_polls()
 
 
 def is_current(steering: SteeringControl) -> bool:
@@ -120,41 +120,21 @@
         message = "a poll needs the record of an entry VM and its catalogue version"
         await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
         return
-    record_poll(steering, record)
-    clock = steering.control.clock
     hold = min(timedelta(milliseconds=int(value.get("hold_ms", 0))), LONG_POLL_LIMIT)
-    hold_end = clock.monotonic() + hold
-    disconnected = asyncio.create_task(exchange.wait_for_disconnect())
-    try:
-        while not has_update(steering, value):
-            remaining_s = (hold_end - clock.monotonic()).total_seconds()
-            if remaining_s <= 0:
-                break
-            if not await wait_for_update(steering, disconnected, remaining_s):
-                mark_dead(steering, record)
-                exchange.abort()
-                return
-    finally:
-        disconnected.cancel()
+    record_poll(steering, record, hold)
+    if hold and not has_update(steering, value):
+        waiting = wait_for_update(steering, value)
+        if isinstance(await run_while_connected(waiting, exchange.stream, hold), Disconnected):
+            mark_dead(steering, record)
+            exchange.abort()
+            return
     await exchange.respond_json(200, encode_poll_response(steering, value))
 
 
-async def wait_for_update(
-    steering: SteeringControl, disconnected: asyncio.Task, remaining_s: float
-) -> bool:
-    """Wait for a change or the timeout; return False if the entry VM closed its connection."""
-    waiters = [
-        asyncio.create_task(steering.list_changed.wait()),
-        asyncio.create_task(steering.control.catalogue_changed.wait()),
-    ]
-    try:
-        await asyncio.wait(
-            {*waiters, disconnected}, timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED
-        )
-    finally:
-        for task in waiters:
-            task.cancel()
-    return not disconnected.done()
+async def wait_for_update(steering: SteeringControl, poll: dict) -> None:
+    """Wait until there is something that an entry VM's poll doesn't state."""
+    while not has_update(steering, poll):
+        await steering.control.poll_changed.wait()
 
 
 def has_update(steering: SteeringControl, poll: dict) -> bool:
@@ -197,8 +177,14 @@
     return value
 
 
-def record_poll(steering: SteeringControl, record: EntryVm) -> None:
-    """Record that an entry VM polled, and publish a change of its state."""
+def record_poll(steering: SteeringControl, record: EntryVm, hold: timedelta) -> None:
+    """Record that an entry VM polled, and publish a change of its state.
+
+    Args:
+        steering: State of this control VM.
+        record: The record in the poll.
+        hold: For how long the poll may be held.
+    """
     now = steering.control.clock.monotonic()
     known = steering.vms.get(record.vm)
     is_unchanged = (
@@ -209,14 +195,14 @@
         and known.record.is_leaving == record.is_leaving
     )
     if is_unchanged:
-        known.last_poll_at = now
+        known.last_poll_at, known.hold = now, hold
         known.record.caller_rate = record.caller_rate
         return
     is_same_process = (
         known is not None and known.is_alive and known.record.incarnation == record.incarnation
     )
     alive_since = known.alive_since if is_same_process else now
-    steering.vms[record.vm] = ListedVm(record, now, alive_since)
+    steering.vms[record.vm] = ListedVm(record, now, hold, alive_since)
     log_vm_change(steering, record, True)
     steering.publish_list_change()
 
@@ -246,7 +232,7 @@
         await asyncio.sleep(WATCH_INTERVAL.total_seconds())
         now = steering.control.clock.monotonic()
         for item in steering.vms.values():
-            if item.is_alive and now - item.last_poll_at > POLL_TIMEOUT:
+            if item.is_alive and now - item.last_poll_at > item.hold + POLL_DELAY_LIMIT:
                 mark_dead(steering, item.record)
         update_fractions(steering.caller_spread, list_accepting(steering), WATCH_INTERVAL)
 
@@ -328,7 +314,7 @@
     lease = steering.settings.bounds.announcement_lease
     if not is_current(steering) or clock.monotonic() - steering.started_at < lease:
         return NotAccepted("this control VM may not know all entry VMs")
-    message = encode_leave(name, report.order if report else None)
+    message = encode_leave(name, report.departure_order if report else None)
     region = None
     if report is not None:
         region = steering.settings.regions.get(report.availability_zone)
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -25,8 +25,11 @@
 __all__ = ["TableDecoder", "notify_control_vms", "poll_control_vms"]
 
 POLL_PATH = "/v1/vm/poll"
-# Long-poll time: a control VM responds immediately after a change, or else after this time.
+# Long-poll time: a control VM responds immediately after a change, or else after this time. With
+# many control VMs it grows, so that a VM sends about five polls a second.
 POLL_HOLD = timedelta(milliseconds=900)
+POLL_HOLD_STEP = timedelta(milliseconds=200)
+MAX_POLL_HOLD = timedelta(seconds=2)
 # Longer than a round trip between regions that loses a packet.
 RESPONSE_TIMEOUT = timedelta(milliseconds=900)
 RETRY_INTERVAL = timedelta(milliseconds=250)
@@ -34,7 +37,7 @@
 # from another control VM.
 FETCH_TIMEOUT = timedelta(milliseconds=250)
 # A control VM that responded within this time may be the source of the catalogue.
-SOURCE_TTL = timedelta(seconds=2)
+SOURCE_TTL = timedelta(seconds=3)
 # An entry VM that no control VM has listed for this long is treated as dead.
 ALIVE_TTL = timedelta(seconds=2.5)
 # Random delay of the first poll of each control VM, so that responses don't arrive together.
@@ -77,13 +80,14 @@
     was_reachable = True
     while address in state.controls:
         control = state.controls[address]
+        hold = poll_hold(len(state.controls))
         try:
             response = await state.link.call(
                 address,
                 "POST",
                 POLL_PATH,
-                encode_poll(state, control, POLL_HOLD),
-                POLL_HOLD + RESPONSE_TIMEOUT,
+                encode_poll(state, control, hold),
+                hold + RESPONSE_TIMEOUT,
             )
         except LinkError as exc:
             if was_reachable:
@@ -101,6 +105,15 @@
             await asyncio.sleep(FETCH_TIMEOUT.total_seconds())
 
 
+def poll_hold(controls: int) -> timedelta:
+    """Return for how long a poll may be held.
+
+    Args:
+        controls: Number of control VMs, each of which is polled.
+    """
+    return min(max(POLL_HOLD, POLL_HOLD_STEP * controls), MAX_POLL_HOLD)
+
+
 async def notify_control_vms(state: SteeringState) -> None:
     """Notify all control VMs at once that the record of this VM has changed."""
 
