--- a/camphorspread/platform/run.py
+++ b/camphorspread/platform/run.py
@@ -14,6 +14,7 @@
 from camphorspread.platform.settings_file import SETTINGS_PATH_VARIABLE, decode_settings
 from camphorspread.process.clock import SystemClock
 from camphorspread.process.events import Event, EventLog, make_event_log
+from camphorspread.process.garbage_collection import reduce_collections
 from camphorspread.process.log_output import LogBudget, PipeOutput
 from camphorspread.process.steering_settings import (
     ControlVmSettings,
@@ -83,6 +84,7 @@
         settings, SystemClock(), TcpNetwork(), log, random.Random(), PlatformDialect()
     )
     node = await start_steering_node(state, decode_table, serve_readiness, serve_endpoint_call)
+    reduce_collections()
     await stopped.wait()
     await stop_gracefully(node)
 
@@ -109,6 +111,7 @@
         serve_resolve,
         started=started,
     )
+    reduce_collections()
     await stopped.wait()
     await node.stop()
     log.write(Event.PROCESS_STOPPED, role="control")
