Check once more before a send that the request may still be sent

Cause: a request was sent as soon as a connection was open, although its server had left meanwhile or its deadline had passed while the process was suspended; the time left that it stated was that of before the connection.

Change: send_request asks for the head when the connection is open; there the deadline, the lease or loan of the server and its presence are checked again, and the time left is that of this moment. A withheld request counts as not sent.

--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -4,10 +4,15 @@
 
 import attrs
 
-from camphorspread.connection.messages import ResponseHead
+from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
-from camphorspread.process.instances import remove_instance, suspend_instance
+from camphorspread.process.instances import (
+    Instance,
+    is_usable,
+    remove_instance,
+    suspend_instance,
+)
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.deadline import time_left
 from camphorspread.request.errors import Outcome
@@ -27,6 +32,7 @@
     ResponseLost,
     SendResult,
     StreamedReply,
+    Withheld,
     send_request,
 )
 
@@ -89,14 +95,17 @@
     """Send a request to a backend server; the slot has been released when this returns."""
     instance = place.instance
     started = state.clock.monotonic()
-    remaining = time_left(job.req.deadline, started)
-    head = state.dialect.encode_request(job.call, instance.name, remaining)
     was_sent = False
 
-    def on_sent() -> None:
+    def prepare() -> RequestHead | None:
         nonlocal was_sent
+        now = state.clock.monotonic()
+        if now >= job.req.deadline or not may_send_to(state, instance, now):
+            return None
         was_sent = True
         job.sends += 1
+        remaining = time_left(job.req.deadline, now)
+        return state.dialect.encode_request(job.call, instance.name, remaining)
 
     def is_answer(response: ResponseHead) -> bool:
         # A response that names no request may be a late copy of an earlier one. Taken for the
@@ -110,10 +119,9 @@
         result = await send_request(
             state.pool,
             instance.report.address,
-            head,
+            prepare,
             job.body,
             is_answer,
-            on_sent,
             needs_new_connection=not job.call.request_id,
         )
         outcome = classify_send(state, job, place, result, was_sent)
@@ -123,7 +131,9 @@
     finally:
         now = state.clock.monotonic()
         run_s = (now - started).total_seconds()
-        is_success = isinstance(result, Reply | StreamedReply) and not is_failure(result)
+        is_success = isinstance(result, Withheld) or (
+            isinstance(result, Reply | StreamedReply) and not is_failure(result)
+        )
         if result is None:
             # The caller disconnected or its deadline passed, which counts as a failure of the
             # server only if the run took far longer than expected.
@@ -139,6 +149,13 @@
         grant_freed_slots(state, instance)
 
 
+def may_send_to(state: SteeringState, instance: Instance, now: timedelta) -> bool:
+    """Return True if a backend server that was chosen earlier may still be sent a request."""
+    board = state.board
+    is_known = board.registry.instances.get(instance.name) is instance
+    return is_known and is_usable(instance, board.evacuated_zones, now)
+
+
 def is_failure(reply: Reply | StreamedReply) -> bool:
     """Return True if the response has a server error status."""
     return reply.head.status >= SERVER_ERROR
@@ -162,6 +179,8 @@
                 Event.CONNECT_FAILED, address=str(instance.report.address), cause=detail
             )
             return Rejected(f"not sent: {detail}", instance.name, False)
+        case Withheld():
+            return Rejected("the server may no longer be used", instance.name, False)
         case ResponseLost(detail=detail):
             return Failed(detail, instance.name)
         case Reply() | StreamedReply():
@@ -179,32 +198,41 @@
 ) -> AttemptResult:
     """Forward a request to another entry VM."""
     peer = place.peer
-    started = state.clock.monotonic()
-    remaining = time_left(job.req.deadline, started) - timedelta(seconds=peer.round_trip_s / 2)
+
+    def prepare() -> RequestHead | None:
+        now = state.clock.monotonic()
+        return None if now >= job.req.deadline else make_forward_head(job, peer, now)
+
+    may_have_run = job.may_have_run
+    job.may_have_run = True
+    result = await send_request(
+        state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
+    )
+    outcome = classify_forward(state, job, peer, result)
+    if isinstance(outcome, Rejected):
+        job.may_have_run = may_have_run
+    return outcome
+
+
+def make_forward_head(job: RoutedRequest, peer: EntryVm, now: timedelta) -> RequestHead:
+    """Return the head with which a request is forwarded to another entry VM."""
+    one_way = timedelta(seconds=peer.round_trip_s / 2)
+    remaining = time_left(job.req.deadline, now) - one_way
     forward = ForwardMetadata(
         job.req.service,
         job.req.route,
         job.req.object_key,
         job.req.rank,
         job.route.promised,
-        job.req.promised_at - started - timedelta(seconds=peer.round_trip_s / 2),
+        job.req.promised_at - now - one_way,
         max(remaining - RETURN_MARGIN, timedelta(milliseconds=1)),
         tuple(job.req.excluded),
         job.req.home_regions,
     )
     head = encode_forward(job.call.head, forward)
-    head = attrs.evolve(
+    return attrs.evolve(
         head, headers=tuple(item for item in head.headers if item[0] not in UNFORWARDED_HEADERS)
     )
-    may_have_run = job.may_have_run
-    job.may_have_run = True
-    result = await send_request(
-        state.peer_pool, peer.peers, head, job.body, lambda _response: True, lambda: None
-    )
-    outcome = classify_forward(state, job, peer, result)
-    if isinstance(outcome, Rejected):
-        job.may_have_run = may_have_run
-    return outcome
 
 
 UNFORWARDED_HEADERS = frozenset(
@@ -233,6 +261,8 @@
         case NotSent(detail=detail):
             suspend_peer(state, peer, detail)
             return Rejected(f"{peer.vm} is unreachable: {detail}", peer.vm, False)
+        case Withheld():
+            return Rejected("the deadline has passed", peer.vm, False)
         case ResponseLost(detail=detail):
             job.sends += 1
             suspend_peer(state, peer, detail)
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -24,6 +24,7 @@
     "ResponseLost",
     "SendResult",
     "StreamedReply",
+    "Withheld",
     "send_request",
 ]
 
@@ -85,6 +86,11 @@
     detail: str
 
 
+@attrs.frozen
+class Withheld:
+    """The request wasn't sent: it was no longer allowed once a connection was open."""
+
+
 @attrs.frozen
 class ResponseLost:
     """The request may have arrived, but no complete response was received."""
@@ -92,16 +98,15 @@
     detail: str
 
 
-SendResult = Reply | StreamedReply | NotSent | ResponseLost
+SendResult = Reply | StreamedReply | NotSent | Withheld | ResponseLost
 
 
 async def send_request(
     pool: ConnectionPool,
     address: Address,
-    head: RequestHead,
+    prepare: Callable[[], RequestHead | None],
     body: RequestBody,
     is_answer: Callable[[ResponseHead], bool],
-    on_sent: Callable[[], None],
     needs_new_connection: bool = False,
 ) -> SendResult:
     """Send a request and read the response.
@@ -111,14 +116,15 @@
     Args:
         pool: Connection pool.
         address: Address of the next hop.
-        head: Head of the request, without the headers that frame the body.
+        prepare: Called once, when a connection is open and before the first byte is sent. It
+            returns the head without the headers that frame the body, or None if the request may no
+            longer be sent. Opening a connection takes time, and the process may have been suspended
+            meanwhile.
         body: Body of the request.
         is_answer: Returns True if a response belongs to this request.
-        on_sent: Called once, before the first byte is sent.
         needs_new_connection: True if the response can only be recognised on a connection that has
             carried no other request.
     """
-    full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
     conn: ClientConnection | None = None
     is_complete = False
     try:
@@ -126,7 +132,12 @@
             conn = await acquire_clean(pool, address, needs_new_connection)
         except (OSError, TimeoutError) as exc:
             return NotSent(str(exc) or "connection timed out")
-        on_sent()
+        head = prepare()
+        if head is None:
+            pool.release_unused(conn)
+            conn = None
+            return Withheld()
+        full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
         try:
             result = await exchange(pool, conn, full_head, body, is_answer)
         except RequestNotSentError as exc:
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -111,6 +111,21 @@
     Then its call is acknowledged
     And none of 12 "read" requests of "sofia-a" runs at this endpoint
 
+  @fixture.platform_fleet
+  Scenario: An endpoint that leaves while connections to it are being opened gets no request
+    Given connections to "status-sofia-a" take 0.3 s to open
+    When it says that it is draining 0.1 s after a client of "sofia-a" sent 12 "read" requests
+    Then all of them get 200
+    And none of them ran at "status-sofia-a"
+
+  @fixture.platform_fleet
+  Scenario: An entry VM that is suspended past a deadline doesn't send the request afterwards
+    Given connections to "status-sofia-a" take 0.3 s to open
+    And no other "status" endpoint accepts connections
+    When the entry VM of "sofia-a" is suspended for 5 s, 0.1 s after a client sent a "read" request
+    Then the client gets 503
+    And none of them ran at "status-sofia-a"
+
   @fixture.platform_fleet
   Scenario: A departure that a control VM receives takes effect at the owner
     When the endpoint "status-sofia-a" departs through the control VM of "varna-a"
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import json
+from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 from behave import step as any_step
 
@@ -255,6 +257,80 @@
     context.departed = name
 
 
+@given('connections to "{name}" take {seconds:g} s to open')
+def step_slow_connections(context, name, seconds):
+    context.named = name
+    network = context.fleet.network
+    usual, host = network.delay, context.fleet.endpoints[name].address.host
+    network.delay = lambda source, target: seconds / 2 if target == host else usual(source, target)
+
+
+@given('no other "{service}" endpoint accepts connections')
+def step_close_others(context, service):
+    for name, endpoint in context.fleet.endpoints.items():
+        if endpoint.service == service and name != context.named:
+            context.fleet.run_coroutine(endpoint.stop())
+    context.fleet.run(8)
+
+
+async def act_after(seconds, act):
+    """Call an asynchronous function after a time."""
+    await asyncio.sleep(seconds)
+    await act()
+
+
+@when(
+    "it says that it is draining {seconds:g} s after a client of "
+    '"{zone}" sent {count:d} "{kind}" requests'
+)
+def step_drain_meanwhile(context, seconds, zone, count, kind):
+    endpoint = context.fleet.endpoints[context.named]
+
+    async def drain():
+        endpoint.state = "draining"
+        context.acknowledged = await endpoint.send_heartbeat()
+
+    context.fleet.loop.create_task(act_after(seconds, drain))
+    context.answers = send(context, zone, kind, count)
+    assert context.acknowledged
+
+
+@attrs.frozen
+class SuspendedClock:
+    """The clock of a process that was suspended for a time."""
+
+    clock: object
+    suspended: timedelta
+
+    def monotonic(self):
+        """Return the time, including the time of the suspension."""
+        return self.clock.monotonic() + self.suspended
+
+
+@when(
+    'the entry VM of "{zone}" is suspended for {duration:g} s, {seconds:g} s after a client sent '
+    'a "{kind}" request'
+)
+def step_suspend(context, zone, duration, seconds, kind):
+    state = context.fleet.entries[f"front-{zone}-2"].state
+
+    async def suspend():
+        state.clock = SuspendedClock(state.clock, timedelta(seconds=duration))
+
+    context.fleet.loop.create_task(act_after(seconds, suspend))
+    context.answers = send(context, zone, kind, 1)
+
+
+@then("the client gets {status:d}")
+def step_client_status(context, status):
+    assert [answer[0] for answer in context.answers] == [status], context.answers
+
+
+@then('none of them ran at "{name}"')
+def step_none_ran(context, name):
+    assert not context.new_runs[name], context.new_runs
+
+
 @when('the endpoint "{name}" departs through the control VM of "{zone}"')
 def step_depart(context, name, zone):
     endpoint = context.fleet.endpoints[name]
