Survive malformed messages and errors in background tasks

Cause: seeded random changes of messages raised errors that callers don't expect: OverflowError for infinite or huge numbers (settings, forwarded announcements and requests, records of VMs, polls), RecursionError for nested log entries, TypeError and KeyError for a poll response whose lists, addresses or catalogue have another form, which ended the poll. An address with a host name was looked up on another thread, and one with a port out of range raised OverflowError at each send. A periodic task that failed ended unnoticed.

--- a/camphorspread/connection/network.py
+++ b/camphorspread/connection/network.py
@@ -1,6 +1,7 @@
 """Byte streams between processes: the interface and its TCP implementation."""
 
 import asyncio
+import ipaddress
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -8,11 +9,20 @@
 
 import attrs
 
-__all__ = ["Address", "Listener", "Network", "Stream", "StreamHandler", "TcpNetwork"]
+__all__ = [
+    "Address",
+    "Listener",
+    "Network",
+    "Stream",
+    "StreamHandler",
+    "TcpNetwork",
+    "make_ip_address",
+]
 
 # Receive buffer, parser and send buffer together hold at most 64 KiB per relayed direction.
 READ_BYTES = 16384
 WRITE_BYTES = 16384
+MAX_PORT = 65535
 
 
 @attrs.frozen(order=True)
@@ -27,6 +37,20 @@
         return f"{self.host}:{self.port}"
 
 
+def make_ip_address(host: str, port: int) -> Address:
+    """Return an address that can be connected to.
+
+    A host name would be looked up, which blocks the event loop or needs another thread.
+
+    Raises:
+        ValueError: The host isn't an IP address, or the port is out of range.
+    """
+    ipaddress.ip_address(host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"{port} isn't a port")
+    return Address(host, port)
+
+
 class Stream(Protocol):
     """One byte stream in both directions.
 
--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -6,7 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from camphorspread.connection.network import Address
+from camphorspread.connection.network import Address, make_ip_address
 from camphorspread.process.settings import PlaceSettings
 from camphorspread.process.steering_settings import (
     ControlVmSettings,
@@ -29,15 +29,15 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse `host:port`.
+    """Parse an IP address and a port, `host:port`.
 
     Raises:
-        ValueError: The text isn't `host:port`.
+        ValueError: The text isn't an IP address and a port.
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not host:
+    if not separator:
         raise ValueError(f"{text!r} isn't host:port")
-    return Address(host, int(port))
+    return make_ip_address(host, int(port))
 
 
 @attrs.define
@@ -61,7 +61,7 @@
             return default
         try:
             return convert(text)
-        except ValueError:
+        except (ValueError, OverflowError):
             self.faults.append(f"{name} is {text!r}; allowed: {allowed}")
             return default
 
--- a/camphorspread/process/announcement_codec.py
+++ b/camphorspread/process/announcement_codec.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from camphorspread.connection.network import Address
+from camphorspread.connection.network import make_ip_address
 from camphorspread.process.instances import InstanceReport
 
 __all__ = ["decode_leave", "decode_report", "encode_leave", "encode_report"]
@@ -36,7 +36,7 @@
         return InstanceReport(
             str(value["instance"]),
             str(value["service"]),
-            Address(str(value["host"]), int(value["port"])),
+            make_ip_address(str(value["host"]), int(value["port"])),
             str(value["availability_zone"]),
             int(value["slots"]),
             bool(value["is_leaving"]),
@@ -44,7 +44,7 @@
             int(value["started_ms"]),
             int(value["sequence"]),
         )
-    except (KeyError, TypeError) as exc:
+    except (KeyError, TypeError, OverflowError) as exc:
         raise ValueError(f"the announcement is malformed: {exc}") from exc
 
 
--- a/camphorspread/process/entry_node.py
+++ b/camphorspread/process/entry_node.py
@@ -22,6 +22,7 @@
 from camphorspread.process.peer_listener import handle_peer
 from camphorspread.process.share_renewal import renew_periodically
 from camphorspread.process.shift_shell import run_shifts
+from camphorspread.process.supervision import start_supervised
 from camphorspread.request.admission_driver import grant_free_slots
 from camphorspread.request.errors import Refusal
 
@@ -85,12 +86,12 @@
     watch = DrainWatch(state, (callers, peers), asyncio.get_running_loop().create_future())
     tasks = (
         asyncio.create_task(watch_drain(watch)),
-        asyncio.create_task(poll_catalogue(state)),
-        asyncio.create_task(watch_lease(state)),
-        asyncio.create_task(run_membership(state)),
-        asyncio.create_task(renew_periodically(state)),
-        asyncio.create_task(expire_periodically(state)),
-        asyncio.create_task(run_shifts(state)),
+        start_supervised(lambda: poll_catalogue(state), "catalogue_poll", state.log),
+        start_supervised(lambda: watch_lease(state), "lease_watch", state.log),
+        start_supervised(lambda: run_membership(state), "membership", state.log),
+        start_supervised(lambda: renew_periodically(state), "share_renewal", state.log),
+        start_supervised(lambda: expire_periodically(state), "expiry", state.log),
+        start_supervised(lambda: run_shifts(state), "shifts", state.log),
     )
     on_signal(lambda: handle_sigterm(watch))
     state.log.write(Event.PROCESS_STARTED, role="entry")
--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -25,6 +25,7 @@
     DRAIN_REMAINDER = 106
     STOPPED_AT_ONCE = 107
     LINES_LEFT_OUT = 108
+    TASK_FAILED = 109
     REQUEST_REFUSED = 200
     REQUEST_SERVED = 201
     REQUEST_RETRIED = 202
@@ -99,7 +100,7 @@
         Event.ORDER_UNANSWERED,
     }
 )
-ERRORS = frozenset({Event.HANDLER_FAILED})
+ERRORS = frozenset({Event.HANDLER_FAILED, Event.TASK_FAILED})
 
 
 def find_level(event: Event) -> str:
--- a/camphorspread/process/group_shell.py
+++ b/camphorspread/process/group_shell.py
@@ -94,18 +94,23 @@
         return  # The request is repeated; loss of the quorum is logged separately.
     match response.value:
         case {"members": list(members)}:
-            group.known = {decode_address(item) for item in members}
+            group.known = {
+                address for item in members if (address := decode_address(item)) is not None
+            }
 
 
 async def serve_join(group: GroupShell, exchange: Exchange) -> None:
     """Record the join request of a control VM and respond with the members."""
     match await exchange.read_json():
         case {"vm": str(vm), "identity": str(identity), "peers": peers, "operators": operators}:
-            member = Member(vm, identity, decode_address(peers), decode_address(operators), False)
+            peers, operators = decode_address(peers), decode_address(operators)
         case _:
-            message = "a join request needs vm, identity, peers and operators"
-            await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
-            return
+            peers = operators = None
+    if peers is None or operators is None:
+        message = "a join request needs vm, identity, peers and operators"
+        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
+        return
+    member = Member(vm, identity, peers, operators, False)
     now = group.control.clock.monotonic()
     group.join_requests[member.member_id] = JoinRequest(member, now)
     members = [encode_address(item.peers) for item in group.shell.state.members]
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -116,11 +116,11 @@
     """Answer an entry VM's poll once there is an update, or after the hold time."""
     value = await exchange.read_json()
     record = decode_vm(value)
-    if record is None or type(value.get("version")) is not int:
-        message = "a poll needs the record of an entry VM and its catalogue version"
+    hold = decode_hold(value)
+    if record is None or hold is None or type(value.get("version")) is not int:
+        message = "a poll needs the record of an entry VM, its catalogue version and a hold time"
         await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
         return
-    hold = min(timedelta(milliseconds=int(value.get("hold_ms", 0))), LONG_POLL_LIMIT)
     record_poll(steering, record, hold)
     if hold and not has_update(steering, value):
         waiting = wait_for_update(steering, value)
@@ -131,6 +131,18 @@
     await exchange.respond_json(200, encode_poll_response(steering, value))
 
 
+def decode_hold(poll: object) -> timedelta | None:
+    """Return for how long a poll may be held; None if the poll is malformed."""
+    match poll:
+        case {"hold_ms": int(hold_ms)}:
+            longest_ms = LONG_POLL_LIMIT // timedelta(milliseconds=1)
+            return timedelta(milliseconds=min(max(hold_ms, 0), longest_ms))
+        case dict():
+            return timedelta(0)
+        case _:
+            return None
+
+
 async def wait_for_update(steering: SteeringControl, poll: dict) -> None:
     """Wait until there is something that an entry VM's poll doesn't state."""
     while not has_update(steering, poll):
--- a/camphorspread/process/steering_control_node.py
+++ b/camphorspread/process/steering_control_node.py
@@ -30,6 +30,7 @@
     ControlVmSettings,
     SteeringSettings,
 )
+from camphorspread.process.supervision import start_supervised
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.log_file import FileOperations, LogCorruptedError
 from camphorspread.version.replica_storage import discard_folder, read_founders, store_founders
@@ -125,9 +126,9 @@
     if role.lookups is not None:
         listeners.append(await network.listen(role.lookups, lookups.serve))
     tasks = (
-        asyncio.create_task(watch_vms(steering)),
-        asyncio.create_task(run_upkeep(group)),
-        asyncio.create_task(restore_storage(steering, group)),
+        start_supervised(lambda: watch_vms(steering), "vm_watch", log),
+        start_supervised(lambda: run_upkeep(group), "group_upkeep", log),
+        start_supervised(lambda: restore_storage(steering, group), "storage_restore", log),
     )
     log.write(Event.PROCESS_STARTED, role="control")
     servers = (peers, operators, lookups, metrics)
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -23,6 +23,7 @@
 from camphorspread.process.metrics import METRICS_TYPE
 from camphorspread.process.steering_metrics import format_steering_metrics
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.process.supervision import start_supervised
 from camphorspread.process.vm_poll import TableDecoder, notify_control_vms, poll_control_vms
 from camphorspread.process.vm_summary import SUMMARY_PATH, exchange_summaries, serve_summary
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -98,11 +99,12 @@
         await network.listen(settings.peers, peers.serve),
         await network.listen(settings.metrics, metrics.serve),
     )
+    log = state.log
     tasks = (
-        asyncio.create_task(poll_control_vms(state, decode_table)),
-        asyncio.create_task(exchange_summaries(state)),
-        asyncio.create_task(review_periodically(state)),
-        asyncio.create_task(watch_state(state, callers)),
+        start_supervised(lambda: poll_control_vms(state, decode_table), "polls", log),
+        start_supervised(lambda: exchange_summaries(state), "summaries", log),
+        start_supervised(lambda: review_periodically(state), "queue_review", log),
+        start_supervised(lambda: watch_state(state, callers), "state_watch", log),
     )
     state.log.write(Event.PROCESS_STARTED, role="entry")
     return SteeringNode(state, listeners, (callers, probes, peers, metrics), tasks)
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -8,8 +8,9 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
@@ -17,9 +18,9 @@
 from camphorspread.process.events import Event
 from camphorspread.process.instances import mark_zone_cold
 from camphorspread.process.steering_state import RATE_WINDOW, ControlVm, SteeringState
+from camphorspread.process.supervision import start_supervised
 from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_vm
 from camphorspread.request.window import count_recent
-from camphorspread.version.catalogue import RoutingDocument
 from camphorspread.version.routing import RouteTable
 
 __all__ = ["TableDecoder", "notify_control_vms", "poll_control_vms"]
@@ -64,8 +65,8 @@
             for address in list(state.controls):
                 task = polls.get(address)
                 if task is None or task.done():
-                    poll = poll_control_vm(state, address, decode_table)
-                    polls[address] = asyncio.create_task(poll)
+                    poll = partial(poll_control_vm, state, address, decode_table)
+                    polls[address] = start_supervised(poll, f"poll of {address}", state.log)
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
     finally:
         for task in polls.values():
@@ -178,15 +179,16 @@
 def apply_poll_response(
     state: SteeringState, control: ControlVm, value: object, decode_table: TableDecoder
 ) -> None:
-    """Apply the response of a control VM to a poll."""
+    """Apply the response of a control VM to a poll; malformed parts are ignored."""
     if not isinstance(value, dict):
         return
     now = state.clock.monotonic()
     control.last_response_at = now
-    if isinstance(value.get("vms"), list):
-        control.fleet_list_version = str(value.get("fleet", ""))
-        control.listed_vms = frozenset(apply_vm_list(state, value["vms"], now))
-        apply_control_list(state, value.get("controls", []))
+    match value:
+        case {"vms": list(vms), "controls": list(controls)}:
+            control.fleet_list_version = str(value.get("fleet", ""))
+            control.listed_vms = frozenset(apply_vm_list(state, vms, now))
+            apply_control_list(state, controls)
     for name in control.listed_vms:
         peer = state.board.peers.get(name)
         if peer is not None:
@@ -196,9 +198,11 @@
     announced = value.get("version")
     if type(announced) is int and announced > state.announced_version:
         state.announced_version, state.announced_at = announced, now
-    catalogue = value.get("catalogue")
-    if isinstance(catalogue, dict) and catalogue["version"] > state.catalogue_version:
-        apply_catalogue(state, catalogue, decode_table)
+    match value.get("catalogue"):
+        case {"version": int(version), "routing": routing, "evacuated": list(zones)} if (
+            version > state.catalogue_version and all(isinstance(zone, str) for zone in zones)
+        ):
+            apply_catalogue(state, version, routing, frozenset(zones), decode_table)
 
 
 def apply_vm_list(state: SteeringState, values: list, now: timedelta) -> list[str]:
@@ -232,7 +236,7 @@
 
 def apply_control_list(state: SteeringState, values: list) -> None:
     """Poll the control VMs that are members of the group, and no others."""
-    listed = {decode_address(value) for value in values}
+    listed = {address for value in values if (address := decode_address(value)) is not None}
     for address in listed:
         if address not in state.controls:
             state.controls[address] = ControlVm(address)
@@ -247,20 +251,42 @@
             del state.controls[address]
 
 
-def apply_catalogue(state: SteeringState, value: dict, decode_table: TableDecoder) -> None:
-    """Apply a newer catalogue; the version never decreases within this process."""
-    routing = value["routing"]
+def apply_catalogue(
+    state: SteeringState,
+    version: int,
+    routing: object,
+    evacuated: frozenset[str],
+    decode_table: TableDecoder,
+) -> None:
+    """Apply a newer catalogue; the version never decreases within this process.
+
+    Args:
+        state: State of the entry VM.
+        version: Version of the catalogue.
+        routing: JSON form of the routing document; None before the first one.
+        evacuated: Evacuated availability zones.
+        decode_table: Decodes the text of the routing document.
+    """
     table: RouteTable | None = state.table
-    if routing is not None:
-        document = RoutingDocument(routing["revision"], routing["text"])
-        if table is None or document.revision > table.revision:
-            table = decode_table(document.text).unwrap()
-    evacuated = frozenset(value["evacuated"])
+    match routing:
+        case {"revision": int(revision), "text": str(text)}:
+            if table is None or revision > table.revision:
+                match decode_table(text):
+                    case Success(decoded):
+                        table = decoded
+                    case Failure(fault):
+                        state.log.write(Event.DOCUMENT_REFUSED, cause=fault)
+                        return
+        case None:
+            pass
+        case _:
+            state.log.write(Event.DOCUMENT_REFUSED, cause="the routing document is malformed")
+            return
     for zone in state.board.evacuated_zones - evacuated:
         # Its backend servers may have become cold meanwhile without having reported it yet.
         mark_zone_cold(state.board.registry, zone)
     state.board.evacuated_zones = evacuated
-    state.catalogue_version = value["version"]
+    state.catalogue_version = version
     if table is not None:
         state.table = table
         bounds = state.settings.bounds
--- a/camphorspread/request/peer_forward_codec.py
+++ b/camphorspread/request/peer_forward_codec.py
@@ -111,7 +111,7 @@
             tuple(fields["excluded"]),
             tuple(fields["homes"]),
         )
-    except (KeyError, TypeError, RecursionError) as exc:
+    except (KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise ValueError(f"{FORWARD_HEADER.decode()} is malformed: {exc}") from exc
 
 
@@ -147,7 +147,7 @@
             int(fields["free"]),
             None if return_ms is None else return_ms * MILLISECOND,
         )
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError, RecursionError):
         return None
 
 
--- a/camphorspread/version/replica_codec.py
+++ b/camphorspread/version/replica_codec.py
@@ -63,7 +63,10 @@
 
 def decode_versioned(data: bytes, kind: type) -> object:
     """Decode JSON text that states the format version."""
-    value = json.loads(data)
+    try:
+        value = json.loads(data)
+    except RecursionError as exc:
+        raise ValueError("the text is nested too deeply") from exc
     if isinstance(value, dict):
         check_format(value.get("format"))
     return structure(value, kind)
--- /dev/null
+++ b/features/platform/malformed.feature
@@ -0,0 +1,51 @@
+Feature: Malformed messages
+  Guards against a message that ends a background task or a whole process, because its decoder
+  raises an error that its caller doesn't expect. FUZZ_CASES sets the number of messages of each
+  kind.
+
+  Scenario Outline: A decoder reports a malformed message in the way that its caller expects
+    Given random changes of a valid <message>, from seed <seed>
+    Then decoding each of them succeeds or <outcome>
+
+    Examples:
+      | message                    | seed | outcome                       |
+      | heartbeat                  | 1    | raises InvalidHeartbeatError  |
+      | departure                  | 2    | finds no report               |
+      | configuration              | 3    | returns a failure             |
+      | settings file              | 4    | returns a failure             |
+      | client's request           | 5    | returns a failure             |
+      | endpoint's response        | 6    | ignores it                    |
+      | forwarded announcement     | 7    | raises ValueError             |
+      | forwarded departure        | 8    | raises ValueError             |
+      | forwarded request          | 9    | raises ValueError             |
+      | response to a forward      | 10   | finds no result               |
+      | record of an entry VM      | 11   | finds no record               |
+      | message between replicas   | 13   | raises ValueError             |
+      | entry of the log           | 14   | raises ValueError             |
+      | log file                   | 15   | raises LogCorruptedError      |
+
+  @fixture.platform_fleet
+  Scenario Outline: A process answers malformed messages and goes on
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When <count> random changes of a <message> are sent to <receiver>, from seed <seed>
+    Then each of them gets a response or a closed connection
+    And no handler and no background task failed
+    And a client of "sofia-a" gets 200 for 12 "read" requests
+
+    Examples:
+      | message                | receiver                     | count | seed |
+      | poll                   | the control VM of "sofia-a"  | 60    | 21   |
+      | join request           | the control VM of "sofia-a"  | 60    | 22   |
+      | summary                | the entry VM of "sofia-a"    | 60    | 23   |
+      | forwarded announcement | the entry VM of "sofia-a"    | 60    | 24   |
+      | forwarded departure    | the entry VM of "sofia-a"    | 60    | 25   |
+      | heartbeat              | the entry VM of "sofia-a"    | 60    | 26   |
+
+  @fixture.platform_fleet
+  Scenario: An entry VM ignores malformed responses to its polls
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When 200 random changes of a response to a poll arrive at the entry VM of "sofia-a", from seed 31
+    Then no handler and no background task failed
+    And a client of "sofia-a" gets 200 for 12 "read" requests
