Reject late announcements of a departed server also where its start isn't known

Cause: a Deregister call has no body. At a VM that didn't know the server, the departure left a mark for start 0, which rejects nothing, and so it did at the VMs that were told without its start; a heartbeat that arrived seconds late added the server again.

Change: the owner passes the start that it knows; where no start is known, all announcements are rejected for 10 s.

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -135,7 +135,9 @@
     Another VM may have owned it until shortly before and may not know yet that it no longer does.
     """
     known: Instance | None = state.board.registry.instances.get(name)
-    order = report.departure_order if report else None
+    last_report = report or (known.report if known else None)
+    # The other VMs need the start of the server to reject its late announcements.
+    order = last_report.departure_order if last_report else None
     if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
         log_left(state, name)
     now = state.clock.monotonic()
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -29,6 +29,9 @@
 
 # Late announcements of a backend server that has left are rejected for this long.
 TOMBSTONE_TTL = timedelta(seconds=60)
+# The departure of a server whose start isn't known here rejects all of its announcements for this
+# long, also those of its next start. Announcements arrive some seconds late at most.
+UNKNOWN_START_TTL = timedelta(seconds=10)
 # After this time most of the reported runs have ended, so a load report is no longer used.
 LOAD_TTL = timedelta(milliseconds=300)
 # Consecutive runs that must all be slow before a server counts as slow.
@@ -265,19 +268,23 @@
         registry: Known backend servers.
         name: Identifier of the backend server.
         now: The present instant.
-        order: Order of its departure; None rejects all announcements of its present start.
+        order: Order of its departure; None rejects all announcements of its present start, or of
+            any start for a short time if it isn't known.
 
     Returns:
         True if it was known.
     """
     known = registry.instances.get(name)
-    if order is None:
-        started = known.report.started_ms if known else 0
-        order = (started, LAST_SEQUENCE)
     previous = registry.tombstones.get(name)
-    if previous is not None:
-        order = max(order, previous.order)
-    registry.tombstones[name] = Tombstone(order, now + TOMBSTONE_TTL)
+    if order is None and known is not None:
+        order = known.report.departure_order
+    if order is not None:
+        if previous is not None:
+            order = max(order, previous.order)
+        registry.tombstones[name] = Tombstone(order, now + TOMBSTONE_TTL)
+    elif previous is None:
+        order = (LAST_SEQUENCE, LAST_SEQUENCE)
+        registry.tombstones[name] = Tombstone(order, now + UNKNOWN_START_TTL)
     drop_instance(registry, name)
     return known is not None
 
--- a/features/process/instances.feature
+++ b/features/process/instances.feature
@@ -33,6 +33,15 @@
     Then the announcement i-1 10:1 100 99 ready is outdated
     And the announcement i-1 10:1 101 1 ready is added
 
+  Scenario: The departure of a server that isn't known here overrides late announcements for a while
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    When "i-9" departs
+    Then the announcement i-9 10:9 100 4 ready is outdated
+    And the announcement i-9 10:9 500 1 ready is outdated
+    And 10 s later the announcement i-9 10:9 500 2 ready is added
+
   Scenario: A backend server is used only during the lease of its announcement
     Given an entry VM that knows these announcements
       | instance | address | started | sequence | state |
--- a/features/steps/instances_steps.py
+++ b/features/steps/instances_steps.py
@@ -9,6 +9,7 @@
     InstanceRegistry,
     InstanceReport,
     apply_report,
+    expire_instances,
     is_usable,
     mark_zone_cold,
     remove_instance,
@@ -61,6 +62,14 @@
     assert result.value == outcome, result
 
 
+@then("{seconds:d} s later the announcement {text} is {outcome}")
+def step_outcome_later(context, seconds, text, outcome):
+    now = NOW + timedelta(seconds=seconds)
+    expire_instances(context.registry, now)
+    result = apply_report(context.registry, make_report(*text.split()), now)
+    assert result.value == outcome, result
+
+
 @when('"{name}" departs')
 def step_depart(context, name):
     remove_instance(context.registry, name, NOW)
