Count the other VMs of a region when a request waits for a shared server

Cause: since servers are lent, each VM of a region sends to all of its servers, but counted only its own queue against all their slots. With 26 VMs in a region the expected wait was up to 26 times too short, and a server whose 6 slots and queue the others had filled looked free. (A slot that became free was also given to a request that could no longer end in time.)

Change: where at least 6 VMs share the servers, their queues and their requests at each server are assumed to be like this VM's; requests that then leave the region, or are refused, do so at once. A request isn't started where it is expected to be cut. VMs of a large region state no loads to each other.

--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -55,11 +55,13 @@
     (`tag`) and the version of the other VM's list that this VM holds (`held`).
     """
     is_same_region = peer is not None and peer.region == state.board.region
-    loads = (
-        measure_owned_loads(state.board, state.waiting, now)
-        if is_same_region
-        else measure_loads(state.board, state.waiting, state.region_loads, now)
-    )
+    if not is_same_region:
+        loads = measure_loads(state.board, state.waiting, state.region_loads, now)
+    elif state.board.is_large_region:
+        # All its warm servers are lent, and forwarding to cold ones isn't possible.
+        loads = {}
+    else:
+        loads = measure_owned_loads(state.board, state.waiting, now)
     value = {
         "vm": state.settings.place.vm,
         "loads": {
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -28,6 +28,7 @@
     QueuedPlacement,
     RunTimes,
     ServiceTotals,
+    count_unseen_vms,
     find_region,
     find_run_times,
     usable_instances,
@@ -156,6 +157,7 @@
     now: timedelta,
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
+    hidden_wait_s = estimate_hidden_wait_s(board, times, totals)
     for rank, item in enumerate(list_candidates(board, req, now)):
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
@@ -179,7 +181,19 @@
             if not is_warm:
                 # A cold run occupies its slot for longer, which matters once slots are scarce.
                 cost_s += (times.cold_s - times.warm_s) * totals.busy_fraction**2
-        yield start_or_wait(board, item, times, totals, cost_s, run_s, is_warm, now)
+        yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
+
+
+def estimate_hidden_wait_s(board: PlacementBoard, times: RunTimes, totals: ServiceTotals) -> float:
+    """Return the expected wait in the queue of a server that seems to have a free slot, in seconds.
+
+    The requests of VMs whose load isn't known are assumed to be as many as those of this VM.
+    """
+    unseen = count_unseen_vms(board)
+    if not unseen:
+        return 0.0
+    load = totals.own_requests * (1 + unseen) / max(totals.slots, 1)
+    return max(load - 1.0, 0.0) * times.mean_s
 
 
 def estimate_run_s(req: PlacementRequest, times: RunTimes, is_warm: bool, rank: int) -> float:
@@ -218,11 +232,26 @@
         return LocalPlacement(
             item, cost_s + UTILISATION_COST_S * in_use / item.report.slots, is_warm
         )
-    wait_here_s = (board.queued_per_server.get(item.name, 0) + 1) * times.mean_s / item.report.slots
-    # A freed slot may go to a request that waits for another server, so the whole queue counts.
+    return QueuedPlacement(item, cost_s + estimate_wait_s(board, item, times, totals), run_s)
+
+
+def estimate_wait_s(
+    board: PlacementBoard, item: Instance, times: RunTimes, totals: ServiceTotals
+) -> float:
+    """Return the expected wait for a slot of a server, in seconds.
+
+    All VMs of the region wait for the same slots. Where there are many, their queues are assumed to
+    be as long as the one of this VM.
+    """
+    slots = max(totals.slots, item.report.slots)
     waiting = board.queued_per_service.get(item.report.service, 0)
-    wait_any_s = (waiting + 1) * times.mean_s / max(totals.slots, item.report.slots)
-    return QueuedPlacement(item, cost_s + max(wait_here_s, wait_any_s), run_s)
+    waiting_elsewhere = waiting * count_unseen_vms(board)
+    waiting_here = board.queued_per_server.get(item.name, 0)
+    waiting_here += waiting_elsewhere * item.report.slots / slots
+    # A freed slot may go to a request that waits for another server, so the whole queue counts.
+    here_s = (waiting_here + 1) * times.mean_s / item.report.slots
+    any_s = (waiting + waiting_elsewhere + 1) * times.mean_s / slots
+    return max(here_s, any_s)
 
 
 def list_candidates(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> list[Instance]:
@@ -254,6 +283,7 @@
     req: PlacementRequest,
     instance: Instance,
     awaited_name: str,
+    now: timedelta,
 ) -> LocalPlacement | None:
     """Return a start at a server with a freed slot if a queued request should use it, or None.
 
@@ -264,11 +294,16 @@
         req: The queued request.
         instance: The server with the freed slot.
         awaited_name: Name of the server that the request waits for.
+        now: Current monotonic time.
     """
     if not may_run_at(board, req, instance):
         return None
     times = board.run_times[(req.service, req.route)]
     is_warm = req.object_key in instance.warm_objects
+    run_s = times.warm_s if is_warm else times.cold_s
+    if times.is_measured and now + timedelta(seconds=run_s) > req.deadline:
+        # It would be cut, and would use the slot in vain.
+        return None
     if is_warm or not req.object_key or instance.name == awaited_name:
         return LocalPlacement(instance, times.warm_s if is_warm else times.cold_s, is_warm)
     awaited = board.registry.instances.get(awaited_name)
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -19,6 +19,7 @@
     "QueuedPlacement",
     "RunTimes",
     "ServiceTotals",
+    "count_unseen_vms",
     "find_region",
     "find_run_times",
     "usable_instances",
@@ -31,6 +32,9 @@
 MIN_MEASURED_RUNS = 5
 # Initial estimate of the objects that a server keeps warm; it is adjusted from measured runs.
 INITIAL_REMEMBERED = 64
+# From this number of VMs on that share the servers of a region, each VM seldom gets a response, and
+# with it the present load, from a single server.
+MANY_SHARERS = 6
 
 
 @attrs.define(eq=False)
@@ -109,6 +113,7 @@
     Attributes:
         slots: Number of slots.
         busy_fraction: Fraction of the slots in use.
+        own_requests: Requests of this VM in flight.
         lowest_failure_rate: Lowest failure rate among the servers.
         lenders: VMs that lend some of them.
         valid_until: When they are to be computed again.
@@ -117,6 +122,7 @@
 
     slots: int
     busy_fraction: float
+    own_requests: int
     lowest_failure_rate: float
     lenders: frozenset[str]
     valid_until: timedelta
@@ -207,6 +213,15 @@
     """No backend server is known that may run the request."""
 
 
+def count_unseen_vms(board: PlacementBoard) -> int:
+    """Return the number of VMs that send to the same servers and whose load isn't known.
+
+    Callers are spread over all VMs of a region, so that this VM's own load is an estimate of
+    theirs.
+    """
+    return board.sharers - 1 if board.sharers >= MANY_SHARERS else 0
+
+
 def find_region(board: PlacementBoard, place: "Placement") -> str:
     """Return the region in which a request with this placement runs, empty for none."""
     match place:
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -21,6 +21,7 @@
     PlacementRequest,
     QueuedPlacement,
     RunTimes,
+    count_unseen_vms,
     find_run_times,
 )
 from camphorspread.request.service_totals import find_totals
@@ -185,7 +186,7 @@
     board: PlacementBoard, queue: PlacementQueue, waiter: Waiter, now: timedelta
 ) -> bool:
     """Return True if the limit on queued late requests allows one more."""
-    slots = find_totals(board, waiter.req.service, now).slots
+    slots = find_totals(board, waiter.req.service, now).slots / (1 + count_unseen_vms(board))
     others = queue.by_service.get(waiter.req.service, {})
     late = sum(1 for other in others.values() if other is not waiter and other.is_late)
     return late < max(slots * LATE_FRACTION, 1)
@@ -223,7 +224,7 @@
     if not waiters or not can_start_run(board, instance, now):
         return None
     for waiter in sort_by_priority(board, waiters.values(), now):
-        place = match_freed_slot(board, waiter.req, instance, waiter.instance)
+        place = match_freed_slot(board, waiter.req, instance, waiter.instance, now)
         if place is not None:
             remove_waiter(board, queue, waiter)
             return Granted(waiter.ticket, place)
@@ -266,6 +267,6 @@
     times = board.run_times.get((req.service, req.route))
     if not slots or times is None:
         return NO_SERVER_RETRY_DELAY
-    backlog = queue.count(req.service) + slots / 2
+    backlog = queue.count(req.service) * (1 + count_unseen_vms(board)) + slots / 2
     expected = timedelta(seconds=backlog * times.warm_s / slots)
     return min(max(expected, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
--- a/camphorspread/request/service_totals.py
+++ b/camphorspread/request/service_totals.py
@@ -27,17 +27,19 @@
 
 def add_up_totals(board: PlacementBoard, service: str, now: timedelta) -> ServiceTotals:
     """Compute the totals over the usable servers of a service in a single pass."""
-    slots = used = 0
+    slots = used = own = 0
     lowest_failure_rate = 1.0
     lenders = set()
     for item in usable_instances(board, service, now):
         slots += item.report.slots
         used += item.count_busy(now)
+        own += item.in_flight
         lowest_failure_rate = min(lowest_failure_rate, item.failure_rate)
         lenders.add(item.lender)
     return ServiceTotals(
         slots,
         used / max(slots, 1),
+        own,
         lowest_failure_rate,
         frozenset(lenders),
         now + TOTALS_TTL,
--- /dev/null
+++ b/features/steps/shared_region_steps.py
@@ -0,0 +1,93 @@
+"""Steps for entry VMs that share the servers of a region."""
+
+from datetime import timedelta
+
+import attrs
+from behave import given, then, when
+
+from camphorspread.request.placement import match_freed_slot
+from camphorspread.request.placement_board import MIN_MEASURED_RUNS, RunTimes
+from features.fixtures.placement_simulation import make_board, make_request
+from features.fixtures.shared_region_simulation import SharedRegionSimulation
+
+
+@given("{vms:d} VMs that share {servers:d} servers with {cached:d} of {objects:d} objects each")
+def step_region(context, vms, servers, cached, objects):
+    context.region = {
+        "vms": vms,
+        "servers": servers,
+        "cached_objects": cached,
+        "objects": objects,
+    }
+
+
+@given(
+    "runs of {cold:g} s cold and {warm:g} s warm, promised in {promised:g} s with a time limit "
+    "of {limit:g} s"
+)
+def step_runs(context, cold, warm, promised, limit):
+    context.region |= {
+        "cold_s": cold,
+        "warm_s": warm,
+        "promised_s": promised,
+        "limit_s": limit,
+    }
+
+
+@given("no other region")
+def step_no_far(context):
+    context.region["has_far_region"] = False
+
+
+@when("the VMs get {rate:g} requests per second for {seconds:g} s")
+def step_arrive(context, rate, seconds):
+    context.load = (rate, seconds)
+    context.simulation = SharedRegionSimulation(**context.region)
+    context.simulation.run(context.load)
+
+
+@then("more of them are on time than if each VM counted its own requests only")
+def step_on_time(context):
+    context.alone = SharedRegionSimulation(**context.region, sharers=1)
+    context.alone.run(context.load)
+    counts = context.simulation.on_time, context.alone.on_time
+    assert counts[0] > counts[1], counts
+
+
+@then("fewer are cut")
+def step_fewer_cut(context):
+    assert context.simulation.cut < context.alone.cut, (context.simulation.cut, context.alone.cut)
+
+
+@then("refused requests wait for at most {seconds:g} s on average")
+def step_refused(context, seconds):
+    times = context.simulation.refused_after
+    assert sum(times) <= seconds * len(times), sum(times) / len(times)
+
+
+@given(
+    "a queued request with {left:g} s left, and a freed slot at a server that must run it for "
+    "{run:g} s"
+)
+def step_freed_slot(context, left, run):
+    context.board = make_board(1)
+    context.instance = context.board.registry.instances["i-0"]
+    context.req = attrs.evolve(make_request(0.0, "o1"), deadline=timedelta(seconds=left))
+    context.board.run_times[("status", "read")] = RunTimes(0.3, run, run, runs=MIN_MEASURED_RUNS)
+
+
+def match(context):
+    """Return the start of the queued request at the server, or None."""
+    return match_freed_slot(context.board, context.req, context.instance, "i-0", timedelta(0))
+
+
+@then("it isn't started there")
+def step_not_started(context):
+    assert match(context) is None
+
+
+@then("it is started at a server that runs it for {run:g} s")
+def step_started(context, run):
+    assert run == context.board.run_times[("status", "read")].warm_s
+    context.instance.warm_objects["o1"] = None
+    assert match(context) is not None
