Leave the other VMs' queues out of the expected wait

Compared one by one in the simulation, the longer waits make a request start cold at another server instead of waiting for the one that knows its object.

Change: the expected wait counts this VM's queue again; the hidden queue, the use of the slots, the limit on late requests and Retry-After keep the estimate. The feature's baseline is each VM counting its own requests everywhere.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -232,26 +232,11 @@
         return LocalPlacement(
             item, cost_s + UTILISATION_COST_S * in_use / item.report.slots, is_warm
         )
-    return QueuedPlacement(item, cost_s + estimate_wait_s(board, item, times, totals), run_s)
-
-
-def estimate_wait_s(
-    board: PlacementBoard, item: Instance, times: RunTimes, totals: ServiceTotals
-) -> float:
-    """Return the expected wait for a slot of a server, in seconds.
-
-    All VMs of the region wait for the same slots. Where there are many, their queues are assumed to
-    be as long as the one of this VM.
-    """
-    slots = max(totals.slots, item.report.slots)
-    waiting = board.queued_per_service.get(item.report.service, 0)
-    waiting_elsewhere = waiting * count_unseen_vms(board)
-    waiting_here = board.queued_per_server.get(item.name, 0)
-    waiting_here += waiting_elsewhere * item.report.slots / slots
+    wait_here_s = (board.queued_per_server.get(item.name, 0) + 1) * times.mean_s / item.report.slots
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
-    here_s = (waiting_here + 1) * times.mean_s / item.report.slots
-    any_s = (waiting + waiting_elsewhere + 1) * times.mean_s / slots
-    return max(here_s, any_s)
+    waiting = board.queued_per_service.get(item.report.service, 0)
+    wait_any_s = (waiting + 1) * times.mean_s / max(totals.slots, item.report.slots)
+    return QueuedPlacement(item, cost_s + max(wait_here_s, wait_any_s), run_s)
 
 
 def list_candidates(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> list[Instance]:
--- a/features/steps/shared_region_steps.py
+++ b/features/steps/shared_region_steps.py
@@ -6,7 +6,7 @@
 import attrs
 from behave import given, then, when
 
-from camphorspread.request import placement, placement_queue
+from camphorspread.request import placement, placement_queue, service_totals
 from camphorspread.request.placement import match_freed_slot
 from camphorspread.request.placement_board import MIN_MEASURED_RUNS, RunTimes
 from features.fixtures.placement_simulation import make_board, make_request
@@ -54,6 +54,7 @@
     with (
         mock.patch.object(placement, "count_unseen_vms", return_value=0),
         mock.patch.object(placement_queue, "count_unseen_vms", return_value=0),
+        mock.patch.object(service_totals, "count_unseen_vms", return_value=0),
     ):
         context.alone.run(context.load)
     counts = context.simulation.on_time, context.alone.on_time
