Grant no slot at a server that has left

Cause: the end of a run granted the freed slot to the next queued request also when the server had left meanwhile: its lease, of up to three announcements, was looked at, but not whether it is still known.

Change: a slot is granted only at a server that is still known.

Result: the new scenario of features/request/shared_region.feature failed before; 63 scenarios of features/request pass.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -314,8 +314,12 @@
 
 
 def can_start_run(board: PlacementBoard, instance: Instance, now: timedelta) -> bool:
-    """Return True if the server may be sent a request now."""
-    if not is_usable(instance, board.evacuated_zones, now):
+    """Return True if the server may be sent a request now.
+
+    At the end of a run, the server may have left meanwhile.
+    """
+    is_known = board.registry.instances.get(instance.name) is instance
+    if not is_known or not is_usable(instance, board.evacuated_zones, now):
         return False
     if not has_free_slot(board, instance, now) or instance.slowdown >= OUTLIER_SLOWDOWN:
         return False
--- a/features/request/shared_region.feature
+++ b/features/request/shared_region.feature
@@ -29,3 +29,8 @@
     Given a queued request with 0.5 s left, and a freed slot at a server that must run it for 0.9 s
     Then it isn't started there
     But a server that runs it for 0.3 s would start it
+
+  Scenario: The slot of a run that ends at a server that has left isn't granted
+    Given a queued request with 2 s left, and a freed slot at a server that must run it for 0.9 s
+    When that server leaves before its run ends
+    Then the freed slot is granted to no request
--- a/features/steps/shared_region_steps.py
+++ b/features/steps/shared_region_steps.py
@@ -6,9 +6,11 @@
 import attrs
 from behave import given, then, when
 
+from camphorspread.process.instances import remove_instance
 from camphorspread.request import placement, placement_queue, service_totals
 from camphorspread.request.placement import match_freed_slot
 from camphorspread.request.placement_board import MIN_MEASURED_RUNS, RunTimes
+from camphorspread.request.placement_queue import PlacementQueue, Waiter, grant_slot
 from features.fixtures.placement_simulation import make_board, make_request
 from features.fixtures.shared_region_simulation import SharedRegionSimulation
 
@@ -98,3 +100,15 @@
     assert run == context.board.run_times[("status", "read")].warm_s
     context.instance.warm_objects["o1"] = None
     assert match(context) is not None
+
+
+@when("that server leaves before its run ends")
+def step_server_leaves(context):
+    remove_instance(context.board.registry, "i-0", timedelta(0))
+
+
+@then("the freed slot is granted to no request")
+def step_not_granted(context):
+    queue = PlacementQueue()
+    queue.by_service["status"] = {1: Waiter(1, context.req, 0.4, "i-0")}
+    assert grant_slot(context.board, queue, context.instance, timedelta(0)) is None
