--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -22,7 +22,7 @@
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.process.summary_partners import choose_partners, is_large_region
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.placement import SUMMARY_TTL
+from camphorspread.request.peer_placement import SUMMARY_TTL
 
 __all__ = [
     "desired_interval",
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -14,10 +14,14 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, is_usable
 from camphorspread.process.loans import max_requests_per_vm
-from camphorspread.request.object_affinity import find_home_vms, rank_instances
+from camphorspread.request.object_affinity import rank_instances
+from camphorspread.request.peer_placement import (
+    HOME_WARM_FRACTION,
+    ZONE_SURCHARGE_S,
+    list_peer_placements,
+)
 from camphorspread.request.placement_board import (
     ForwardPlacement,
     LocalPlacement,
@@ -44,21 +48,12 @@
 from camphorspread.request.window import count_recent
 
 __all__ = [
-    "SUMMARY_TTL",
     "can_start_run",
     "choose_placement",
     "cold_limit",
     "match_freed_slot",
 ]
 
-# Assumed fraction of warm runs at an object's home VM, in this and in another region, before a run
-# was measured. Requests about an object are sent to one home per region to reuse warm servers.
-HOME_WARM_FRACTION = 0.7
-FAR_HOME_WARM_FRACTION = 0.4
-# Traffic between regions is expensive, so another region must be faster by this much.
-REGION_SURCHARGE_S = 0.03
-# Another availability zone must be faster by this much.
-ZONE_SURCHARGE_S = 0.004
 # Cost per position in the preference order of an object, which is the same on all VMs; it breaks
 # ties between equal servers.
 ORDER_COST_STEP_S = 0.002
@@ -77,8 +72,6 @@
 COLD_RATE_SHARE = 0.45
 # Servers considered per object; more of them cost CPU time and gain little.
 MAX_CANDIDATES = 16
-# An older summary of another VM is no evidence of free slots.
-SUMMARY_TTL = timedelta(seconds=3)
 
 
 def choose_placement(
@@ -335,54 +328,3 @@
         return True
     region = board.regions.get(instance.report.availability_zone, board.region)
     return region in req.home_regions
-
-
-def list_peer_placements(
-    board: PlacementBoard,
-    req: PlacementRequest,
-    times: RunTimes,
-    totals: ServiceTotals,
-    now: timedelta,
-) -> Iterator[ForwardPlacement]:
-    """Yield a forward with its cost for each eligible entry VM."""
-    homes = ("", "")
-    if req.object_key:
-        homes = find_home_vms(board, req.service, req.object_key, totals.slots, now)
-    for peer in board.peers.values():
-        # The servers of a lender are already among the candidates of this VM.
-        if peer.vm in totals.lenders or not may_forward_to(board, peer, req, now):
-            continue
-        load = peer.loads[req.service]
-        warm = peer.warm_objects.get((req.service, req.object_key)) if req.object_key else None
-        match warm:
-            case True:
-                warm_fraction = 1.0
-            case None if peer.vm == homes[0]:
-                warm_fraction = HOME_WARM_FRACTION
-            case None if peer.vm == homes[1]:
-                warm_fraction = FAR_HOME_WARM_FRACTION
-            case _:
-                warm_fraction = 0.0
-        run_s = times.cold_s - (times.cold_s - times.warm_s) * warm_fraction
-        cost_s = run_s + peer.round_trip_s
-        if peer.region != board.region:
-            cost_s += REGION_SURCHARGE_S
-        elif peer.availability_zone != board.availability_zone:
-            cost_s += ZONE_SURCHARGE_S
-        if load.free <= 0:
-            cost_s += (load.queued + 1 - load.free) * load.mean_run_s / max(load.slots, 1)
-        yield ForwardPlacement(peer, cost_s)
-
-
-def may_forward_to(
-    board: PlacementBoard, peer: EntryVm, req: PlacementRequest, now: timedelta
-) -> bool:
-    """Return True if the request may be forwarded to the other entry VM."""
-    load = peer.loads.get(req.service)
-    if load is None or not load.slots or peer.vm in req.excluded:
-        return False
-    if peer.summary_at is None or now - peer.summary_at > SUMMARY_TTL:
-        return False
-    if now >= peer.alive_until or now < peer.suspended_until:
-        return False
-    return not req.home_regions or peer.region in req.home_regions
