Report changes of the list of entry VMs together for longer in large fleets

While 36 VMs are restarted in turn, each change of the list makes each of 73 VMs poll each of 9 control VMs again, at most ten times a second.

Change: changes are reported together within 5 ms for each entry VM, at most 0.5 s.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -45,8 +45,10 @@
 # retransmission of lost packets.
 POLL_DELAY_LIMIT = timedelta(seconds=1.3)
 WATCH_INTERVAL = timedelta(milliseconds=200)
-# Time within which changes of the list of entry VMs are reported together.
-LIST_CHANGE_DELAY = timedelta(milliseconds=100)
+# Time for each entry VM within which changes of the list are reported together. A report makes each
+# VM poll again, so that its cost grows with their number.
+LIST_CHANGE_DELAY_STEP = timedelta(milliseconds=5)
+MAX_LIST_CHANGE_DELAY = timedelta(milliseconds=500)
 # A follower whose catalogue isn't known to have been current within this time may be partitioned.
 MAX_STALENESS = timedelta(seconds=1.2)
 # Few owners are tried for one announcement, since the backend server waits only a second.
@@ -159,11 +161,20 @@
         await steering.control.poll_changed.wait()
     if not has_catalogue_update(steering, poll):
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LIST_CHANGE_DELAY.total_seconds()):
+            async with asyncio.timeout(list_change_delay(len(steering.vms)).total_seconds()):
                 while not has_catalogue_update(steering, poll):
                     await steering.control.poll_changed.wait()
 
 
+def list_change_delay(vms: int) -> timedelta:
+    """Return the time within which changes of the list of entry VMs are reported together.
+
+    Args:
+        vms: Number of entry VMs, each of which polls.
+    """
+    return min(LIST_CHANGE_DELAY_STEP * vms, MAX_LIST_CHANGE_DELAY)
+
+
 def has_update(steering: SteeringControl, poll: dict) -> bool:
     """Return True if a list of VMs or the catalogue is newer than an entry VM's poll states.
 
--- a/features/process/vm_poll.feature
+++ b/features/process/vm_poll.feature
@@ -12,6 +12,15 @@
       | 9        | 5     |
       | 18       | 9     |
 
+  Scenario Outline: Changes of the list are reported together, the longer the more VMs there are
+    Then with <vms> entry VMs changes are reported within <delay> s
+
+    Examples:
+      | vms | delay |
+      | 7   | 0.035 |
+      | 73  | 0.365 |
+      | 720 | 0.5   |
+
   Scenario: A poll is held for less time than a VM is taken for alive
     Then with 1 to 18 control VMs a poll is held at least 0.4 s less than a listed VM stays alive
 
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -26,6 +26,11 @@
         assert ALIVE_TTL - poll_hold(controls) >= timedelta(seconds=seconds), controls
 
 
+@then("with {vms:d} entry VMs changes are reported within {seconds:g} s")
+def step_list_delay(context, vms, seconds):
+    assert steering_control.list_change_delay(vms) == timedelta(seconds=seconds)
+
+
 @when('the responses to polls are counted while the entry VM of "{zone}" is killed and started')
 def step_restart_counted(context, zone):
     context.vm = f"front-{zone}-2"
