--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -1,13 +1,10 @@
-"""Tracks the entry VMs on a control VM, answers their polls and places announcements."""
+"""Tracks the entry VMs on a control VM, and places announcements of backend servers."""
 
 import asyncio
-import contextlib
 from datetime import timedelta
 
 import attrs
 
-from camphorspread.connection.disconnect import Disconnected, run_while_connected
-from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
 from camphorspread.process.announcement_codec import encode_leave, encode_report
@@ -26,8 +23,6 @@
 from camphorspread.process.owner_rank import rank_owners
 from camphorspread.process.replica_shell import ReplicaShell
 from camphorspread.process.steering_settings import SteeringSettings
-from camphorspread.process.vm_record_codec import decode_vm, encode_address, encode_vm
-from camphorspread.request.errors import ErrorKind, Refusal
 
 __all__ = [
     "ListedVm",
@@ -35,20 +30,16 @@
     "broadcast_departure",
     "find_lookup_addresses",
     "is_current",
+    "mark_dead",
     "place_announcement",
-    "serve_vm_poll",
+    "record_poll",
     "watch_vms",
 ]
 
-LONG_POLL_LIMIT = timedelta(seconds=2)
 # The next poll arrives within a round trip of the response to the last one; the rest is for the
 # retransmission of lost packets.
 POLL_DELAY_LIMIT = timedelta(seconds=1.3)
 WATCH_INTERVAL = timedelta(milliseconds=200)
-# Time for each entry VM within which changes of the list are reported together. A report makes each
-# VM poll again, so that its cost grows with their number.
-LIST_CHANGE_DELAY_STEP = timedelta(milliseconds=5)
-MAX_LIST_CHANGE_DELAY = timedelta(milliseconds=500)
 # A follower whose catalogue isn't known to have been current within this time may be partitioned.
 MAX_STALENESS = timedelta(seconds=1.2)
 # Few owners are tried for one announcement, since the backend server waits only a second.
@@ -120,135 +111,6 @@
     return view.current_as_of is not None and now - view.current_as_of <= MAX_STALENESS
 
 
-async def serve_vm_poll(steering: SteeringControl, exchange: Exchange) -> None:
-    """Answer an entry VM's poll once there is an update, or after the hold time."""
-    value = await exchange.read_json()
-    record = decode_vm(value)
-    hold = decode_hold(value)
-    if record is None or hold is None or type(value.get("version")) is not int:
-        message = "a poll needs the record of an entry VM, its catalogue version and a hold time"
-        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
-        return
-    record_poll(steering, record, hold)
-    if hold and not has_update(steering, value):
-        waiting = wait_for_update(steering, value)
-        if isinstance(await run_while_connected(waiting, exchange.stream, hold), Disconnected):
-            mark_dead(steering, record)
-            exchange.abort()
-            return
-    await exchange.respond_json(200, encode_poll_response(steering, value))
-
-
-def decode_hold(poll: object) -> timedelta | None:
-    """Return for how long a poll may be held; None if the poll is malformed."""
-    match poll:
-        case {"hold_ms": int(hold_ms)}:
-            longest_ms = LONG_POLL_LIMIT // timedelta(milliseconds=1)
-            return timedelta(milliseconds=min(max(hold_ms, 0), longest_ms))
-        case dict():
-            return timedelta(0)
-        case _:
-            return None
-
-
-async def wait_for_update(steering: SteeringControl, poll: dict) -> None:
-    """Wait until there is something that an entry VM's poll doesn't state.
-
-    Changes of the list of entry VMs often come in groups, and each response to a poll costs all VMs
-    processor time; a new catalogue isn't delayed.
-    """
-    while not has_update(steering, poll):
-        await steering.control.poll_changed.wait()
-    if not has_catalogue_update(steering, poll):
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(list_change_delay(len(steering.vms)).total_seconds()):
-                while not has_catalogue_update(steering, poll):
-                    await steering.control.poll_changed.wait()
-
-
-def list_change_delay(vms: int) -> timedelta:
-    """Return the time within which changes of the list of entry VMs are reported together.
-
-    Args:
-        vms: Number of entry VMs, each of which polls.
-    """
-    return min(LIST_CHANGE_DELAY_STEP * vms, MAX_LIST_CHANGE_DELAY)
-
-
-def has_update(steering: SteeringControl, poll: dict) -> bool:
-    """Return True if a list of VMs or the catalogue is newer than an entry VM's poll states.
-
-    In a poll, `version` is the catalogue version that the entry VM holds, and `announced` the
-    newest one that it knows to exist. `fetches` is False if it gets the catalogue from another
-    control VM, so that only a newer version number is an update.
-    """
-    is_list_known = poll.get("fleet") == steering.fleet_list_version
-    return not is_list_known or has_catalogue_update(steering, poll)
-
-
-def has_catalogue_update(steering: SteeringControl, poll: dict) -> bool:
-    """Return True if the catalogue is newer than an entry VM's poll states."""
-    known = poll["version"] if requests_catalogue(poll) else poll["announced"]
-    return steering.control.catalogue.version > known
-
-
-def requests_catalogue(poll: dict) -> bool:
-    """Return True if an entry VM requests the catalogue itself, not only its version."""
-    return poll.get("fetches") is not False or type(poll.get("announced")) is not int
-
-
-def encode_poll_response(steering: SteeringControl, poll: dict) -> dict:
-    """Return the response to a poll: what the entry VM doesn't have yet."""
-    catalogue = steering.control.catalogue
-    value: dict[str, object] = {
-        "current": is_current(steering),
-        "fleet": steering.fleet_list_version,
-        "version": catalogue.version,
-    }
-    if poll.get("fleet") != steering.fleet_list_version:
-        value |= encode_list_change(steering, poll)
-    if requests_catalogue(poll) and catalogue.version > poll["version"]:
-        routing = catalogue.routing
-        value["catalogue"] = {
-            "version": catalogue.version,
-            "routing": routing and {"revision": routing.revision, "text": routing.text},
-            "evacuated": sorted(catalogue.evacuated_zones),
-        }
-    return value
-
-
-def encode_list_change(steering: SteeringControl, poll: dict) -> dict[str, object]:
-    """Return the entry VMs that changed since the list that a poll names, or else all of them.
-
-    With dozens of entry VMs, the whole lists would fill slow links while VMs are restarted in turn.
-    """
-    revision = find_known_revision(steering, poll)
-    if revision is not None:
-        changed = [item for item in steering.vms.values() if item.revision > revision]
-        return {
-            "changed": [encode_vm(item.record) for item in changed if item.is_alive],
-            "gone": [item.record.vm for item in changed if not item.is_alive],
-        }
-    return {
-        "vms": [encode_vm(item.record) for item in steering.vms.values() if item.is_alive],
-        "controls": [encode_address(member.peers) for member in steering.shell.state.members],
-    }
-
-
-def find_known_revision(steering: SteeringControl, poll: dict) -> int | None:
-    """Return the revision of the list that an entry VM holds, None if it needs the whole list.
-
-    An entry VM of an earlier version of the program doesn't ask for changes.
-    """
-    incarnation, _, rest = str(poll.get("fleet", "")).partition(".")
-    revision, _, members = rest.partition(".")
-    present_incarnation, _, present_rest = steering.fleet_list_version.partition(".")
-    is_same_group = members == present_rest.partition(".")[2]
-    if poll.get("takes_changes") is not True or not revision.isdigit() or not is_same_group:
-        return None
-    return int(revision) if incarnation == present_incarnation else None
-
-
 def record_poll(steering: SteeringControl, record: EntryVm, hold: timedelta) -> None:
     """Record that an entry VM polled, and publish a change of its state.
 
--- a/camphorspread/process/steering_control_node.py
+++ b/camphorspread/process/steering_control_node.py
@@ -24,13 +24,14 @@
 from camphorspread.process.metrics import METRICS_TYPE
 from camphorspread.process.replica_start import start_replica
 from camphorspread.process.settings import ControlSettings, ReplicaSettings
-from camphorspread.process.steering_control import SteeringControl, serve_vm_poll, watch_vms
+from camphorspread.process.steering_control import SteeringControl, watch_vms
 from camphorspread.process.steering_settings import (
     CONNECT_TIMEOUT,
     ControlVmSettings,
     SteeringSettings,
 )
 from camphorspread.process.supervision import start_supervised
+from camphorspread.process.vm_poll_listener import serve_vm_poll
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.log_file import FileOperations, LogCorruptedError
 from camphorspread.version.replica_storage import discard_folder, read_founders, store_founders
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave import step as any_step
 
-from camphorspread.process import steering_control
+from camphorspread.process import vm_poll_listener
 from features.fixtures.golden import compare_with_golden
 from features.fixtures.platform_fleet import (
     CONTROL_PORT,
@@ -241,7 +241,7 @@
 
 @when("configuration {version:d} is put while catalogues in poll responses are counted")
 def step_put_counted(context, version):
-    encode = steering_control.encode_poll_response
+    encode = vm_poll_listener.encode_poll_response
     context.sent = 0
 
     def count(steering, poll):
@@ -249,7 +249,7 @@
         context.sent += "catalogue" in value
         return value
 
-    with mock.patch.object(steering_control, "encode_poll_response", count):
+    with mock.patch.object(vm_poll_listener, "encode_poll_response", count):
         answer = context.fleet.send_operator_call("/-/Config.Put", make_configuration(version))
         assert answer[0] == 200, answer
         context.fleet.run(2.5)
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from camphorspread.process import steering_control
+from camphorspread.process import vm_poll_listener
 from camphorspread.process.vm_poll import ALIVE_TTL, encode_poll, poll_hold
 
 
@@ -28,13 +28,13 @@
 
 @then("with {vms:d} entry VMs changes are reported within {seconds:g} s")
 def step_list_delay(context, vms, seconds):
-    assert steering_control.list_change_delay(vms) == timedelta(seconds=seconds)
+    assert vm_poll_listener.list_change_delay(vms) == timedelta(seconds=seconds)
 
 
 @when('the responses to polls are counted while the entry VM of "{zone}" is killed and started')
 def step_restart_counted(context, zone):
     context.vm = f"front-{zone}-2"
-    encode = steering_control.encode_poll_response
+    encode = vm_poll_listener.encode_poll_response
     context.listed = []
 
     def count(steering, poll):
@@ -43,7 +43,7 @@
             context.listed.append(len(value.get("vms", ())) + len(value.get("changed", ())))
         return value
 
-    with mock.patch.object(steering_control, "encode_poll_response", count):
+    with mock.patch.object(vm_poll_listener, "encode_poll_response", count):
         context.fleet.kill(context.vm)
         context.fleet.run(1)
         context.fleet.start_entry(zone)
@@ -76,7 +76,7 @@
     del poll["takes_changes"]
     incarnation, revision, members = poll["fleet"].split(".")
     poll["fleet"] = f"{incarnation}.{int(revision) - 1}.{members}"
-    context.response = steering_control.encode_poll_response(steering, poll)
+    context.response = vm_poll_listener.encode_poll_response(steering, poll)
 
 
 @then("the response lists all {count:d} entry VMs")
