Forward no request to an entry VM that is stopping

Cause: an entry VM that stops keeps reporting free slots, and other VMs forwarded requests to it until its process exited.

Change: a leaving VM is no candidate for a forward.

--- a/camphorspread/request/peer_placement.py
+++ b/camphorspread/request/peer_placement.py
@@ -73,6 +73,7 @@
         return False
     if peer.summary_at is None or now - peer.summary_at > SUMMARY_TTL:
         return False
-    if now >= peer.alive_until or now < peer.suspended_until:
+    # A VM that is leaving may exit before a long run has ended.
+    if peer.is_leaving or now >= peer.alive_until or now < peer.suspended_until:
         return False
     return not req.home_regions or peer.region in req.home_regions
--- a/features/request/shared_region.feature
+++ b/features/request/shared_region.feature
@@ -34,3 +34,8 @@
     Given a queued request with 2 s left, and a freed slot at a server that must run it for 0.9 s
     When that server leaves before its run ends
     Then the freed slot is granted to no request
+
+  Scenario: A request isn't forwarded to an entry VM that is stopping
+    Given a VM without servers of its own, and a VM of another region with free slots
+    Then a request may be forwarded to it
+    But not once it is leaving
--- a/features/steps/shared_region_steps.py
+++ b/features/steps/shared_region_steps.py
@@ -9,7 +9,7 @@
 from camphorspread.process.instances import remove_instance
 from camphorspread.request import placement, placement_queue, service_totals
 from camphorspread.request.placement import match_freed_slot
-from camphorspread.request.placement_board import MIN_MEASURED_RUNS, RunTimes
+from camphorspread.request.placement_board import MIN_MEASURED_RUNS, NoPlacement, RunTimes
 from camphorspread.request.placement_queue import PlacementQueue, Waiter, grant_slot
 from features.fixtures.placement_simulation import make_board, make_request
 from features.fixtures.shared_region_simulation import SharedRegionSimulation
@@ -112,3 +112,26 @@
     queue = PlacementQueue()
     queue.by_service["status"] = {1: Waiter(1, context.req, 0.4, "i-0")}
     assert grant_slot(context.board, queue, context.instance, timedelta(0)) is None
+
+
+@given("a VM without servers of its own, and a VM of another region with free slots")
+def step_far_vm(context):
+    region = {"vms": 1, "servers": 0, "cached_objects": 1, "objects": 1}
+    times = {"cold_s": 0.3, "warm_s": 0.1, "promised_s": 1.0, "limit_s": 2.0}
+    context.board = SharedRegionSimulation(**region, **times).make_vm(0).board
+
+
+def place(context):
+    """Return the placement of a request."""
+    return placement.choose_placement(context.board, make_request(0.0, "o1"), 1.0, timedelta(0))
+
+
+@then("a request may be forwarded to it")
+def step_forwarded(context):
+    assert place(context).peer is context.board.peers["far"]
+
+
+@then("not once it is leaving")
+def step_not_forwarded(context):
+    context.board.peers["far"].is_leaving = True
+    assert isinstance(place(context), NoPlacement)
