Log the use of slots on which a placement was based

The line now has the estimated and the known use of the slots at home, and the use that the other VM had stated.

Test: faults.feature, 57 scenarios pass. No decision changes.

--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -112,7 +112,8 @@
 
     Attributes:
         slots: Number of slots.
-        busy_fraction: Fraction of the slots in use.
+        busy_fraction: Estimated fraction of the slots in use.
+        known_fraction: Fraction of the slots in use by requests that this VM knows of.
         own_requests: Requests of this VM in flight.
         lowest_failure_rate: Lowest failure rate among the servers.
         lenders: VMs that lend some of them.
@@ -122,6 +123,7 @@
 
     slots: int
     busy_fraction: float
+    known_fraction: float
     own_requests: int
     lowest_failure_rate: float
     lenders: frozenset[str]
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -45,6 +45,7 @@
 )
 from camphorspread.request.routed_request import RoutedRequest
 from camphorspread.request.send import HELD_BYTES, Reply, RequestBody, StreamedReply
+from camphorspread.request.slot_use import describe_use, measure_use
 from camphorspread.request.splitting import pick_service
 from camphorspread.request.window import record_event
 from camphorspread.version.routing import CallerLimits, Route, find_route
@@ -207,6 +208,7 @@
         place = await wait_for_placement(state, job.req, job.route.promised)
         if job.waited is None:
             job.waited = state.clock.monotonic() - job.arrived
+            job.use = measure_use(state.board, job.req.service, place, state.clock.monotonic())
         match place:
             case Refused(retry_after=return_delay, has_server=has_server):
                 if job.may_have_run:
@@ -327,4 +329,5 @@
         promised_ms=job.route.promised // timedelta(milliseconds=1),
         revision=state.table.revision,
         waiting=state.waiting.count(job.req.service),
+        use=describe_use(job.use),
     )
--- a/camphorspread/request/routed_request.py
+++ b/camphorspread/request/routed_request.py
@@ -7,6 +7,7 @@
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.placement_board import PlacementRequest
 from camphorspread.request.send import RequestBody
+from camphorspread.request.slot_use import SlotUse
 from camphorspread.version.routing import Route
 
 __all__ = ["RoutedRequest"]
@@ -27,6 +28,7 @@
         forwards: Number of forwards to other entry VMs.
         may_have_run: True once a backend server may have begun to run it.
         waited: Time from arrival until the first placement or the refusal.
+        use: Use of the slots at that time, None before it.
         trail: Attempts and their results, for the log.
     """
 
@@ -40,4 +42,5 @@
     forwards: int = 0
     may_have_run: bool = False
     waited: timedelta | None = None
+    use: SlotUse | None = None
     trail: list[str] = attrs.field(factory=list)
--- a/camphorspread/request/service_totals.py
+++ b/camphorspread/request/service_totals.py
@@ -44,6 +44,7 @@
     return ServiceTotals(
         slots,
         min(max(used, own * (1 + count_unseen_vms(board))) / max(slots, 1), 1.0),
+        used / max(slots, 1),
         own,
         lowest_failure_rate,
         frozenset(lenders),
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -83,6 +83,7 @@
     When a client of "sofia-a" sends 80 "read" requests about different objects
     Then some of them got 503
     And none of them was forwarded to more than 2 other VMs
+    And the log states the use of the slots on which each placement was based
 
   @fixture.platform_fleet
   Scenario: A failed download is repeated at another endpoint
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -217,18 +217,31 @@
     assert status in [answer and answer[0] for answer in context.answers]
 
 
-@then("none of them was forwarded to more than {count:d} other VMs")
-def step_passes(context, count):
-    ended = [
+def list_ended(context):
+    """Return the log lines of the requests that ended."""
+    return [
         json.loads(line)
         for log in context.fleet.logs.values()
         for line in log.getvalue().splitlines()
         if "steering_ended" in line
     ]
+
+
+@then("none of them was forwarded to more than {count:d} other VMs")
+def step_passes(context, count):
+    ended = list_ended(context)
     forwards = [sum(step.startswith("pass ") for step in item["trail"]) for item in ended]
     assert 0 < max(forwards) <= count, max(forwards)
 
 
+@then("the log states the use of the slots on which each placement was based")
+def step_use(context):
+    for item in list_ended(context):
+        assert 0 <= item["use"]["known"] <= item["use"]["estimated"] <= 1, item
+        is_forwarded = bool(item["trail"]) and item["trail"][0].startswith("pass ")
+        assert ("elsewhere" in item["use"]) == is_forwarded, item
+
+
 @when('a client of "{zone}" sends one "read" request and disconnects after {seconds:g} s')
 def step_disconnect(context, zone, seconds):
     async def disconnect():
