Compare runs at home and in another region by the same estimates

Cause: where at least 6 VMs share servers, a VM estimates the use of the slots from its own requests. The estimate raised the surcharge for cold runs at home only; the load stated to other regions left it out, and a forward bore no surcharge although the run is cold there, too. Each region looked full to itself and free to the others. The class of fault: two alternatives compared with different estimates of the same quantity.

Change: a VM states to other regions the use that it estimates itself. The surcharge for a run that may be cold is computed by one function from the expected excess over a warm run and the use where it would run, for a forward and for each server at home; a server first in the preference order, expected to be warm with 0.7, no longer bears all of it.

--- a/camphorspread/process/entry_vms.py
+++ b/camphorspread/process/entry_vms.py
@@ -29,6 +29,11 @@
     queued: int = 0
     mean_run_s: float = 0.3
 
+    @property
+    def busy_fraction(self) -> float:
+        """Fraction of the slots in use."""
+        return min(max(1.0 - self.free / max(self.slots, 1), 0.0), 1.0)
+
 
 @attrs.define(eq=False)
 class EntryVm:
--- a/camphorspread/process/reported_load.py
+++ b/camphorspread/process/reported_load.py
@@ -11,6 +11,7 @@
 from camphorspread.process.summary_partners import OBSERVERS_PER_REGION
 from camphorspread.request.placement_board import PlacementBoard, RunTimes
 from camphorspread.request.placement_queue import PlacementQueue
+from camphorspread.request.service_totals import find_totals
 
 __all__ = ["RegionLoads", "measure_loads", "measure_owned_loads", "measure_region_loads"]
 
@@ -93,7 +94,10 @@
         used[service] = used.get(service, 0) + (0 if is_cold else item.count_busy(now))
     loads = {}
     for service, total in slots.items():
-        part, busy = math.ceil(total / parts), math.ceil(used[service] / parts)
+        # Other regions get the estimate that this one uses, or else each takes the others for free.
+        estimated = int(total * find_totals(board, service, now).busy_fraction)
+        part = math.ceil(total / parts)
+        busy = math.ceil(max(used[service], estimated) / parts)
         queued = queue.count(service)
         free = max(part - busy - queued, 0)
         loads[service] = ServiceLoad(free, part, queued, mean_warm_run_s(board.run_times, service))
--- a/camphorspread/request/peer_placement.py
+++ b/camphorspread/request/peer_placement.py
@@ -11,6 +11,7 @@
     PlacementRequest,
     RunTimes,
     ServiceTotals,
+    estimate_cold_surcharge_s,
 )
 
 __all__ = ["HOME_WARM_FRACTION", "SUMMARY_TTL", "ZONE_SURCHARGE_S", "list_peer_placements"]
@@ -53,8 +54,9 @@
                 warm_fraction = FAR_HOME_WARM_FRACTION
             case _:
                 warm_fraction = 0.0
-        run_s = times.cold_s - (times.cold_s - times.warm_s) * warm_fraction
-        cost_s = run_s + peer.round_trip_s
+        cold_excess_s = (times.cold_s - times.warm_s) * (1.0 - warm_fraction)
+        cost_s = times.warm_s + cold_excess_s + peer.round_trip_s
+        cost_s += estimate_cold_surcharge_s(cold_excess_s, load.busy_fraction)
         if peer.region != board.region:
             cost_s += REGION_SURCHARGE_S
         elif peer.availability_zone != board.availability_zone:
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -33,6 +33,7 @@
     RunTimes,
     ServiceTotals,
     count_unseen_vms,
+    estimate_cold_surcharge_s,
     find_region,
     find_run_times,
     usable_instances,
@@ -171,9 +172,8 @@
             cost_s += ZONE_SURCHARGE_S
         if req.object_key:
             cost_s += ORDER_COST_STEP_S * rank
-            if not is_warm:
-                # A cold run occupies its slot for longer, which matters once slots are scarce.
-                cost_s += (times.cold_s - times.warm_s) * totals.busy_fraction**2
+            cold_excess_s = estimate_run_s(req, times, is_warm, rank) - times.warm_s
+            cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
         yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -20,6 +20,7 @@
     "RunTimes",
     "ServiceTotals",
     "count_unseen_vms",
+    "estimate_cold_surcharge_s",
     "find_region",
     "find_run_times",
     "usable_instances",
@@ -224,6 +225,19 @@
     return board.sharers - 1 if board.sharers >= MANY_SHARERS else 0
 
 
+def estimate_cold_surcharge_s(cold_excess_s: float, busy_fraction: float) -> float:
+    """Return the surcharge for a run that may be cold, in seconds.
+
+    A cold run occupies its slot for longer, which matters once slots are scarce. The surcharge is
+    the same at home and in another region; a difference would make regions exchange requests.
+
+    Args:
+        cold_excess_s: Expected time by which the run is longer than a warm one.
+        busy_fraction: Fraction of the slots in use where it runs.
+    """
+    return cold_excess_s * busy_fraction**2
+
+
 def find_region(board: PlacementBoard, place: "Placement") -> str:
     """Return the region in which a request with this placement runs, empty for none."""
     match place:
--- a/camphorspread/request/slot_use.py
+++ b/camphorspread/request/slot_use.py
@@ -39,8 +39,7 @@
     elsewhere = None
     match place:
         case ForwardPlacement(peer=peer) if service in peer.loads:
-            load = peer.loads[service]
-            elsewhere = 1.0 - load.free / max(load.slots, 1)
+            elsewhere = peer.loads[service].busy_fraction
     return SlotUse(totals.busy_fraction, totals.known_fraction, elsewhere)
 
 
