Read and log the request rate that backend servers state

First step for the exceeded limits: the header was read by nothing, so that logs couldn't show which VM knew of a limit, since when and with which share. An unreadable one changes nothing. No request is placed differently yet.

Test: server_limit.feature, 19 scenarios, which fail before for want of the decoded field.

--- a/camphorspread/platform/dialect.py
+++ b/camphorspread/platform/dialect.py
@@ -1,5 +1,6 @@
 """The platform's headers on requests and responses."""
 
+import re
 from datetime import timedelta
 
 import attrs
@@ -11,7 +12,14 @@
     ResponseHead,
     find_header,
 )
-from camphorspread.request.dialect import ReplyFacts, SteeredCall
+from camphorspread.request.dialect import (
+    Limited,
+    RateStatement,
+    ReplyFacts,
+    SteeredCall,
+    Unlimited,
+    Unreadable,
+)
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 
 __all__ = ["PlatformDialect"]
@@ -21,6 +29,7 @@
 EXPECTED_INSTANCE = b"expected-instance"
 NOT_EXECUTED = b"not-executed"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 AFFINITY_COOKIE = "Affinity-Key"
 MISDIRECTED_STATUS = 421
@@ -44,6 +53,10 @@
 )
 INTERNAL_HEADER_PREFIX = b"camphorspread-"
 MAX_DEADLINE_DIGITS = 9
+# Requests per second: a decimal number without sign or exponent, of a bounded size.
+RATE_LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+# Part of an unreadable header that is logged.
+MAX_LOGGED_BYTES = 64
 # The only server error that assures a client that its request didn't run.
 NOT_RUN_STATUS = 503
 FIRST_SERVER_ERROR_STATUS = 500
@@ -100,6 +113,7 @@
         request_id = b""
         is_not_run = False
         requests = None
+        limits = []
         for name, value in head.headers:
             if name == REQUEST_ID:
                 request_id = value
@@ -107,12 +121,15 @@
                 is_not_run = True
             elif name == SERVER_LOAD:
                 requests = parse_server_load(value)
+            elif name == SERVER_LIMIT:
+                limits.append(value)
         is_misdirected = head.status == MISDIRECTED_STATUS
         return ReplyFacts(
             request_id.decode("ascii", "replace"),
             is_not_run or is_misdirected,
             is_misdirected,
             requests,
+            parse_rate_limit(limits),
         )
 
     def encode_response(self, head: ResponseHead) -> ResponseHead:
@@ -152,6 +169,16 @@
     return None
 
 
+def parse_rate_limit(values: list[bytes]) -> RateStatement:
+    """Return the statement of an endpoint's limit headers, of which there should be one at most."""
+    match values:
+        case []:
+            return Unlimited()
+        case [value] if RATE_LIMIT_PATTERN.fullmatch(value.strip()):
+            return Limited(float(value))
+    return Unreadable(b", ".join(values)[:MAX_LOGGED_BYTES].decode("ascii", "replace"))
+
+
 def find_affinity_key(cookies: str) -> str:
     """Return the value of the affinity cookie, empty if there is none."""
     for item in cookies.split(";"):
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -100,6 +100,10 @@
         others_reported_at: When that report arrived.
         warm_objects: Objects that it handled for requests of this VM, most recent last.
         cold_sends: Requests sent while it was cold.
+        rate_limit: Requests per second that it takes from all VMs together, None if it states no
+            limit.
+        send_interval: Time between two requests of this VM that is this VM's share of that rate.
+        next_send_at: When this VM may send the next request under that limit.
         slowdown: Lowest ratio of actual to expected run time among its recent runs, at least 1.
         run_ratios: That ratio for each of its most recent runs.
         failure_rate: Moving average of the failed fraction of its runs, from 0 to 1.
@@ -122,6 +126,9 @@
     cold_sends: SlidingWindow = attrs.field(
         factory=lambda: SlidingWindow(COLD_BUCKET, COLD_BUCKETS)
     )
+    rate_limit: float | None = None
+    send_interval: timedelta = timedelta(0)
+    next_send_at: timedelta = timedelta(0)
     slowdown: float = 1.0
     run_ratios: deque[float] = attrs.field(factory=lambda: deque(maxlen=SLOW_RUNS))
     failure_rate: float = 0.0
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -169,6 +169,9 @@
     age = (now - max(last_responses)).total_seconds() if last_responses else -1.0
     known_count = len(state.board.registry.instances)
     owned_count = len(list_owned_instances(state.board.registry))
+    limited_count = sum(
+        1 for item in state.board.registry.instances.values() if item.rate_limit is not None
+    )
     gauges = {
         "catalogue_version": ("Version of the catalogue in force.", state.catalogue_version),
         "routing_revision": (
@@ -178,6 +181,7 @@
         "control_age_seconds": ("Time since a control VM was last heard.", age),
         "instances": ("Backend servers that announce here.", owned_count),
         "lent_instances": ("Backend servers that other entry VMs lend.", known_count - owned_count),
+        "limited_instances": ("Backend servers that state a limit on requests.", limited_count),
         "entry_vms": ("Other entry VMs that are alive.", live_count),
         "in_flight": ("Requests in flight.", state.in_flight),
     }
--- a/camphorspread/request/dialect.py
+++ b/camphorspread/request/dialect.py
@@ -9,7 +9,15 @@
 from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.request.errors import Refusal
 
-__all__ = ["Dialect", "ReplyFacts", "SteeredCall"]
+__all__ = [
+    "Dialect",
+    "Limited",
+    "RateStatement",
+    "ReplyFacts",
+    "SteeredCall",
+    "Unlimited",
+    "Unreadable",
+]
 
 
 @attrs.frozen
@@ -33,6 +41,28 @@
     time_left: timedelta | None
 
 
+@attrs.frozen
+class Unlimited:
+    """The server states no limit on its request rate."""
+
+
+@attrs.frozen
+class Limited:
+    """The server takes this many requests per second from all VMs together."""
+
+    per_second: float
+
+
+@attrs.frozen
+class Unreadable:
+    """The statement can't be read; an earlier one still applies."""
+
+    text: str
+
+
+RateStatement = Unlimited | Limited | Unreadable
+
+
 @attrs.frozen
 class ReplyFacts:
     """Metadata in the head of a backend server's response.
@@ -42,12 +72,14 @@
         is_not_run: True if the server states that it didn't run the request.
         is_misdirected: True if a server other than the expected one responded at the address.
         requests: Running and queued requests at the server, None if not stated.
+        rate_limit: What the server states about the request rate that it takes.
     """
 
     request_id: str
     is_not_run: bool
     is_misdirected: bool
     requests: int | None = None
+    rate_limit: RateStatement = Unlimited()
 
 
 class Dialect(Protocol):
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -15,6 +15,7 @@
 )
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.deadline import time_left
+from camphorspread.request.dialect import Limited, RateStatement, Unlimited, Unreadable
 from camphorspread.request.errors import Outcome
 from camphorspread.request.peer_forward_codec import (
     ForwardMetadata,
@@ -35,6 +36,7 @@
     Withheld,
     send_request,
 )
+from camphorspread.request.server_limit import apply_statement
 
 __all__ = [
     "SERVER_ERROR",
@@ -144,11 +146,33 @@
         counted_s = run_s if isinstance(result, Reply) else None
         requests = None
         if isinstance(result, Reply | StreamedReply):
-            requests = state.dialect.decode_response(result.head).requests
+            facts = state.dialect.decode_response(result.head)
+            requests = facts.requests
+            note_rate_limit(state, job, instance, facts.rate_limit)
         record_run_end(state.board, instance, job.req, is_success, counted_s, now, requests)
         grant_freed_slots(state, instance)
 
 
+def note_rate_limit(
+    state: SteeringState, job: RoutedRequest, instance: Instance, statement: RateStatement
+) -> None:
+    """Apply what a server's response states about its request rate, and log changes."""
+    was_limited = instance.rate_limit is not None
+    apply_statement(instance, statement, state.board.sharers)
+    fields = {"instance": instance.name, "request": job.call.request_id}
+    match statement:
+        case Limited(per_second=rate) if not was_limited:
+            interval_ms = instance.send_interval // timedelta(milliseconds=1)
+            state.log.write(
+                Event.INSTANCE_LIMITED, **fields, per_second=rate, interval_ms=interval_ms
+            )
+        case Unlimited() if was_limited:
+            state.log.write(Event.INSTANCE_UNLIMITED, **fields)
+        case Unreadable(text=text):
+            state.metrics.unreadable[(instance.report.service,)] += 1
+            state.log.write(Event.LIMIT_UNREADABLE, **fields, cause=text)
+
+
 def may_send_to(state: SteeringState, instance: Instance, now: timedelta) -> bool:
     """Return True if a backend server that was chosen earlier may still be sent a request."""
     board = state.board
--- /dev/null
+++ b/features/platform/server_limit.feature
@@ -0,0 +1,36 @@
+Feature: Endpoints that state the request rate that they take
+  An endpoint names in its responses the requests a second that it takes from all entry VMs
+  together, for as long as it says so.
+
+  # Guards against a limit that ends a task, or takes an endpoint out, because it can't be read.
+  Scenario Outline: What a response states
+    Given a response with the limit headers "<headers>"
+    Then its limit is read as <meaning>
+
+    Examples:
+      | headers             | meaning          |
+      |                     | no limit         |
+      | 6.9                 | 6.9 a second     |
+      | 0                   | 0 a second       |
+      | 0.25                | 0.25 a second    |
+      | .5                  | 0.5 a second     |
+      | 12.                 | 12 a second      |
+      | 999999999           | 999999999 a second |
+      | 9999999999          | unreadable       |
+      | -1                  | unreadable       |
+      | +1                  | unreadable       |
+      | 1e3                 | unreadable       |
+      | nan                 | unreadable       |
+      | inf                 | unreadable       |
+      | 6,9                 | unreadable       |
+      | Mon, 01 Jan 2029    | unreadable       |
+      | 5 a second          | unreadable       |
+      | 6.9 / 6.9           | unreadable       |
+      | empty               | unreadable       |
+
+  Scenario: An unreadable statement changes nothing, and the end of a statement is noticed
+    Given a server that stated a limit of 6 a second to one of 3 VMs
+    When it states something unreadable
+    Then the VM's share is one request in 0.5 s
+    When it states no limit
+    Then the VM's requests to it aren't limited
