Keep to the request rate that a backend server states

Cause: the number of requests to a server followed from its free slots and its objects only. Class of fault: a capacity that the other side states is kept by nobody, and several senders share it.

Change: each VM takes an equal part of the stated rate, as the VMs of a region share the servers; a server has no free slot while that part is used up.

--- a/camphorspread/process/reported_load.py
+++ b/camphorspread/process/reported_load.py
@@ -91,7 +91,8 @@
         # A cold server has no capacity for requests of other VMs.
         is_cold = item.is_cold(now)
         slots[service] = slots.get(service, 0) + (0 if is_cold else item.report.slots)
-        used[service] = used.get(service, 0) + (0 if is_cold else item.count_busy(now))
+        in_use = min(item.count_busy(now) + count_withheld_slots(board, item), item.report.slots)
+        used[service] = used.get(service, 0) + (0 if is_cold else in_use)
     loads = {}
     for service, total in slots.items():
         # Other regions get the estimate that this one uses, or else each takes the others for free.
@@ -104,6 +105,14 @@
     return loads
 
 
+def count_withheld_slots(board: PlacementBoard, item: Instance) -> int:
+    """Return how many slots of a server its limit on the request rate leaves unused."""
+    if item.rate_limit is None:
+        return 0
+    usable = math.ceil(item.rate_limit * mean_warm_run_s(board.run_times, item.report.service))
+    return max(item.report.slots - usable, 0)
+
+
 def mean_warm_run_s(run_times: dict[tuple[str, str], RunTimes], service: str) -> float:
     """Return the mean time of warm runs over the routes of a service, in seconds."""
     times = [item.warm_s for (name, _), item in run_times.items() if name == service]
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -45,6 +45,11 @@
     has_lost_capacity,
     is_shift_allowed,
 )
+from camphorspread.request.server_limit import (
+    MIN_RATE,
+    estimate_limit_wait_s,
+    may_send_within_limit,
+)
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.window import count_recent
 
@@ -225,10 +230,13 @@
         return LocalPlacement(
             item, cost_s + UTILISATION_COST_S * in_use / item.report.slots, is_warm
         )
-    wait_here_s = (board.queued_per_server.get(item.name, 0) + 1) * times.mean_s / item.report.slots
+    queued = board.queued_per_server.get(item.name, 0)
+    wait_here_s = max(
+        (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
+    )
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
     waiting = board.queued_per_service.get(item.report.service, 0)
-    wait_any_s = (waiting + 1) * times.mean_s / max(totals.slots, item.report.slots)
+    wait_any_s = (waiting + 1) / max(totals.find_rate(times.mean_s), MIN_RATE)
     return QueuedPlacement(item, cost_s + max(wait_here_s, wait_any_s), run_s)
 
 
@@ -287,11 +295,10 @@
     awaited = board.registry.instances.get(awaited_name)
     if awaited is None:
         return LocalPlacement(instance, times.cold_s, False)
-    wait_there_s = (
-        board.queued_per_server.get(awaited_name, 0)
-        * times.mean_s
-        * awaited.slowdown
-        / awaited.report.slots
+    queued = board.queued_per_server.get(awaited_name, 0)
+    wait_there_s = max(
+        queued * times.mean_s * awaited.slowdown / awaited.report.slots,
+        estimate_limit_wait_s(awaited, max(queued - 1, 0), now),
     )
     if wait_there_s + times.warm_s > times.cold_s * instance.slowdown:
         return LocalPlacement(instance, times.cold_s, False)
@@ -299,10 +306,12 @@
 
 
 def has_free_slot(board: PlacementBoard, instance: Instance, now: timedelta) -> bool:
-    """Return True if a slot of the server is free within this VM's share of its slots."""
+    """Return True if a slot of the server is free within this VM's share of its slots and rate."""
     slots = instance.report.slots
-    return instance.count_busy(now) < slots and instance.in_flight < max_requests_per_vm(
-        slots, board.sharers
+    return (
+        instance.count_busy(now) < slots
+        and instance.in_flight < max_requests_per_vm(slots, board.sharers)
+        and may_send_within_limit(instance, now)
     )
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -116,6 +116,8 @@
         busy_fraction: Estimated fraction of the slots in use.
         known_fraction: Fraction of the slots in use by requests that this VM knows of.
         own_requests: Requests of this VM in flight.
+        limited_slots: Number of slots of servers that state a limit on their request rate.
+        limited_rate: Requests per second that these servers take.
         lowest_failure_rate: Lowest failure rate among the servers.
         lenders: VMs that lend some of them.
         valid_until: When they are to be computed again.
@@ -126,11 +128,22 @@
     busy_fraction: float
     known_fraction: float
     own_requests: int
+    limited_slots: int
+    limited_rate: float
     lowest_failure_rate: float
     lenders: frozenset[str]
     valid_until: timedelta
     revision: int
 
+    def find_rate(self, run_s: float) -> float:
+        """Return the requests per second that the servers can take.
+
+        Args:
+            run_s: Mean run time in seconds.
+        """
+        limited = min(self.limited_slots / run_s, self.limited_rate)
+        return (self.slots - self.limited_slots) / run_s + limited
+
 
 @attrs.define(eq=False)
 class PlacementBoard:
--- a/camphorspread/request/server_limit.py
+++ b/camphorspread/request/server_limit.py
@@ -11,10 +11,18 @@
 from camphorspread.process.instances import Instance
 from camphorspread.request.dialect import Limited, RateStatement, Unlimited
 
-__all__ = ["apply_statement"]
+__all__ = [
+    "MIN_RATE",
+    "apply_statement",
+    "estimate_limit_wait_s",
+    "may_send_within_limit",
+    "record_limited_send",
+]
 
 # Requests per second of all VMs that a server gets at least, so that they learn of a new statement.
 MIN_RATE = 0.25
+# A VM may use its part of the rate ahead by this much, since requests don't arrive evenly.
+BURST = timedelta(seconds=0.5)
 
 
 def apply_statement(instance: Instance, statement: RateStatement, sharers: int) -> None:
@@ -32,3 +40,33 @@
         case Unlimited():
             instance.rate_limit = None
             instance.send_interval = timedelta(0)
+
+
+def may_send_within_limit(instance: Instance, now: timedelta) -> bool:
+    """Return True if this VM's part of the server's rate allows a request now."""
+    return not instance.send_interval or now >= find_next_send(instance)
+
+
+def find_next_send(instance: Instance) -> timedelta:
+    """Return when this VM may send the next request to a server with a limit."""
+    return instance.next_send_at - max(BURST - instance.send_interval, timedelta(0))
+
+
+def record_limited_send(instance: Instance, now: timedelta) -> None:
+    """Count a request against this VM's part of the server's rate."""
+    if instance.send_interval:
+        instance.next_send_at = max(instance.next_send_at, now) + instance.send_interval
+
+
+def estimate_limit_wait_s(instance: Instance, queued: int, now: timedelta) -> float:
+    """Return the wait that the server's limit causes, in seconds.
+
+    Args:
+        instance: The server.
+        queued: Requests of this VM that wait for the server already.
+        now: Current monotonic time.
+    """
+    if not instance.send_interval:
+        return 0.0
+    wait = max(find_next_send(instance) - now, timedelta(0)) + queued * instance.send_interval
+    return wait.total_seconds()
--- a/camphorspread/request/service_totals.py
+++ b/camphorspread/request/service_totals.py
@@ -32,13 +32,17 @@
 
 def add_up_totals(board: PlacementBoard, service: str, now: timedelta) -> ServiceTotals:
     """Compute the totals over the usable servers of a service in a single pass."""
-    slots = used = own = 0
+    slots = used = own = limited_slots = 0
+    limited_rate = 0.0
     lowest_failure_rate = 1.0
     lenders = set()
     for item in usable_instances(board, service, now):
         slots += item.report.slots
         used += item.count_busy(now)
         own += item.in_flight
+        if item.rate_limit is not None:
+            limited_slots += item.report.slots
+            limited_rate += item.rate_limit
         lowest_failure_rate = min(lowest_failure_rate, item.failure_rate)
         lenders.add(item.lender)
     return ServiceTotals(
@@ -46,6 +50,8 @@
         min(max(used, own * (1 + count_unseen_vms(board))) / max(slots, 1), 1.0),
         used / max(slots, 1),
         own,
+        limited_slots,
+        limited_rate,
         lowest_failure_rate,
         frozenset(lenders),
         now + TOTALS_TTL,
--- a/features/platform/server_limit.feature
+++ b/features/platform/server_limit.feature
@@ -34,3 +34,25 @@
     Then the VM's share is one request in 0.5 s
     When it states no limit
     Then the VM's requests to it aren't limited
+
+  # Guards against an entry VM that doesn't pass the statement on to the choice of an endpoint.
+  @fixture.platform_fleet
+  Scenario: Entry VMs of a region keep to a limit together, and refuse the rest at once
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    And a stated limit of "3" at the endpoints of "status"
+    When clients of each zone send 6 "read" requests a second for 12 s
+    Then each "status" endpoint ran at most 23 of them in any 4 s
+    And each "status" endpoint ran at least 20 of them
+    And all others got 503 with a time to return, within 0.4 s on average
+    And the entry VMs have logged the limit
+
+  # Guards against a bad value that takes an endpoint out of use.
+  @fixture.platform_fleet
+  Scenario: An unreadable limit is logged and counted, and doesn't limit
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    And a stated limit of "nan" at the endpoints of "status"
+    When clients of each zone send 6 "read" requests a second for 2 s
+    Then all of these requests get 200
+    And the entry VMs have logged and counted unreadable limits
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -1,5 +1,8 @@
 """Steps for the request rates that backend servers state."""
 
+import asyncio
+import bisect
+
 from behave import given, then, when
 
 from camphorspread.connection.messages import ResponseHead
@@ -7,6 +10,13 @@
 from camphorspread.request.dialect import Limited, Unlimited, Unreadable
 from camphorspread.request.server_limit import apply_statement
 from features.fixtures.placement_simulation import make_board
+from features.fixtures.platform_fleet import ZONES
+
+# From one contact window after its first statement, a server gets at most this many times its rate.
+CONTACT_WINDOW_S = 3.0
+AGREED_FACTOR = 1.5
+# Part of the limited time in which the use of the limits is measured.
+USED_S = 8.0
 
 
 @given('a response with the limit headers "{headers}"')
@@ -62,3 +72,131 @@
 def step_not_limited(context):
     assert context.server.rate_limit is None
     assert not context.server.send_interval
+
+
+@given(
+    "{count:d} of the servers take {limit:g} requests a second each from second {start:g} to "
+    "second {end:g}"
+)
+def step_limits(context, count, limit, start, end):
+    context.region["limits"] = {f"i-{number}": limit for number in range(count)}
+    context.region["limited_between"] = (start, end)
+
+
+def count_after(times, start, seconds):
+    """Return how many of the sorted times are within some seconds after one of them."""
+    return bisect.bisect(times, start + seconds) - bisect.bisect_left(times, start)
+
+
+@then(
+    "each of them gets at most one and a half times its limit and {extra:d} requests in any "
+    "{seconds:d} s"
+)
+def step_keeps(context, extra, seconds):
+    simulation = context.simulation
+    for name, limit in simulation.limits.items():
+        first = min(at for (_, server), at in simulation.told.items() if server == name)
+        times = [at for at in simulation.told_sends[name] if at >= first + CONTACT_WINDOW_S]
+        most = max((count_after(times, at, seconds) for at in times), default=0)
+        assert most <= AGREED_FACTOR * limit * seconds + extra, (name, most)
+
+
+@then("at least {percent:d} percent of the requests that they take are sent to them")
+def step_used(context, percent):
+    simulation = context.simulation
+    end = simulation.limited_between[1]
+    for name, limit in simulation.limits.items():
+        times = [at for at in simulation.told_sends[name] if at >= end - USED_S]
+        assert len(times) >= percent / 100 * limit * USED_S, (name, len(times))
+
+
+@then("at least {percent:d} percent of the requests are served")
+def step_served(context, percent):
+    simulation = context.simulation
+    served = simulation.on_time + simulation.late
+    assert served >= percent / 100 * simulation.arrivals, (served, simulation.arrivals)
+
+
+@then(
+    "they get at least {percent:d} percent of an equal share of the requests after second "
+    "{second:g}"
+)
+def step_returns(context, percent, second):
+    simulation = context.simulation
+    sent = {name: sum(at >= second for at in times) for name, times in simulation.sends.items()}
+    count = sum(sent[name] for name in simulation.limits)
+    share = sum(sent.values()) * len(simulation.limits) / simulation.servers
+    assert count >= percent / 100 * share, (count, share)
+
+
+@given('a stated limit of "{limit}" at the endpoints of "{service}"')
+def step_state_limits(context, limit, service):
+    for endpoint in context.fleet.endpoints.values():
+        if endpoint.service == service:
+            endpoint.limit = limit.encode()
+
+
+@when('clients of each zone send {rate:d} "read" requests a second for {seconds:d} s')
+def step_send_steadily(context, rate, seconds):
+    async def send(zone, number):
+        await asyncio.sleep(number / rate)
+        started = asyncio.get_running_loop().time()
+        answer = await context.fleet.request(zone, f"/read/{number}", key=str(number % 5))
+        return answer, asyncio.get_running_loop().time() - started
+
+    async def send_all():
+        return await asyncio.gather(
+            *(send(zone, number) for number in range(rate * seconds) for zone in ZONES)
+        )
+
+    context.answers = context.fleet.run_coroutine(send_all())
+
+
+@then('each "{service}" endpoint ran at most {count:d} of them in any {seconds:d} s')
+def step_ran_at_most(context, service, count, seconds):
+    for endpoint in context.fleet.endpoints.values():
+        if endpoint.service != service or not endpoint.run_times:
+            continue
+        first = endpoint.run_times[0]
+        times = [at for at in endpoint.run_times if at >= first + CONTACT_WINDOW_S]
+        most = max((count_after(times, at, seconds) for at in times), default=0)
+        assert most <= count, (endpoint.instance, most)
+
+
+@then('each "{service}" endpoint ran at least {count:d} of them')
+def step_ran_at_least(context, service, count):
+    for endpoint in context.fleet.endpoints.values():
+        if endpoint.service == service:
+            assert len(endpoint.runs) >= count, (endpoint.instance, len(endpoint.runs))
+
+
+@then("all others got 503 with a time to return, within {seconds:g} s on average")
+def step_refused_at_once(context, seconds):
+    others = [(answer, spent) for answer, spent in context.answers if answer[0] != 200]
+    assert others
+    for answer, _ in others:
+        assert answer[0] == 503, answer
+        assert float(answer[1][b"retry-after"]) > 0, answer
+    mean = sum(spent for _, spent in others) / len(others)
+    assert mean <= seconds, mean
+
+
+@then("all of these requests get 200")
+def step_all_served(context):
+    assert {answer[0] for answer, _ in context.answers} == {200}
+
+
+def read_logs(context):
+    """Return the logs of all VMs."""
+    return "".join(log.getvalue() for log in context.fleet.logs.values())
+
+
+@then("the entry VMs have logged the limit")
+def step_logged(context):
+    assert "instance_limited" in read_logs(context)
+
+
+@then("the entry VMs have logged and counted unreadable limits")
+def step_unreadable_logged(context):
+    assert "limit_unreadable" in read_logs(context)
+    assert any(sum(vm.state.metrics.unreadable.values()) for vm in context.fleet.entries.values())
