Reject announcements with numbers out of range

Reported by other operators: an odd entry (deeply nested, a number too large, a port out of range) ended the processes that read it, or stopped them. Here no process ends, but a server could come back: departures are recorded with a number that was taken to be higher than any, and an announcement with a sequence number of 20 digits followed it. One with a start of 30 digits rejected all later ones of that server.

Numbers from 2**63 - 1 on, and forwarded announcements without slots, are malformed now.

--- a/camphorspread/platform/heartbeats.py
+++ b/camphorspread/platform/heartbeats.py
@@ -6,7 +6,7 @@
 from camphorspread.connection.exchange import Exchange
 from camphorspread.platform.settings_file import parse_address
 from camphorspread.process.announcement_messages import Accepted, NotAccepted
-from camphorspread.process.instances import InstanceReport
+from camphorspread.process.instances import LAST_SEQUENCE, InstanceReport
 
 __all__ = [
     "InvalidHeartbeatError",
@@ -51,8 +51,8 @@
         is_leaving = IS_LEAVING_BY_STATE[value["state"]]
         service, zone = value["service"], value["zone"]
         for number in (slots, sequence, started):
-            if type(number) is not int or number < 0:
-                raise InvalidHeartbeatError(f"{number!r} isn't a whole number of at least 0")
+            if type(number) is not int or not 0 <= number < LAST_SEQUENCE:
+                raise InvalidHeartbeatError("slots, seq or born isn't a valid whole number")
         if type(cold_ms) not in (int, float) or not 0 <= cold_ms < 1e9:
             raise InvalidHeartbeatError(f"{cold_ms!r} isn't a valid number of milliseconds")
         if not 0 < slots <= MAX_SLOTS or not isinstance(service, str) or not isinstance(zone, str):
--- a/camphorspread/process/announcement_codec.py
+++ b/camphorspread/process/announcement_codec.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from camphorspread.connection.network import make_ip_address
-from camphorspread.process.instances import InstanceReport
+from camphorspread.process.instances import LAST_SEQUENCE, InstanceReport
 
 __all__ = ["decode_leave", "decode_report", "encode_leave", "encode_report"]
 
@@ -33,7 +33,7 @@
         ValueError: The value is malformed.
     """
     try:
-        return InstanceReport(
+        report = InstanceReport(
             str(value["instance"]),
             str(value["service"]),
             make_ip_address(str(value["host"]), int(value["port"])),
@@ -46,6 +46,10 @@
         )
     except (KeyError, TypeError, OverflowError) as exc:
         raise ValueError(f"the announcement is malformed: {exc}") from exc
+    numbers = (report.started_ms, report.sequence)
+    if report.slots < 1 or not all(0 <= number < LAST_SEQUENCE for number in numbers):
+        raise ValueError("the announcement is malformed: a number is out of range")
+    return report
 
 
 def encode_leave(name: str, order: tuple[int, int] | None) -> dict:
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -10,6 +10,7 @@
 from camphorspread.request.window import SlidingWindow
 
 __all__ = [
+    "LAST_SEQUENCE",
     "Instance",
     "InstanceRegistry",
     "InstanceReport",
@@ -38,7 +39,7 @@
 SLOW_RUNS = 5
 COLD_BUCKET = timedelta(milliseconds=50)
 COLD_BUCKETS = 20
-# A higher sequence number than any announcement has.
+# A higher number than any valid announcement has as its start or sequence number.
 LAST_SEQUENCE = 2**63 - 1
 
 
--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -49,3 +49,42 @@
     When 200 random changes of a response to a poll arrive at the entry VM of "sofia-a", from seed 31
     Then no handler and no background task failed
     And a client of "sofia-a" gets 200 for 12 "read" requests
+
+  # Guards against an odd entry of another writer that ends a process, or that stays in force.
+  @fixture.platform_fleet
+  Scenario Outline: An odd announcement names no server, and the others hold
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When an announcement with <oddity> is sent to each VM
+    Then each of them gets a response or a closed connection
+    And no VM knows the announced server
+    And no handler and no background task failed
+    And a client of "sofia-a" gets 200 for 12 "read" requests
+
+    Examples:
+      | oddity                                |
+      | 100000 nested arrays                  |
+      | 100000 nested objects in a field      |
+      | a number of 5000 digits               |
+      | a sequence number of 20 digits        |
+      | a start of 30 digits                  |
+      | a number of slots of 20 digits        |
+      | a cold time of 1e400                  |
+      | a cold time of 1e300                  |
+      | port 65536                            |
+      | port 0                                |
+      | port -1                               |
+      | port 8080.5                           |
+      | a port of 20 digits                   |
+      | an address without a port             |
+
+  # Guards against a server that returns after its departure with a number that follows any other.
+  Scenario Outline: A number too large to follow a departure isn't read
+    Given an announcement with <oddity>
+    Then the platform's and the fleet's decoders report it as malformed
+
+    Examples:
+      | oddity                         |
+      | a sequence number of 20 digits |
+      | a start of 30 digits           |
+      | no slots                       |
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from camphorspread.connection.messages import RequestHead, ResponseHead
+from camphorspread.connection.network import Address
 from camphorspread.platform.dialect import PlatformDialect
 from camphorspread.platform.heartbeats import (
     InvalidHeartbeatError,
@@ -34,7 +35,12 @@
 from camphorspread.version.replica_codec import decode_entry, decode_envelope
 from features.fixtures.mutation import mutate_bytes, mutate_value
 from features.fixtures.platform_endpoint import call_address
-from features.fixtures.platform_fleet import CLIENT_HOST, make_configuration
+from features.fixtures.platform_fleet import (
+    CLIENT_HOST,
+    CONTROL_PORT,
+    ZONES,
+    make_configuration,
+)
 from features.steps.instances_steps import make_report
 
 FUZZ_CASES = int(os.environ.get("FUZZ_CASES", "300"))
@@ -303,3 +309,79 @@
     ]
     assert not failures, failures[:3]
     assert not context.loop_errors, context.loop_errors[:3]
+
+
+ODD_INSTANCE = "i-odd"
+NESTED = 100_000
+# Values of fields as JSON text, by which an announcement differs from a valid one.
+ODDITIES = {
+    "100000 nested objects in a field": ("zone", '{"a":' * NESTED + "1" + "}" * NESTED),
+    "a number of 5000 digits": ("seq", "9" * 5000),
+    "a sequence number of 20 digits": ("seq", "9" * 20),
+    "a start of 30 digits": ("born", "9" * 30),
+    "a number of slots of 20 digits": ("slots", "9" * 20),
+    "no slots": ("slots", "0"),
+    "a cold time of 1e400": ("coldRemainingMs", "1e400"),
+    "a cold time of 1e300": ("coldRemainingMs", "1e300"),
+    "port 65536": ("address", '"10.1.0.9:65536"'),
+    "port 0": ("address", '"10.1.0.9:0"'),
+    "port -1": ("address", '"10.1.0.9:-1"'),
+    "port 8080.5": ("address", '"10.1.0.9:8080.5"'),
+    "a port of 20 digits": ("address", f'"10.1.0.9:{"9" * 20}"'),
+    "an address without a port": ("address", '"10.1.0.9"'),
+}
+FORWARDED_FIELDS = {"seq": "sequence", "born": "started_ms", "slots": "slots"}
+
+
+def make_odd_announcement(oddity):
+    """Return the body of an announcement with an odd value."""
+    if oddity == "100000 nested arrays":
+        return b"[" * NESTED
+    field, text = ODDITIES[oddity]
+    fields = {name: json.dumps(value) for name, value in HEARTBEAT.items()} | {field: text}
+    return ("{" + ",".join(f'"{name}":{value}' for name, value in fields.items()) + "}").encode()
+
+
+@when("an announcement with {oddity} is sent to each VM")
+def step_odd_announcement(context, oddity):
+    fleet = context.fleet
+    network = fleet.network.host(CLIENT_HOST)
+    body = make_odd_announcement(oddity)
+    path = f"/-/Instances.Heartbeat/{ODD_INSTANCE}"
+    addresses = [Address(fleet.host(zone, 1), CONTROL_PORT) for zone in ZONES]
+    addresses += [find_peer_address(context, f'the entry VM of "{zone}"') for zone in ZONES]
+    watch_loop(context)
+
+    async def send_all():
+        started = context.loop.time()
+        calls = [call_address(network, item, "POST", path, body) for item in addresses]
+        return await asyncio.gather(*calls), context.loop.time() - started
+
+    context.answers, context.answered_s = fleet.run_coroutine(send_all())
+    fleet.run(3)
+
+
+@then("no VM knows the announced server")
+def step_unknown(context):
+    for entry in context.fleet.entries.values():
+        assert ODD_INSTANCE not in entry.state.board.registry.instances
+
+
+@given("an announcement with {oddity}")
+def step_odd(context, oddity):
+    context.oddity = oddity
+
+
+@then("the platform's and the fleet's decoders report it as malformed")
+def step_malformed(context):
+    field, text = ODDITIES[context.oddity]
+    forwarded = REPORT | {FORWARDED_FIELDS[field]: json.loads(text)}
+    for decode in (
+        lambda: decode_heartbeat(ODD_INSTANCE, make_odd_announcement(context.oddity)),
+        lambda: decode_report(forwarded),
+    ):
+        try:
+            report = decode()
+        except ValueError:
+            continue
+        raise AssertionError(report)
