Test responses that end in the middle of their head

Reported by other operators: an endpoint stopped in the middle of the head of its response and closed the connection, and callers got a 200 with an empty or short body, framed as whole. It can't happen here: the client side of a connection reports such a head as an invalid response, and the caller gets 502. No code changes.

Test: faults.feature, an endpoint closes after each number of bytes of a head, with no framing, with a length (0 and 120) and with chunks; each request gets 502.

--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -65,6 +65,20 @@
     Then it gets no complete response
     And its endpoint can write nothing more after 2.3 s
 
+  # Guards against a head that ends early and is passed on as a complete response.
+  @fixture.platform_fleet
+  Scenario Outline: An endpoint stops in the middle of the head of its response
+    Given each endpoint of "filing" closes the connection after each number of bytes of a head with <framing>
+    When a client of "<zone>" sends one "file" request for each of these numbers
+    Then none of them gets a success, and each of them gets 502
+
+    Examples:
+      | zone    | framing                    |
+      | sofia-a | no framing                 |
+      | sofia-a | Content-Length: 0          |
+      | sofia-a | Content-Length: 120        |
+      | sofia-a | Transfer-Encoding: chunked |
+
   @fixture.platform_fleet
   Scenario: An idempotent request whose endpoint fails is served by another one
     Given the endpoint "status-sofia-a" resets connections after the run
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -42,6 +42,8 @@
     "send a body without end": "endless body",
 }
 NEVER_S = 1000.0
+# A head with the shortest identifiers, without framing and the empty line at its end.
+SHORTEST_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Signature: s.q\r\n"
 GROUP_SIZE = 12
 # At this interval the whole head exceeds every time limit, although no single wait does.
 BYTE_INTERVAL_S = 0.9
@@ -65,6 +67,33 @@
     set_fault(context.fleet.endpoints[name], "resets connections after the run")
 
 
+@given(
+    'each endpoint of "{service}" closes the connection after each number of bytes of a head with '
+    "{framing}"
+)
+def step_short_heads(context, service, framing):
+    context.short_heads = [
+        item for item in context.fleet.endpoints.values() if item.service == service
+    ]
+    for endpoint in context.short_heads:
+        endpoint.framing = b"" if framing == "no framing" else framing.encode() + b"\r\n"
+
+
+@when('a client of "{zone}" sends one "file" request for each of these numbers')
+def step_send_for_short_heads(context, zone):
+    fleet = context.fleet
+    context.answers = []
+    for size in range(len(SHORTEST_HEAD + context.short_heads[0].framing)):
+        for endpoint in context.short_heads:
+            endpoint.head_bytes = size
+        context.answers.append(fleet.run_coroutine(fleet.request(zone, "/file/x", "POST", b"b")))
+
+
+@then("none of them gets a success, and each of them gets 502")
+def step_no_success(context):
+    assert {answer and answer[0] for answer in context.answers} == {502}, context.answers
+
+
 def set_fault(endpoint, fault):
     """Set the fault of an endpoint."""
     if fault == "never answer":
