Take only requests that can end before a stopping entry VM exits

Reported by other operators: in a planned stop of one front machine, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them some that may not be repeated (LOST).

Cause: a stopping VM took each request that it read, whatever its time limit. Change: it takes one only if its deadline is before its own exit, from callers and from other VMs. The others are refused at once as not run, with 50 ms to return, and never placed.

--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -217,19 +217,20 @@
     """Shut down after SIGTERM, once every request that was read has been answered.
 
     Callers use open connections and cached addresses for a while, so the listener stays open for a
-    part of the stop limit; each response asks the caller to close its connection.
+    part of the stop limit; each response asks the caller to close its connection. Requests that
+    might still run when the process exits are refused.
     """
     state = node.state
     clock = state.clock
     started = clock.monotonic()
+    limit = state.settings.bounds.stop_limit
     state.is_leaving = True
+    state.exit_at = exit_at = started + limit - STOP_MARGIN
     callers = node.servers[0]
     callers.draining = True
     state.log.write(Event.DRAIN_STARTED, requests=state.in_flight)
     await asyncio.gather(notify_control_vms(state), hand_over_instances(state))
-    limit = state.settings.bounds.stop_limit
     close_at = started + limit * LISTEN_FRACTION
-    exit_at = started + limit - STOP_MARGIN
     is_listening = True
     while clock.monotonic() < exit_at:
         await asyncio.sleep(DRAIN_CHECK_INTERVAL.total_seconds())
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -93,6 +93,7 @@
         arrivals: Callers' requests in the window of the request rate.
         in_flight: Callers' requests in flight.
         is_leaving: True after SIGTERM.
+        exit_at: When the process exits at the latest; None before SIGTERM.
         metrics: Counters and histograms.
     """
 
@@ -126,6 +127,7 @@
     )
     in_flight: int = 0
     is_leaving: bool = False
+    exit_at: timedelta | None = None
     metrics: SteeringMetrics = attrs.field(factory=SteeringMetrics)
 
     @property
@@ -140,6 +142,10 @@
             peer.loads for peer in self.board.peers.values()
         )
 
+    def can_end_before_exit(self, deadline: timedelta) -> bool:
+        """Return True if a request with this deadline ends before the process exits."""
+        return self.exit_at is None or deadline <= self.exit_at
+
     @property
     def live_vms(self) -> int:
         """Number of entry VMs that are alive, this one included."""
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -60,6 +60,10 @@
         may_forward=False,
     )
     body = await read_first_part(state, exchange)
+    if not state.can_end_before_exit(deadline):
+        facts = ForwardResult(Outcome.NOT_RUN, ErrorKind.LEAVING, 0)
+        await respond_forwarded(state, exchange, forward, facts, None)
+        return
     job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
     stream = exchange.stream if body.is_complete else None
     state.in_flight += 1
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -57,6 +57,8 @@
 RESPONSE_MARGIN = timedelta(milliseconds=30)
 # No further attempt begins unless more than this time is left until the deadline.
 MIN_ATTEMPT_TIME = timedelta(milliseconds=50)
+# Other VMs serve the caller at once.
+LEAVING_RETRY_DELAY = timedelta(milliseconds=50)
 # Other VMs to which a request is forwarded. The second one compensates for an outdated summary of
 # the first; under overload, more would transfer bodies without finding a free slot.
 MAX_FORWARDS = 2
@@ -123,7 +125,11 @@
     )
     body = await read_first_part(state, exchange)
     job = RoutedRequest(call, route, req, body, arrived, deadline)
-    result = await run_until_disconnect(state, exchange, job)
+    if state.can_end_before_exit(deadline):
+        result = await run_until_disconnect(state, exchange, job)
+    else:
+        refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
+        result = Denied(refusal, LEAVING_RETRY_DELAY)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -179,6 +179,15 @@
     And the process ends within 5 s
     And the lookup response doesn't contain its address
 
+  # Guards against requests that are taken late in a planned stop and cut when the process exits.
+  @fixture.platform_fleet
+  Scenario: A stopping entry VM takes only requests that can end before it exits
+    Given configuration 2 with a time limit of 3500 ms, and endpoints that take 3.2 s
+    When a client of "sofia-a" sends a "file" request each 0.2 s on open connections while its entry VM stops
+    Then each of them gets 200, or 503 at once with a time to return
+    And those with 503 never ran
+    And some of them got 200, and some of them 503
+
   @fixture.platform_fleet
   Scenario: An evacuated zone gets no requests until the evacuation ends
     When the operator evacuates "sofia-a"
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -11,6 +11,7 @@
 
 from camphorspread.connection.network import Address
 from camphorspread.process.steering_node import stop_gracefully
+from features.fixtures.platform_endpoint import call_address
 from features.fixtures.platform_fleet import (
     CLIENT_HOST,
     CONTROL_PORT,
@@ -42,6 +43,10 @@
     "send a body without end": "endless body",
 }
 NEVER_S = 1000.0
+MANY_SLOTS = 100
+STOP_S = 6.0
+AT_ONCE_S = 0.1
+CROSSING_S = 0.05
 # A head with the shortest identifiers, without framing and the empty line at its end.
 SHORTEST_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Signature: s.q\r\n"
 GROUP_SIZE = 12
@@ -586,3 +591,75 @@
 def step_still_served(context, zone):
     assert send(context, zone, "read", 1)[0][0] == 200
     assert set(context.fleet.entries) == {f"front-{item}-2" for item in ZONES}
+
+
+@given("configuration 2 with a time limit of {limit:d} ms, and endpoints that take {seconds:g} s")
+def step_slow_endpoints(context, limit, seconds):
+    route = make_route("file", "/file/", "unsafe", "filing", timeoutMs=limit)
+    assert context.fleet.send_operator_call("/-/Config.Put", make_configuration(2, [route]))
+    context.fleet.run(3)
+    for endpoint in context.fleet.endpoints.values():
+        endpoint.service_time_s = seconds
+        endpoint.slots = MANY_SLOTS
+    context.fleet.run(2)
+
+
+@when(
+    'a client of "{zone}" sends a "file" request each {gap:g} s on open connections while its '
+    "entry VM stops"
+)
+def step_send_while_stopping(context, zone, gap):
+    fleet = context.fleet
+    node = fleet.entries.pop(f"front-{zone}-2")
+    address = Address(fleet.host(zone, 2), FRONT_PORT)
+    count = int(STOP_S / gap)
+
+    async def send(number):
+        headers = (
+            (b"host", b"water.example"),
+            (b"request-id", b"late%d" % number),
+            (b"deadline-ms", b"9000"),
+        )
+        network = fleet.network.host(CLIENT_HOST)
+        answer = await call_address(
+            network, address, "POST", "/file/x", b"b", headers, NEVER_S, number * gap
+        )
+        return f"late{number}", answer, fleet.clock.monotonic()
+
+    async def stop_and_send():
+        started = fleet.clock.monotonic()
+        work = [asyncio.create_task(send(number)) for number in range(1, count)]
+        await asyncio.sleep(gap / 2)
+        await stop_gracefully(node)
+        exited = fleet.clock.monotonic()
+        return started, exited, await asyncio.gather(*work)
+
+    started, exited, results = fleet.run_coroutine(stop_and_send())
+    # A request that is sent as the process exits may cross the end of the connection.
+    running_s = (exited - started).total_seconds() - CROSSING_S
+    context.results = [
+        (name, answer, (ended - started).total_seconds() - number * gap)
+        for number, (name, answer, ended) in enumerate(results, 1)
+        if number * gap < running_s
+    ]
+
+
+@then("each of them gets 200, or 503 at once with a time to return")
+def step_served_or_refused(context):
+    for name, answer, spent in context.results:
+        assert answer is not None, name
+        assert answer[0] in (200, 503), (name, answer)
+        if answer[0] == 503:
+            assert spent < AT_ONCE_S and float(answer[1][b"retry-after"]) > 0, (name, answer, spent)
+
+
+@then("those with 503 never ran")
+def step_refused_never_ran(context):
+    ran = {name for item in context.fleet.endpoints.values() for name in item.runs}
+    refused = {name for name, answer, _ in context.results if answer[0] == 503}
+    assert not ran & refused, ran & refused
+
+
+@then("some of them got 200, and some of them 503")
+def step_both(context):
+    assert {answer[0] for _, answer, _ in context.results} == {200, 503}
