Keep what a server states while its loan or owner changes

Cause: the limit was kept with the server's place in the registry. When a loan lapsed and was granted again, or another VM became the owner, the VM forgot it and sent without a limit until the next response, although the agreement counts from the first statement.

Change: the statements belong to one start of a server, are found again when it is added, and are kept for 60 s after it is gone (process/server_statements.py). Waits and Retry-After count usable slots again instead of rates, which is exact without a limit.

Test: server_limit.feature, "A limit outlasts a loan, but not the server", fails without it (the share is gone after the loan). server_limit (both), placement, loans, instances and shape pass.

--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -7,6 +7,11 @@
 import attrs
 
 from camphorspread.connection.network import Address
+from camphorspread.process.server_statements import (
+    ServerStatements,
+    expire_statements,
+    find_statements,
+)
 from camphorspread.request.window import SlidingWindow
 
 __all__ = [
@@ -101,10 +106,7 @@
         others_reported_at: When that report arrived.
         warm_objects: Objects that it handled for requests of this VM, most recent last.
         cold_sends: Requests sent while it was cold.
-        rate_limit: Requests per second that it takes from all VMs together, None if it states no
-            limit.
-        send_interval: Time between two requests of this VM that is this VM's share of that rate.
-        next_send_at: When this VM may send the next request under that limit.
+        stated: What it states about itself in its responses.
         slowdown: Lowest ratio of actual to expected run time among its recent runs, at least 1.
         run_ratios: That ratio for each of its most recent runs.
         failure_rate: Moving average of the failed fraction of its runs, from 0 to 1.
@@ -127,9 +129,7 @@
     cold_sends: SlidingWindow = attrs.field(
         factory=lambda: SlidingWindow(COLD_BUCKET, COLD_BUCKETS)
     )
-    rate_limit: float | None = None
-    send_interval: timedelta = timedelta(0)
-    next_send_at: timedelta = timedelta(0)
+    stated: ServerStatements = attrs.field(factory=ServerStatements)
     slowdown: float = 1.0
     run_ratios: deque[float] = attrs.field(factory=lambda: deque(maxlen=SLOW_RUNS))
     failure_rate: float = 0.0
@@ -169,6 +169,7 @@
         by_lender: Backend servers by the VM that lends them, then by identifier; those that
             announce themselves to this VM are under the empty name.
         tombstones: Departed backend servers, so that late announcements don't add them again.
+        statements: What backend servers state in their responses, by identifier.
         revision: Incremented with each change of the set; caches that depend on it compare it.
     """
 
@@ -177,6 +178,7 @@
     by_service: dict[str, list[Instance]] = attrs.field(factory=dict)
     by_lender: dict[str, dict[str, Instance]] = attrs.field(factory=dict)
     tombstones: dict[str, Tombstone] = attrs.field(factory=dict)
+    statements: dict[str, ServerStatements] = attrs.field(factory=dict)
     revision: int = 0
 
 
@@ -234,6 +236,8 @@
 def add_instance(registry: InstanceRegistry, instance: Instance) -> None:
     """Add a backend server that isn't known yet."""
     registry.instances[instance.name] = instance
+    started_ms = instance.report.started_ms
+    instance.stated = find_statements(registry.statements, instance.name, started_ms)
     registry.by_lender.setdefault(instance.lender, {})[instance.name] = instance
     same_service = registry.by_service.setdefault(instance.report.service, [])
     same_service.append(instance)
@@ -341,4 +345,5 @@
         drop_instance(registry, instance.name)
     for name in [name for name, item in registry.tombstones.items() if item.until <= now]:
         del registry.tombstones[name]
+    expire_statements(registry.statements, registry.instances, now)
     return expired
--- a/camphorspread/process/reported_load.py
+++ b/camphorspread/process/reported_load.py
@@ -11,6 +11,7 @@
 from camphorspread.process.summary_partners import OBSERVERS_PER_REGION
 from camphorspread.request.placement_board import PlacementBoard, RunTimes
 from camphorspread.request.placement_queue import PlacementQueue
+from camphorspread.request.server_limit import find_usable_slots
 from camphorspread.request.service_totals import find_totals
 
 __all__ = ["RegionLoads", "measure_loads", "measure_owned_loads", "measure_region_loads"]
@@ -107,10 +108,8 @@
 
 def count_withheld_slots(board: PlacementBoard, item: Instance) -> int:
     """Return how many slots of a server its limit on the request rate leaves unused."""
-    if item.rate_limit is None:
-        return 0
-    usable = math.ceil(item.rate_limit * mean_warm_run_s(board.run_times, item.report.service))
-    return max(item.report.slots - usable, 0)
+    run_s = mean_warm_run_s(board.run_times, item.report.service)
+    return item.report.slots - math.ceil(find_usable_slots(item, run_s))
 
 
 def mean_warm_run_s(run_times: dict[tuple[str, str], RunTimes], service: str) -> float:
--- /dev/null
+++ b/camphorspread/process/server_statements.py
@@ -0,0 +1,69 @@
+"""What backend servers state about themselves in their responses to this VM.
+
+The statements belong to one start of a server. They outlast the server's place in the registry: a
+loan that lapses and is granted again, or another owner, doesn't change what the server asked for.
+"""
+
+from collections.abc import Container
+from datetime import timedelta
+
+import attrs
+
+__all__ = ["ServerStatements", "expire_statements", "find_statements"]
+
+# For how long the statements of a server that isn't known any more are kept.
+STATEMENTS_TTL = timedelta(seconds=60)
+
+
+@attrs.define(eq=False)
+class ServerStatements:
+    """Statements of one start of a backend server.
+
+    Attributes:
+        started_ms: When the server started, as it announced.
+        rate_limit: Requests per second that it takes from all VMs together, None if it states no
+            limit.
+        send_interval: Time between two requests of this VM that is this VM's share of that rate.
+        next_send_at: When this VM may send the next request under that limit.
+        kept_until: Until when the statements are kept after the server has left the registry; None
+            before the first check.
+    """
+
+    started_ms: int = 0
+    rate_limit: float | None = None
+    send_interval: timedelta = timedelta(0)
+    next_send_at: timedelta = timedelta(0)
+    kept_until: timedelta | None = None
+
+
+def find_statements(
+    kept: dict[str, ServerStatements], name: str, started_ms: int
+) -> ServerStatements:
+    """Return the statements of a start of a server, new ones if there are none.
+
+    Args:
+        kept: Statements by server; updated in place.
+        name: Identifier of the server.
+        started_ms: When it started.
+    """
+    statements = kept.get(name)
+    if statements is None or statements.started_ms != started_ms:
+        statements = kept[name] = ServerStatements(started_ms)
+    return statements
+
+
+def expire_statements(
+    kept: dict[str, ServerStatements], known: Container[str], now: timedelta
+) -> None:
+    """Drop the statements of servers that haven't been known for `STATEMENTS_TTL`.
+
+    Args:
+        kept: Statements by server; updated in place.
+        known: Identifiers of the known servers.
+        now: Current monotonic time.
+    """
+    for name, statements in list(kept.items()):
+        if name in known or statements.kept_until is None:
+            statements.kept_until = now + STATEMENTS_TTL
+        elif now >= statements.kept_until:
+            del kept[name]
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -170,7 +170,7 @@
     known_count = len(state.board.registry.instances)
     owned_count = len(list_owned_instances(state.board.registry))
     limited_count = sum(
-        1 for item in state.board.registry.instances.values() if item.rate_limit is not None
+        1 for item in state.board.registry.instances.values() if item.stated.rate_limit is not None
     )
     gauges = {
         "catalogue_version": ("Version of the catalogue in force.", state.catalogue_version),
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -46,8 +46,9 @@
     is_shift_allowed,
 )
 from camphorspread.request.server_limit import (
-    MIN_RATE,
+    MIN_SLOTS,
     estimate_limit_wait_s,
+    find_usable_slots,
     may_send_within_limit,
 )
 from camphorspread.request.service_totals import find_totals
@@ -236,7 +237,11 @@
     )
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
     waiting = board.queued_per_service.get(item.report.service, 0)
-    wait_any_s = (waiting + 1) / max(totals.find_rate(times.mean_s), MIN_RATE)
+    # The totals may be older than the server's lease or loan.
+    slots = max(
+        totals.find_usable_slots(times.mean_s), find_usable_slots(item, times.mean_s), MIN_SLOTS
+    )
+    wait_any_s = (waiting + 1) * times.mean_s / slots
     return QueuedPlacement(item, cost_s + max(wait_here_s, wait_any_s), run_s)
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -135,14 +135,13 @@
     valid_until: timedelta
     revision: int
 
-    def find_rate(self, run_s: float) -> float:
-        """Return the requests per second that the servers can take.
+    def find_usable_slots(self, run_s: float) -> float:
+        """Return the slots that requests can use; a limit on the rate leaves some of them unused.
 
         Args:
             run_s: Mean run time in seconds.
         """
-        limited = min(self.limited_slots / run_s, self.limited_rate)
-        return (self.slots - self.limited_slots) / run_s + limited
+        return self.slots - self.limited_slots + min(self.limited_slots, self.limited_rate * run_s)
 
 
 @attrs.define(eq=False)
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -24,7 +24,7 @@
     count_unseen_vms,
     find_run_times,
 )
-from camphorspread.request.server_limit import MIN_RATE
+from camphorspread.request.server_limit import MIN_SLOTS
 from camphorspread.request.service_totals import find_totals
 
 __all__ = [
@@ -189,8 +189,7 @@
     """Return True if the limit on queued late requests allows one more."""
     totals = find_totals(board, waiter.req.service, now)
     run_s = estimate_warm_run(board, waiter).total_seconds()
-    # Servers with a limit on their request rate use a part of their slots only.
-    slots = totals.find_rate(run_s) * run_s / (1 + count_unseen_vms(board))
+    slots = totals.find_usable_slots(run_s) / (1 + count_unseen_vms(board))
     others = queue.by_service.get(waiter.req.service, {})
     late = sum(1 for other in others.values() if other is not waiter and other.is_late)
     return late < max(slots * LATE_FRACTION, 1)
@@ -272,5 +271,6 @@
     if not totals.slots or times is None:
         return NO_SERVER_RETRY_DELAY
     backlog = queue.count(req.service) * (1 + count_unseen_vms(board)) + totals.slots / 2
-    expected = timedelta(seconds=backlog / max(totals.find_rate(times.warm_s), MIN_RATE))
+    usable = max(totals.find_usable_slots(times.warm_s), MIN_SLOTS)
+    expected = timedelta(seconds=backlog * times.warm_s / usable)
     return min(max(expected, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -157,12 +157,12 @@
     state: SteeringState, job: RoutedRequest, instance: Instance, statement: RateStatement
 ) -> None:
     """Apply what a server's response states about its request rate, and log changes."""
-    was_limited = instance.rate_limit is not None
+    was_limited = instance.stated.rate_limit is not None
     apply_statement(instance, statement, state.board.sharers)
     fields = {"instance": instance.name, "request": job.call.request_id}
     match statement:
         case Limited(per_second=rate) if not was_limited:
-            interval_ms = instance.send_interval // timedelta(milliseconds=1)
+            interval_ms = instance.stated.send_interval // timedelta(milliseconds=1)
             state.log.write(
                 Event.INSTANCE_LIMITED, **fields, per_second=rate, interval_ms=interval_ms
             )
--- a/camphorspread/request/service_totals.py
+++ b/camphorspread/request/service_totals.py
@@ -40,9 +40,9 @@
         slots += item.report.slots
         used += item.count_busy(now)
         own += item.in_flight
-        if item.rate_limit is not None:
+        if item.stated.rate_limit is not None:
             limited_slots += item.report.slots
-            limited_rate += item.rate_limit
+            limited_rate += item.stated.rate_limit
         lowest_failure_rate = min(lowest_failure_rate, item.failure_rate)
         lenders.add(item.lender)
     return ServiceTotals(
--- a/features/platform/server_limit.feature
+++ b/features/platform/server_limit.feature
@@ -35,6 +35,14 @@
     When it states no limit
     Then the VM's requests to it aren't limited
 
+  # Guards against a limit that is forgotten when a loan of the server lapses, or its owner changes.
+  Scenario: A limit outlasts a loan, but not the server
+    Given a server that stated a limit of 6 a second to one of 3 VMs
+    When its loan ends and it is lent again
+    Then the VM's share is one request in 0.5 s
+    When it is started anew and lent again
+    Then the VM's requests to it aren't limited
+
   # Guards against an entry VM that doesn't pass the statement on to the choice of an endpoint.
   @fixture.platform_fleet
   Scenario: Entry VMs of a region keep to a limit together, and refuse the rest at once
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import bisect
+from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 
 from camphorspread.connection.messages import ResponseHead
 from camphorspread.platform.dialect import PlatformDialect
+from camphorspread.process.instances import drop_instance, expire_instances
+from camphorspread.process.loans import replace_loans
 from camphorspread.request.dialect import Limited, Unlimited, Unreadable
 from camphorspread.request.server_limit import apply_statement
 from features.fixtures.placement_simulation import make_board
 from features.fixtures.platform_fleet import ZONES
 
+NOW = timedelta(seconds=5)
 # From one contact window after its first statement, a server gets at most this many times its rate.
 CONTACT_WINDOW_S = 3.0
 AGREED_FACTOR = 1.5
@@ -63,15 +68,37 @@
     apply_statement(context.server, Unlimited(), context.vms)
 
 
+def lend_again(context, report):
+    """End the loan of the server, and let another VM lend it."""
+    registry = context.board.registry
+    replace_loans(registry, "vm-2", [context.server.report], NOW, NOW)
+    replace_loans(registry, "vm-2", [], NOW, NOW)
+    drop_instance(registry, "i-0")
+    expire_instances(registry, NOW)
+    replace_loans(registry, "vm-3", [report], 2 * NOW, NOW)
+    context.server = registry.instances["i-0"]
+
+
+@when("its loan ends and it is lent again")
+def step_lend_again(context):
+    lend_again(context, context.server.report)
+
+
+@when("it is started anew and lent again")
+def step_restart(context):
+    report = context.server.report
+    lend_again(context, attrs.evolve(report, started_ms=report.started_ms + 1))
+
+
 @then("the VM's share is one request in {seconds:g} s")
 def step_share(context, seconds):
-    assert context.server.send_interval.total_seconds() == seconds, context.server
+    assert context.server.stated.send_interval.total_seconds() == seconds, context.server
 
 
 @then("the VM's requests to it aren't limited")
 def step_not_limited(context):
-    assert context.server.rate_limit is None
-    assert not context.server.send_interval
+    assert context.server.stated.rate_limit is None
+    assert not context.server.stated.send_interval
 
 
 @given(
