Compute the expected run once, and name the counter of unreadable limits

Read-through of the change: the expected run time of each candidate was computed twice in a decision; a counter named unreadable said nothing of limits. Scenarios of server_limit, regions, placement and shape pass; no decision changes.

--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -25,7 +25,7 @@
         results: Requests that ended, by (service, result).
         places: Placements of requests, by (service, place).
         repeats: Repeated sends by service.
-        unreadable: Responses whose stated rate limit can't be read, by service.
+        unreadable_limits: Responses whose stated rate limit can't be read, by service.
         times: Time to the response by service, in microseconds.
         time_sums: Sum of the recorded microseconds.
         waits: Time in the queue by service, in microseconds.
@@ -35,7 +35,7 @@
     results: Counter = attrs.field(factory=Counter)
     places: Counter = attrs.field(factory=Counter)
     repeats: Counter = attrs.field(factory=Counter)
-    unreadable: Counter = attrs.field(factory=Counter)
+    unreadable_limits: Counter = attrs.field(factory=Counter)
     times: dict[str, HdrHistogram] = attrs.field(factory=dict)
     time_sums: Counter = attrs.field(factory=Counter)
     waits: dict[str, HdrHistogram] = attrs.field(factory=dict)
@@ -69,7 +69,7 @@
     ("results", ("service", "result"), "Requests that ended."),
     ("places", ("service", "place"), "Placements of requests."),
     ("repeats", ("service",), "Repeated sends to backend servers."),
-    ("unreadable", ("service",), "Responses whose stated rate limit can't be read."),
+    ("unreadable_limits", ("service",), "Responses whose stated rate limit can't be read."),
 )
 
 
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -167,7 +167,7 @@
         if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run_s = estimate_run_s(req, times, is_warm, rank)
+        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank)
         if not is_probed:
             # For a probe, the server is assumed to have recovered.
             run_s *= item.slowdown * (1.0 + 2.0 * excess_failures)
@@ -178,7 +178,7 @@
             cost_s += ZONE_SURCHARGE_S
         if req.object_key:
             cost_s += ORDER_COST_STEP_S * rank
-            cold_excess_s = estimate_run_s(req, times, is_warm, rank) - times.warm_s
+            cold_excess_s = typical_run_s - times.warm_s
             cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
         yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
 
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -169,7 +169,7 @@
         case Unlimited() if was_limited:
             state.log.write(Event.INSTANCE_UNLIMITED, **fields)
         case Unreadable(text=text):
-            state.metrics.unreadable[(instance.report.service,)] += 1
+            state.metrics.unreadable_limits[(instance.report.service,)] += 1
             state.log.write(Event.LIMIT_UNREADABLE, **fields, cause=text)
 
 
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -226,4 +226,6 @@
 @then("the entry VMs have logged and counted unreadable limits")
 def step_unreadable_logged(context):
     assert "limit_unreadable" in read_logs(context)
-    assert any(sum(vm.state.metrics.unreadable.values()) for vm in context.fleet.entries.values())
+    assert any(
+        sum(vm.state.metrics.unreadable_limits.values()) for vm in context.fleet.entries.values()
+    )
