Charge forwards for cold runs only where VMs estimate the use of slots

The second phase of the last example of region_shift.feature is 140 requests a second again, as before.

--- a/camphorspread/request/peer_placement.py
+++ b/camphorspread/request/peer_placement.py
@@ -11,6 +11,7 @@
     PlacementRequest,
     RunTimes,
     ServiceTotals,
+    count_unseen_vms,
     estimate_cold_surcharge_s,
 )
 
@@ -56,7 +57,9 @@
                 warm_fraction = 0.0
         cold_excess_s = (times.cold_s - times.warm_s) * (1.0 - warm_fraction)
         cost_s = times.warm_s + cold_excess_s + peer.round_trip_s
-        cost_s += estimate_cold_surcharge_s(cold_excess_s, load.busy_fraction)
+        if count_unseen_vms(board):
+            # Few VMs know the load at home, so that a region short of servers may send more away.
+            cost_s += estimate_cold_surcharge_s(cold_excess_s, load.busy_fraction)
         if peer.region != board.region:
             cost_s += REGION_SURCHARGE_S
         elif peer.availability_zone != board.availability_zone:
--- a/features/steps/region_shift_steps.py
+++ b/features/steps/region_shift_steps.py
@@ -18,7 +18,7 @@
     "70 requests per second from the start, with all servers cold": ((70, 14),),
     "a burst from 20 to 200 requests per second and back": ((20, 8), (200, 4), (20, 8)),
     "160 requests per second until two servers are added": ((160, 16),),
-    "20 requests per second until callers of another zone arrive": ((20, 8), (150, 10)),
+    "20 requests per second until callers of another zone arrive": ((20, 8), (140, 10)),
 }
 ADDED_SERVERS = {"160 requests per second until two servers are added": (2, 8.0)}
 
