Explain where the surcharge for cold runs is the same

Comments only: the function said that the surcharge is the same at home and in another region, which holds where the use of slots is estimated.

--- a/camphorspread/request/peer_placement.py
+++ b/camphorspread/request/peer_placement.py
@@ -58,7 +58,7 @@
         cold_excess_s = (times.cold_s - times.warm_s) * (1.0 - warm_fraction)
         cost_s = times.warm_s + cold_excess_s + peer.round_trip_s
         if count_unseen_vms(board):
-            # Few VMs know the load at home, so that a region short of servers may send more away.
+            # A small region knows its load and, if short of servers, sends requests away early.
             cost_s += estimate_cold_surcharge_s(cold_excess_s, load.busy_fraction)
         if peer.region != board.region:
             cost_s += REGION_SURCHARGE_S
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -180,6 +180,7 @@
             cost_s += ORDER_COST_STEP_S * rank
             cold_excess_s = typical_run_s - times.warm_s
             if not count_unseen_vms(board) and not is_warm:
+                # A small region knows its load and, if short of servers, sends requests away early.
                 cold_excess_s = times.cold_s - times.warm_s
             cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
         yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -240,8 +240,9 @@
 def estimate_cold_surcharge_s(cold_excess_s: float, busy_fraction: float) -> float:
     """Return the surcharge for a run that may be cold, in seconds.
 
-    A cold run occupies its slot for longer, which matters once slots are scarce. The surcharge is
-    the same at home and in another region; a difference would make regions exchange requests.
+    A cold run occupies its slot for longer, which matters once slots are scarce. Where the use of
+    slots is estimated, the surcharge is the same at home and in another region; a difference would
+    make regions exchange requests.
 
     Args:
         cold_excess_s: Expected time by which the run is longer than a warm one.
