--- a/features/platform/server_limit.feature
+++ b/features/platform/server_limit.feature
@@ -28,6 +28,7 @@
       | 6.9 / 6.9           | unreadable       |
       | empty               | unreadable       |
 
+  # Guards against a limit that an unreadable value lifts, or that stays in force after its end.
   Scenario: An unreadable statement changes nothing, and the end of a statement is noticed
     Given a server that stated a limit of 6 a second to one of 3 VMs
     When it states something unreadable
