--- a/review/harness/endpoint.py
+++ b/review/harness/endpoint.py
@@ -25,6 +25,8 @@
     "answer_bytes": 400,
     "drain_ms": 2500,
     "after_drain_ms": 400,
+    "exit_unacknowledged_ms": 4000,
+    "late_ms": 0,
 }
 IDLE_S = 10
 QUEUE_FACTOR = 3
@@ -62,11 +64,19 @@
                     await self.left.wait()
 
     async def leave(self) -> None:
-        """Report the drain, serve for a little longer than the drain time, and deregister."""
+        """Report the drain, serve for a little longer than the drain time, and deregister.
+
+        Without an acknowledgement the endpoint exits anyway, some seconds later.
+        """
         self.state = "draining"
         self.left.set()
-        if await self.send_call("/-/Instances.Heartbeat/"):
-            self.record(event="drain_acknowledged")
+        call_task = asyncio.create_task(self.send_call("/-/Instances.Heartbeat/"))
+        limit_s = self.settings.exit_unacknowledged_ms / 1000
+        await asyncio.wait({call_task}, timeout=limit_s)
+        if not call_task.done() or not call_task.result():
+            self.record(event="unacknowledged")
+            return
+        self.record(event="drain_acknowledged")
         longer_ms = self.settings.drain_ms + self.settings.after_drain_ms
         await asyncio.sleep(longer_ms / 1000)
         await self.send_call("/-/Instances.Deregister/")
@@ -90,6 +100,9 @@
             "born": self.born,
         }
         body = json.dumps(value).encode()
+        if self.state == "draining" and self.settings.late_ms:
+            # The network holds up the calls; none is answered within a second.
+            await asyncio.sleep(self.settings.late_ms / 1000)
         for address in [*([self.owner] if self.owner else []), *self.settings.controls]:
             try:
                 headers = {"Content-Type": "application/json"}
@@ -180,6 +193,8 @@
         """Send a response on a connection that stays open."""
         load = f"{self.running},{self.waiting},{self.settings.slots}"
         fields = {**fields, "Server-Load": load, "Keep-Alive": f"timeout={IDLE_S}"}
+        if self.state == "draining":
+            fields["Server-Leaving"] = "1"
         lines = [f"HTTP/1.1 {status} Status", *(f"{k}: {v}" for k, v in fields.items())]
         lines.append(f"Content-Length: {len(body)}")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
