--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from harness.wire import BrokenError, call
@@ -297,7 +298,10 @@
 
 
 def run_case(
-    folder: Path, play: "callable", check: "callable", entries: dict[str, int] | None = None
+    folder: Path,
+    play: Callable[["Fleet", bool], Awaitable[None]],
+    check: Callable[["Record"], list[str]],
+    entries: dict[str, int] | None = None,
 ) -> int:
     """Play a case and return its exit code: 1 if the rule was broken, 0 if it held, else 2.
 
@@ -307,6 +311,8 @@
         check: Returns what broke the rule, from the record.
         entries: Number of entry VMs of each zone.
     """
+    # The processes are ended also if the script itself is stopped.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE") != "0"
     fleet = None
