Tell all VMs that may own a backend server of its departure

Cause: a stopping VM handed its servers to other regions if the VMs of the region had been alive for less than 2 s. The VM that acknowledged the departure told only VMs of its own region, and counted as the only owner, although it had just handed the server over.

Change: list_possible_senders decides for entry and control VMs alike. All regions are told unless the server's region has a VM that isn't stopping and has been alive for two leases. Forwarding an announcement, also without a response, and a missed announcement end the time as the only owner. A stopping VM prefers a VM of the region that has just started.

The step "it says that it is draining ... after a client sent" waits for the acknowledgement now: in the first seconds of a fleet it takes a round trip between regions. It is asserted as before.

--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -20,10 +20,13 @@
     ReportOutcome,
     apply_report,
     drop_instance,
+    has_owned_for_lease,
     list_owned_instances,
     remove_instance,
+    restart_ownership,
 )
 from camphorspread.process.owner_rank import rank_owners
+from camphorspread.process.possible_senders import SenderVm, list_possible_senders
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.placement_driver import review_queue
 
@@ -54,17 +57,23 @@
 
 
 def find_other_owner(state: SteeringState, report: InstanceReport) -> EntryVm | None:
-    """Return the VM that should own a backend server, None if it is this one."""
+    """Return the VM that should own a backend server, None if it is this one.
+
+    A VM that is stopping prefers one of the server's region that has just started to the VMs of
+    other regions.
+    """
     now = state.clock.monotonic()
     place = state.settings.place
+    region = state.settings.regions.get(report.availability_zone, "")
     candidates = {
         peer.vm: (peer.availability_zone, peer.region)
         for peer in state.board.peers.values()
-        if now < peer.alive_until and not peer.is_leaving and now - peer.first_alive >= STABLE_AFTER
+        if now < peer.alive_until
+        and not peer.is_leaving
+        and (now - peer.first_alive >= STABLE_AFTER or (state.is_leaving and peer.region == region))
     }
     if not state.is_leaving:
         candidates[place.vm] = (place.availability_zone, place.region)
-    region = state.settings.regions.get(report.availability_zone, "")
     ranked = rank_owners(report.instance, report.availability_zone, region, candidates)
     if not ranked or ranked[0] == place.vm:
         return None
@@ -72,7 +81,11 @@
 
 
 async def forward_to_owner(state: SteeringState, owner: EntryVm, report: InstanceReport) -> bool:
-    """Forward an announcement to its new owner; return True if that VM accepted it."""
+    """Forward an announcement to its new owner; return True if that VM accepted it.
+
+    That VM may own the server even if its response doesn't arrive.
+    """
+    restart_ownership(state.board.registry, report.instance, state.clock.monotonic())
     try:
         response = await state.link.call(
             owner.peers, "POST", ANNOUNCEMENT_PATH, encode_report(report), FORWARD_TIMEOUT
@@ -135,29 +148,52 @@
     Another VM may have owned it until shortly before and may not know yet that it no longer does.
     """
     known: Instance | None = state.board.registry.instances.get(name)
+    is_only_owner = known is not None and has_owned_for_lease(
+        state.board.registry, known, state.clock.monotonic()
+    )
     last_report = report or (known.report if known else None)
     # The other VMs need the start of the server to reject its late announcements.
     order = last_report.departure_order if last_report else None
     if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
         log_left(state, name)
-    now = state.clock.monotonic()
-    lease = state.board.registry.lease
-    peers = [
-        peer
-        for peer in state.board.peers.values()
-        if peer.region == state.board.region and now < peer.alive_until
-    ]
     message = encode_leave(name, order)
+    # If the lease of any other owner has ended, only borrowers in the region may send to it, and
+    # their loans end in time without a message.
+    peers = find_region_peers(state) if is_only_owner else find_senders(state, last_report)
     results = await asyncio.gather(
         *(notify_departure(state.link, peer.peers, message) for peer in peers)
     )
-    # The lease of any earlier owner has ended by now.
-    owned_long = known is not None and not known.lender and now - known.owned_since >= lease
-    if all(results) or owned_long:
+    if all(results) or is_only_owner:
         return Accepted()
     return NotAccepted("another VM that may send to it didn't respond")
 
 
+def find_senders(state: SteeringState, report: InstanceReport | None) -> list[EntryVm]:
+    """Return the other live VMs that may send to a backend server.
+
+    Args:
+        state: State of this VM.
+        report: An announcement of the server, None if none is known.
+    """
+    live = list_live_peers(state)
+    vms = [SenderVm(peer.vm, peer.region, peer.is_leaving, peer.first_alive) for peer in live]
+    region = state.settings.regions.get(report.availability_zone) if report else None
+    lease = state.board.registry.lease
+    names = list_possible_senders(vms, region, lease, state.clock.monotonic())
+    return [peer for peer in live if peer.vm in names or peer.region == state.board.region]
+
+
+def find_region_peers(state: SteeringState) -> list[EntryVm]:
+    """Return the other live VMs of this VM's region."""
+    return [peer for peer in list_live_peers(state) if peer.region == state.board.region]
+
+
+def list_live_peers(state: SteeringState) -> list[EntryVm]:
+    """Return the other VMs that are alive."""
+    now = state.clock.monotonic()
+    return [peer for peer in state.board.peers.values() if now < peer.alive_until]
+
+
 async def hand_over_instances(state: SteeringState) -> None:
     """Hand all owned backend servers over to other VMs before this one stops."""
     instances = list_owned_instances(state.board.registry)
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -24,10 +24,12 @@
     "apply_report",
     "drop_instance",
     "expire_instances",
+    "has_owned_for_lease",
     "is_usable",
     "list_owned_instances",
     "mark_zone_cold",
     "remove_instance",
+    "restart_ownership",
     "set_lender",
     "suspend_instance",
     "take_over_address",
@@ -96,7 +98,8 @@
     Attributes:
         report: Its newest announcement.
         usable_until: End of the lease of that announcement or, for a borrowed server, of the loan.
-        owned_since: When the first announcement of this start arrived here.
+        owned_since: Since when its announcements have arrived here without interruption, and have
+            been forwarded to no other VM.
         cold_until: Until when it tolerates only a low request rate.
         is_cold_assumed: True if it is treated as cold until its next announcement.
         lender: VM that owns it and lends it to this one; empty if it announces itself here.
@@ -225,6 +228,9 @@
     if known.lender:
         set_lender(registry, known, "")
         known.owned_since = now
+    elif now > known.usable_until - registry.lease / 2:
+        # At least one announcement is missing here, which another VM may have received.
+        known.owned_since = now
     known.report = report
     known.usable_until = now + registry.lease
     known.cold_until = now + report.cold_for
@@ -250,6 +256,19 @@
     return list(registry.by_lender.get("", {}).values())
 
 
+def restart_ownership(registry: InstanceRegistry, name: str, now: timedelta) -> None:
+    """Record that another VM may own a backend server from now on, as this VM has told it to."""
+    known = registry.instances.get(name)
+    if known is not None:
+        known.owned_since = now
+
+
+def has_owned_for_lease(registry: InstanceRegistry, instance: Instance, now: timedelta) -> bool:
+    """Return True if this VM has owned a backend server for so long that no other VM owns it."""
+    is_owned = not instance.lender and now < instance.usable_until
+    return is_owned and now - instance.owned_since >= registry.lease
+
+
 def set_lender(registry: InstanceRegistry, instance: Instance, lender: str) -> None:
     """Record that another VM lends a known backend server now, or that this VM owns it."""
     del registry.by_lender[instance.lender][instance.name]
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -21,6 +21,7 @@
 from camphorspread.process.events import Event
 from camphorspread.process.instances import InstanceReport
 from camphorspread.process.owner_rank import rank_owners
+from camphorspread.process.possible_senders import SenderVm, list_possible_senders
 from camphorspread.process.replica_shell import ReplicaShell
 from camphorspread.process.steering_settings import SteeringSettings
 
@@ -215,23 +216,19 @@
     return NotAccepted("no entry VM accepted the announcement")
 
 
-def list_possible_senders(
-    steering: SteeringControl, region: str | None, lease: timedelta
-) -> list[ListedVm]:
-    """Return the entry VMs that may send to a backend server of a region.
-
-    VMs of other regions own it while all VMs of its region are lost. They may still send to it
-    until a VM of its region has been alive again long enough to receive its announcements.
-    """
-    known = list(steering.vms.values())
+def find_senders(steering: SteeringControl, region: str | None, lease: timedelta) -> list[ListedVm]:
+    """Return the entry VMs that may send to a backend server of a region, dead ones included."""
+    vms = [
+        SenderVm(
+            name,
+            item.record.region,
+            item.record.is_leaving,
+            item.alive_since if item.is_alive else None,
+        )
+        for name, item in steering.vms.items()
+    ]
     now = steering.control.clock.monotonic()
-    is_region_stable = any(
-        item.is_alive and item.record.region == region and now - item.alive_since >= 2 * lease
-        for item in known
-    )
-    if region is None or not is_region_stable:
-        return known
-    return [item for item in known if item.record.region == region]
+    return [steering.vms[name] for name in list_possible_senders(vms, region, lease, now)]
 
 
 async def broadcast_departure(
@@ -252,7 +249,7 @@
     region = None
     if report is not None:
         region = steering.settings.regions.get(report.availability_zone)
-    items = list_possible_senders(steering, region, lease)
+    items = find_senders(steering, region, lease)
 
     async def confirm_departure(item: ListedVm) -> bool:
         if not item.is_alive:
--- /dev/null
+++ b/features/platform/departures.feature
@@ -0,0 +1,38 @@
+Feature: Departures of endpoints while entry VMs are restarted
+  Guards against requests that reach an endpoint after its departure was acknowledged.
+
+  Background:
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+
+  # Guards against an owner in another region that isn't told of an acknowledged departure.
+  @fixture.platform_fleet
+  Scenario Outline: An endpoint leaves while the entry VMs of its region are restarted in turn
+    Given 10 s go by on the platform
+    And the entry VM of "varna-a" has been restarted and ready for <ready> s
+    And the entry VM of "varna-b" has been stopping for 0.3 s
+    When the endpoint "status-varna-b" says that it is draining to the entry VM of "<told>"
+    Then its call is acknowledged
+    And no request of a client runs at it from 0.1 s to 5 s later
+
+    Examples:
+      | ready | told    |
+      | 0.5   | varna-b |
+      | 1.5   | varna-b |
+      | 0.5   | varna-a |
+      | 1.5   | varna-a |
+      | 3     | varna-b |
+
+  # Guards against an entry VM of the endpoint's region that isn't told by one of another region.
+  @fixture.platform_fleet
+  Scenario: An endpoint leaves through an owner in another region while its own region returns
+    Given 10 s go by on the platform
+    And the entry VM of "varna-a" is killed
+    And the entry VM of "varna-b" is killed
+    And 8 s go by on the platform
+    And the entry VM of "varna-b" starts
+    And 0.5 s go by on the platform
+    And the entry VM of "varna-b" has got the announcement of "status-varna-b"
+    When the endpoint "status-varna-b" says that it is draining to its owner in another region
+    Then its call is acknowledged
+    And no request of a client runs at it from 0.1 s to 5 s later
--- /dev/null
+++ b/features/steps/departure_steps.py
@@ -0,0 +1,104 @@
+"""Steps of departures while entry VMs are restarted."""
+
+import asyncio
+
+from behave import given, then, when
+
+from camphorspread.connection.network import Address
+from camphorspread.process.announcements import forward_to_owner
+from camphorspread.process.entry_vms import EntryVm
+from camphorspread.process.steering_node import stop_gracefully
+from features.fixtures.platform_fleet import PEER_PORT
+
+SEND_INTERVAL_S = 0.5
+REQUESTS_AT_ONCE = 12
+
+
+@given('the entry VM of "{zone}" has been restarted and ready for {seconds:g} s')
+def step_restarted(context, zone, seconds):
+    fleet = context.fleet
+    fleet.run_coroutine(stop_gracefully(fleet.entries.pop(f"front-{zone}-2")))
+    fleet.start_entry(zone)
+    fleet.run(seconds)
+
+
+@given('the entry VM of "{zone}" starts')
+def step_starts(context, zone):
+    context.fleet.start_entry(zone)
+
+
+@given('the entry VM of "{zone}" has been stopping for {seconds:g} s')
+def step_stopping(context, zone, seconds):
+    fleet = context.fleet
+    # No announcement arrives between the handover and the departure.
+    for endpoint in fleet.endpoints.values():
+        endpoint.task.cancel()
+    node = fleet.entries.pop(f"front-{zone}-2")
+    context.stopping = fleet.loop.create_task(stop_gracefully(node))
+    fleet.run(seconds)
+
+
+@given('the entry VM of "{zone}" has got the announcement of "{name}"')
+def step_announced(context, zone, name):
+    fleet = context.fleet
+    endpoint = fleet.endpoints[name]
+    context.owner = endpoint.owner_address
+    endpoint.task.cancel()
+    owner = find_entry(fleet, context.owner)
+    report = owner.state.board.registry.instances[name].report
+    target = Address(fleet.host(zone, 2), PEER_PORT)
+    # The response arrives too late, so that both VMs own the endpoint.
+    peer = EntryVm(f"front-{zone}-2", 0, zone, zone[:-2], target, target)
+    assert fleet.run_coroutine(forward_to_owner(owner.state, peer, report))
+
+
+def find_entry(fleet, address):
+    """Return the entry VM with this address for other processes."""
+    return next(
+        node for node in fleet.entries.values() if node.state.settings.peers.host == address.host
+    )
+
+
+@when('the endpoint "{name}" says that it is draining to the entry VM of "{zone}"')
+def step_drain_at(context, name, zone):
+    drain_at(context, name, Address(context.fleet.host(zone, 2), PEER_PORT))
+
+
+@when('the endpoint "{name}" says that it is draining to its owner in another region')
+def step_drain_at_owner(context, name):
+    drain_at(context, name, context.owner)
+
+
+def drain_at(context, name, address):
+    """Announce that an endpoint is draining to one entry VM only."""
+    endpoint = context.fleet.endpoints[name]
+    endpoint.state = "draining"
+    endpoint.owner_address = address
+    endpoint.controls = ()
+    context.acknowledged = context.fleet.run_coroutine(endpoint.send_heartbeat())
+    context.departed = name
+
+
+@then("no request of a client runs at it from {start:g} s to {end:g} s later")
+def step_no_runs(context, start, end):
+    fleet = context.fleet
+    endpoint = fleet.endpoints[context.departed]
+    told_at = fleet.clock.monotonic().total_seconds()
+
+    async def send_until_end():
+        requests = []
+        for _ in range(round(end / SEND_INTERVAL_S)):
+            for name in fleet.entries:
+                zone = name.removeprefix("front-").removesuffix("-2")
+                requests += [
+                    asyncio.create_task(fleet.request(zone, "/read/x", key=f"k{number}"))
+                    for number in range(REQUESTS_AT_ONCE)
+                ]
+            await asyncio.sleep(SEND_INTERVAL_S)
+        return await asyncio.gather(*requests)
+
+    answers = fleet.run_coroutine(send_until_end())
+    served = sum(answer is not None and answer[0] == 200 for answer in answers)
+    late = [at - told_at for at in endpoint.run_times if at - told_at > start]
+    assert served > len(answers) / 2, (served, len(answers))
+    assert not late, late
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -322,9 +322,9 @@
 
 
 async def act_after(seconds, act):
-    """Call an asynchronous function after a time."""
+    """Call an asynchronous function after a time and return its result."""
     await asyncio.sleep(seconds)
-    await act()
+    return await act()
 
 
 @when(
@@ -336,11 +336,11 @@
 
     async def drain():
         endpoint.state = "draining"
-        context.acknowledged = await endpoint.send_heartbeat()
+        return await endpoint.send_heartbeat()
 
-    context.fleet.loop.create_task(act_after(seconds, drain))
+    draining = context.fleet.loop.create_task(act_after(seconds, drain))
     context.answers = send(context, zone, kind, count)
-    assert context.acknowledged
+    assert context.fleet.run_coroutine(draining)
 
 
 @attrs.frozen
@@ -428,7 +428,7 @@
     assert context.new_runs[name], context.new_runs
 
 
-@when('the entry VM of "{zone}" is killed')
+@any_step('the entry VM of "{zone}" is killed')
 def step_kill(context, zone):
     context.fleet.kill(f"front-{zone}-2")
     context.killed = context.fleet.host(zone, 2)
