Compact the log of large changes by their size

Cause: the log was compacted by the number of entries only (every 1,000, of which 200 are kept), and a start held the file, a copy of each record and the decoded entries at the same time.

--- a/camphorspread/version/changes.py
+++ b/camphorspread/version/changes.py
@@ -30,6 +30,7 @@
     "RemoveService",
     "apply_change",
     "check_change",
+    "document_size",
     "entry_version",
 ]
 
@@ -168,6 +169,14 @@
     return versioned.version if versioned else 0
 
 
+def document_size(change: Change) -> int:
+    """Return the characters of the document that a change carries; other changes are small."""
+    match change:
+        case PutRouting(document=document):
+            return len(document.text)
+    return 0
+
+
 def check_change(catalogue: Catalogue, request: ChangeRequest) -> Result[None, ChangeError]:
     """Validate a change against the current catalogue.
 
--- a/camphorspread/version/delivery.py
+++ b/camphorspread/version/delivery.py
@@ -7,7 +7,7 @@
 import attrs
 
 from camphorspread.version.catalogue import Catalogue
-from camphorspread.version.changes import Change, apply_change
+from camphorspread.version.changes import Change, apply_change, document_size
 from camphorspread.version.replica_view import ReplicaView
 
 __all__ = [
@@ -40,6 +40,9 @@
 NO_CATALOGUE_VERSION = -1
 # At 2,100 changes a day, this covers an entry VM that was disconnected for half a day.
 HISTORY_LENGTH = 1000
+# Characters of the documents in this history; an entry VM further behind gets the whole catalogue,
+# which holds one document.
+HISTORY_SIZE = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -121,10 +124,16 @@
 
 
 def record_change(delivery: Delivery, version: int, change: Change) -> None:
-    """Add an accepted change to the history, which is cleared first if versions are missing."""
+    """Add an accepted change to the history, which is cleared first if versions are missing.
+
+    The oldest changes are dropped while their documents exceed `HISTORY_SIZE`.
+    """
     if delivery.deltas and delivery.deltas[-1].version != version - 1:
         delivery.deltas.clear()
     delivery.deltas.append(Delta(version, change))
+    size = sum(document_size(item.change) for item in delivery.deltas)
+    while size > HISTORY_SIZE and len(delivery.deltas) > 1:
+        size -= document_size(delivery.deltas.popleft().change)
 
 
 def has_catalogue_lease(view: ReplicaView, now: timedelta) -> bool:
--- a/camphorspread/version/log_file.py
+++ b/camphorspread/version/log_file.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Callable
 from pathlib import Path
+from typing import BinaryIO
 
 import attrs
 
@@ -107,38 +108,77 @@
         LogCorruptedError: The file doesn't hold one intact record.
     """
     try:
-        data = path.read_bytes()
+        with path.open("rb") as file:
+            records = read_records(path, file, lambda _, payload: payload)
     except FileNotFoundError:
         return None
-    records, end = split_records(path, data)
-    if len(records) != 1 or end != len(data):
+    if len(records.values) != 1 or records.end != path.stat().st_size:
         raise LogCorruptedError(path, 0, "the file doesn't hold exactly one intact record")
-    return records[0][1]
+    return records.values[0]
 
 
-def split_records(path: Path, data: bytes) -> tuple[list[tuple[int, bytes]], int]:
-    """Return the records, each with its offset, and the end of the last intact one.
+@attrs.frozen
+class FileRecords:
+    """The intact records of a file.
+
+    Attributes:
+        values: Decoded payloads.
+        offsets: Offset of each record.
+        end: End of the last one.
+    """
+
+    values: list
+    offsets: list[int]
+    end: int
+
+
+def read_records(path: Path, file: BinaryIO, decode: Callable[[int, bytes], object]) -> FileRecords:
+    """Read a file record by record, so that its bytes and their decoded form aren't both held.
 
     After a power failure, data written since the last sync may be torn or missing, in any order.
     Blocks that weren't written hold zeros, which payloads never contain because they are JSON
     text. Each record states up to which offset the file was synced when it was written.
 
+    Args:
+        path: Path of the file, for error messages.
+        file: The open file.
+        decode: Returns the value of a record from its offset and payload.
+
     Raises:
         LogCorruptedError: A record is damaged in any other way.
     """
-    records: list[tuple[int, bytes]] = []
+    values: list[object] = []
+    offsets: list[int] = []
     offset = 0
-    while offset < len(data):
-        match read_record(data, offset):
+    size = file.seek(0, os.SEEK_END)
+    file.seek(0)
+    while offset < size:
+        match read_record(read_next(file, size - offset), 0):
             case bytes(payload):
-                records.append((offset, payload))
+                values.append(decode(offset, payload))
+                offsets.append(offset)
                 offset += RECORD_HEAD.size + len(payload)
             case None:
                 break
             case str(cause):
-                check_unsynced(path, data, offset, cause)
+                file.seek(0)
+                check_unsynced(path, file.read(), offset, cause)
                 break
-    return records, offset
+    return FileRecords(values, offsets, offset)
+
+
+def read_next(file: BinaryIO, left: int) -> bytes:
+    """Return the bytes of the next record, fewer if the file ends before.
+
+    Args:
+        file: The file, at the start of the record.
+        left: Bytes left in the file.
+    """
+    head = file.read(RECORD_HEAD.size)
+    if len(head) < RECORD_HEAD.size:
+        return head
+    length = RECORD_HEAD.unpack(head)[0]
+    return head + file.read(min(length, left - len(head)))
 
 
 def read_record(data: bytes, offset: int) -> bytes | str | None:
@@ -247,17 +287,28 @@
         os.close(self.descriptor)
 
 
-def open_log(path: Path, calls: FileOperations) -> tuple[LogFile, list[tuple[int, bytes]]]:
-    """Open a log, drop a torn last record, and return the log and its records with offsets.
+def open_log(
+    path: Path, calls: FileOperations, decode: Callable[[int, bytes], object]
+) -> tuple[LogFile, list]:
+    """Open a log, drop a torn last record, and return the log and its decoded records.
+
+    Args:
+        path: The file, created if it doesn't exist.
+        calls: System calls that write and sync.
+        decode: Returns the value of a record from its offset and payload.
 
     Raises:
         LogCorruptedError: A record is damaged and isn't a torn last record.
     """
-    data = path.read_bytes() if path.exists() else b""
-    records, end = split_records(path, data)
     descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
-    log = LogFile(path, calls, descriptor, [offset for offset, _ in records], end)
-    if end < len(data):
-        os.ftruncate(descriptor, end)
+    try:
+        with path.open("rb") as file:
+            records = read_records(path, file, decode)
+    except BaseException:
+        os.close(descriptor)
+        raise
+    log = LogFile(path, calls, descriptor, records.offsets, records.end)
+    if records.end < os.fstat(descriptor).st_size:
+        os.ftruncate(descriptor, records.end)
     log.sync()
-    return log, records
+    return log, records.values
--- a/camphorspread/version/replica_state.py
+++ b/camphorspread/version/replica_state.py
@@ -7,7 +7,7 @@
 
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.change_description import describe_change
-from camphorspread.version.changes import apply_change
+from camphorspread.version.changes import apply_change, document_size
 from camphorspread.version.replica_messages import (
     AnswerTime,
     ChangeEntry,
@@ -30,6 +30,7 @@
     "Role",
     "SnapshotLimits",
     "commit_quorum_size",
+    "entry_size",
     "majority_size",
     "restore_committed",
 ]
@@ -38,6 +39,14 @@
 MAX_OUTCOMES = 10_000
 
 
+def entry_size(entry: LogEntry) -> int:
+    """Return the characters of the document in an entry; entries without one are small."""
+    match entry.payload:
+        case ChangeEntry(request=request):
+            return document_size(request.change)
+    return 0
+
+
 @attrs.define(eq=False)
 class MemoryLog:
     """The log entries after `base_index`; the snapshot covers the earlier ones."""
@@ -69,6 +78,22 @@
         start = max(first - self.base_index - 1, 0)
         return tuple(self.entries[start : max(last - self.base_index, 0)])
 
+    def find_retained(self, index: int, count: int, size: int) -> int:
+        """Return the index of the entry before the oldest one that is retained.
+
+        Args:
+            index: Last entry that a snapshot covers.
+            count: Number of covered entries to retain at most.
+            size: Characters of the documents in these entries at most.
+        """
+        first = index
+        for entry in reversed(self.slice(index - count + 1, index)):
+            size -= entry_size(entry)
+            if size < 0:
+                break
+            first = entry.index - 1
+        return first
+
     def truncate(self, index: int) -> None:
         """Drop the entries from `index` on."""
         del self.entries[max(index - self.base_index - 1, 0) :]
@@ -196,13 +221,18 @@
 
     Attributes:
         interval: Number of entries after which a snapshot is taken.
+        size: Characters of documents in entries after which one is taken before that. A process
+            needs a few times this much memory when it starts from its data folder.
         retained: Number of entries kept before a snapshot; a replica that is no further behind
             catches up from the log alone.
+        retained_size: Characters of documents in these entries at most.
         chunk_bytes: Bytes of an encoded snapshot in one message.
     """
 
     interval: int = 1000
+    size: int = 8 * 1024 * 1024
     retained: int = 200
+    retained_size: int = 4 * 1024 * 1024
     chunk_bytes: int = 256 * 1024
 
 
@@ -238,6 +268,7 @@
         snapshot_index: Last entry in the newest stored snapshot.
         snapshot_term: Term of that entry.
         snapshot_data: The encoded snapshot.
+        size_since_snapshot: Characters of the documents in entries committed since then.
         incoming: Received bytes of an incomplete snapshot.
         incoming_index: Index of that snapshot.
         identities: Replies to identity queries, used to bootstrap the group.
@@ -272,6 +303,7 @@
     snapshot_index: int = 0
     snapshot_term: int = 0
     snapshot_data: bytes = b""
+    size_since_snapshot: int = 0
     incoming: bytearray = attrs.field(factory=bytearray)
     incoming_index: int = 0
     identities: dict[str, str] = attrs.field(factory=dict)
--- a/camphorspread/version/replica_storage.py
+++ b/camphorspread/version/replica_storage.py
@@ -3,6 +3,7 @@
 import fcntl
 import json
 import os
+from functools import partial
 from pathlib import Path
 from typing import Protocol
 
@@ -138,7 +139,7 @@
         replace_file(self.log.path, b"".join(records), self.calls)
         path = self.log.path
         self.log.close()
-        self.log, _ = open_log(path, self.calls)
+        self.log, _ = open_log(path, self.calls, lambda offset, _: offset)
         self.base_index = base_index
 
     def close(self) -> None:
@@ -204,11 +205,11 @@
         replace_file(log_path, encode_base(0, 0), calls)
     sync_folder(folder.parent, calls)
     vote_record = json.loads(vote)
-    log, records = open_log(log_path, calls)
+    log, records = open_log(log_path, calls, partial(decode_log_record, log_path))
     if not records:
         raise LogCorruptedError(log_path, 0, "the first record is missing")
-    base = json.loads(records[0][1])
-    entries = read_entries(log_path, base["base_index"], records[1:])
+    base, *entries = records
+    check_consecutive(log_path, base["base_index"], entries, log.offsets[1:])
     snapshot_data = read_small_file(folder / "snapshot") or b""
     snapshot = decode_snapshot(snapshot_data) if snapshot_data else None
     check_snapshot(folder / "snapshot", snapshot.index if snapshot else 0, base["base_index"])
@@ -220,7 +221,7 @@
         snapshot_data,
         base["base_index"],
         base["base_term"],
-        entries,
+        tuple(entries),
     )
     identity = vote_record["identity"]
     return FolderStorage(folder, calls, identity, log, base["base_index"], lock), stored
@@ -233,23 +234,26 @@
         raise LogCorruptedError(path, 0, cause)
 
 
-def read_entries(
-    path: Path, base_index: int, records: list[tuple[int, bytes]]
-) -> tuple[LogEntry, ...]:
-    """Decode log entries and check that none is missing."""
-    entries = []
-    for number, (offset, payload) in enumerate(records, start=1):
-        try:
-            entry = decode_entry(payload)
-        except FormatError:
-            raise
-        except ValueError as exc:
-            raise LogCorruptedError(path, offset, f"the record isn't a log entry: {exc}") from exc
+def decode_log_record(path: Path, offset: int, payload: bytes) -> dict | LogEntry:
+    """Decode a record of the log: the base at the start of the file, and entries after it."""
+    if offset == 0:
+        return json.loads(payload)
+    try:
+        return decode_entry(payload)
+    except FormatError:
+        raise
+    except ValueError as exc:
+        raise LogCorruptedError(path, offset, f"the record isn't a log entry: {exc}") from exc
+
+
+def check_consecutive(
+    path: Path, base_index: int, entries: list[LogEntry], offsets: list[int]
+) -> None:
+    """Check that no log entry is missing."""
+    for number, (offset, entry) in enumerate(zip(offsets, entries, strict=True), start=1):
         if entry.index != base_index + number:
             cause = f"entry {entry.index} follows entry {base_index + number - 1}"
             raise LogCorruptedError(path, offset, cause)
-        entries.append(entry)
-    return tuple(entries)
 
 
 def store_founders(folder: Path, hosts: list[str], calls: FileOperations) -> None:
--- a/camphorspread/version/replication.py
+++ b/camphorspread/version/replication.py
@@ -2,12 +2,7 @@
 
 from datetime import timedelta
 
-from camphorspread.version.changes import (
-    ChangeError,
-    ChangeErrorKind,
-    ChangeRequest,
-    PutRouting,
-)
+from camphorspread.version.changes import ChangeError, ChangeErrorKind
 from camphorspread.version.freshness import make_append_response, record_freshness
 from camphorspread.version.replica_events import (
     AnswerChange,
@@ -34,6 +29,7 @@
     Progress,
     ReplicaState,
     commit_quorum_size,
+    entry_size,
     majority_size,
 )
 from camphorspread.version.snapshot import send_chunk
@@ -162,9 +158,7 @@
     """Return the first entries, at least one, that fit into the size limit of a message."""
     size = 0
     for count, entry in enumerate(entries):
-        match entry.payload:
-            case ChangeEntry(request=ChangeRequest(change=PutRouting(document=document))):
-                size += len(document.text)
+        size += entry_size(entry)
         if count and size > DOCUMENT_BYTES_PER_MESSAGE:
             return entries[:count]
     return entries
@@ -291,13 +285,15 @@
     for entry in state.log.slice(state.committed.index + 1, index):
         version = state.committed.catalogue.version
         state.committed.apply(entry)
+        state.size_since_snapshot += entry_size(entry)
         newest = state.committed.catalogue.version
         if newest > version:
             changes.append(CommittedChange(newest, entry.payload.request.change))
         effects += answer_committed(state, entry)
     if changes:
         effects.insert(0, CatalogueCommitted(tuple(changes)))
-    if state.committed.index - state.snapshot_index >= state.limits.interval:
+    is_long = state.committed.index - state.snapshot_index >= state.limits.interval
+    if is_long or state.size_since_snapshot >= state.limits.size:
         effects.append(EncodeSnapshot(state.committed.make_snapshot()))
     return effects
 
--- a/camphorspread/version/snapshot.py
+++ b/camphorspread/version/snapshot.py
@@ -97,6 +97,7 @@
     state.committed = restore_committed(snapshot)
     state.snapshot_index, state.snapshot_term = snapshot.index, snapshot.term
     state.snapshot_data = data
+    state.size_since_snapshot = 0
 
 
 def install_snapshot(state: ReplicaState, snapshot: Snapshot, data: bytes) -> list[Effect]:
@@ -117,7 +118,10 @@
     """Compact the log after a snapshot was stored, but retain the newest entries."""
     state.snapshot_index, state.snapshot_term = snapshot.index, snapshot.term
     state.snapshot_data = data
-    return compact_log(state, max(snapshot.index - state.limits.retained, state.log.base_index))
+    state.size_since_snapshot = 0
+    limits = state.limits
+    first = state.log.find_retained(snapshot.index, limits.retained, limits.retained_size)
+    return compact_log(state, max(first, state.log.base_index))
 
 
 def compact_log(state: ReplicaState, index: int) -> list[Effect]:
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+from io import BytesIO
 from pathlib import Path
 
 from behave import given, then, when
@@ -31,7 +32,7 @@
     decode_forward_result,
     encode_forward_result,
 )
-from camphorspread.version.log_file import LogCorruptedError, encode_record, split_records
+from camphorspread.version.log_file import LogCorruptedError, encode_record, read_records
 from camphorspread.version.replica_codec import decode_entry, decode_envelope
 from features.fixtures.mutation import mutate_bytes, mutate_value
 from features.fixtures.platform_endpoint import call_address
@@ -161,7 +162,8 @@
 def decode_log(rng):
     """Decode a log file with changed bytes."""
     records = b"".join(encode_record(b'{"n":%d,"synced_end":0}' % number) for number in range(4))
-    split_records(Path("log"), mutate_bytes(rng, records))
+    file = BytesIO(mutate_bytes(rng, records))
+    read_records(Path("log"), file, lambda _, payload: payload)
 
 
 def make_decoders(rng):
