Don't attempt an upload again whose body was consumed

Cause: decide_after_failure checked is_consumed only where an endpoint had received the request. A 421 and the refusal of a forward count as not sent, although the body has been read from the caller and sent.

Change: such a request is answered 503 with 50 ms to return; send_request raises for a body that was consumed.

--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -57,8 +57,8 @@
 RESPONSE_MARGIN = timedelta(milliseconds=30)
 # No further attempt begins unless more than this time is left until the deadline.
 MIN_ATTEMPT_TIME = timedelta(milliseconds=50)
-# Other VMs serve the caller at once.
-LEAVING_RETRY_DELAY = timedelta(milliseconds=50)
+# Suggested delay where another VM or backend server can serve the caller at once.
+PROMPT_RETRY_DELAY = timedelta(milliseconds=50)
 # Other VMs to which a request is forwarded. The second one compensates for an outdated summary of
 # the first; under overload, more would transfer bodies without finding a free slot.
 MAX_FORWARDS = 2
@@ -129,7 +129,7 @@
         result = await run_until_disconnect(state, exchange, job)
     else:
         refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
-        result = Denied(refusal, LEAVING_RETRY_DELAY)
+        result = Denied(refusal, PROMPT_RETRY_DELAY)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
@@ -264,8 +264,11 @@
     now = state.clock.monotonic()
     match result:
         case Rejected(was_sent=was_sent, retry_after=return_delay):
-            if not was_sent:
+            if not was_sent and not job.body.is_consumed:
                 return None if now + MIN_ATTEMPT_TIME < job.deadline else deny_late(job)
+            if not was_sent:
+                # Only the caller can send the body again, which another server may take at once.
+                return_delay = return_delay or PROMPT_RETRY_DELAY
             final = Denied(
                 Refusal(ErrorKind.OVERLOADED, "a backend server rejected the request"), return_delay
             )
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -124,7 +124,12 @@
         is_answer: Returns True if a response belongs to this request.
         needs_new_connection: True if the response can only be recognised on a connection that has
             carried no other request.
+
+    Raises:
+        RuntimeError: A part of the body was consumed by an earlier attempt.
     """
+    if body.is_consumed:
+        raise RuntimeError("the body was consumed by an earlier attempt")
     conn: ClientConnection | None = None
     is_complete = False
     try:
