Read the rest of a forwarded upload before refusing it

What callers saw: an upload that was forwarded to an entry VM that refused it was held until its deadline and got 504, outcome unknown, although it hadn't run; on a real network the reset of the connection may lose the refusal.

Cause: the forwarding VM sends the whole body before it reads the response, but the refusing VM answered and closed with the body unread.

Evidence: both examples of the new scenario fail without the change (504 after 1.97 s) and get 503 with a time to return with it. Shown on virtual time only, not with real processes.

--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -1,5 +1,7 @@
 """Serves a request that another entry VM forwarded to this one."""
 
+import asyncio
+import contextlib
 from datetime import timedelta
 
 import attrs
@@ -28,7 +30,7 @@
 from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_local
 from camphorspread.request.route_steering import read_first_part
 from camphorspread.request.routed_request import RoutedRequest
-from camphorspread.request.send import Reply, StreamedReply
+from camphorspread.request.send import Reply, RequestBody, StreamedReply
 from camphorspread.version.routing import Route
 
 __all__ = ["serve_forwarded"]
@@ -62,6 +64,7 @@
     body = await read_first_part(state, exchange)
     if not state.can_end_before_exit(deadline):
         facts = ForwardResult(Outcome.NOT_RUN, ErrorKind.LEAVING, 0)
+        await discard_rest(body, forward.time_left)
         await respond_forwarded(state, exchange, forward, facts, None)
         return
     job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
@@ -77,11 +80,31 @@
             case TimedOut():
                 outcome = Outcome.UNKNOWN if job.may_have_run else Outcome.NOT_RUN
                 facts, reply = ForwardResult(outcome, ErrorKind.DEADLINE_EXCEEDED, job.sends), None
+        if reply is None:
+            await discard_rest(body, deadline - state.clock.monotonic())
         await respond_forwarded(state, exchange, forward, facts, reply)
     finally:
         state.in_flight -= 1
 
 
+async def discard_rest(body: RequestBody, limit: timedelta) -> None:
+    """Read the rest of a body that isn't sent to a backend server.
+
+    The forwarding VM sends the whole body before it reads the response, and closing the connection
+    with unread data would reset it before the response is read.
+
+    Args:
+        body: Body of the forwarded request.
+        limit: Longest time for reading it.
+    """
+    if body.is_complete:
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit.total_seconds()):
+            while await body.read_rest():
+                pass
+
+
 def make_route(forward: ForwardMetadata) -> Route:
     """Return a route with those fields of the other VM's route that an attempt uses."""
     return Route(
--- a/features/platform/uploads.feature
+++ b/features/platform/uploads.feature
@@ -19,6 +19,21 @@
       | sofia-a | chunks           |
       | sofia-a | a content length |
 
+  # Guards against a refusal that doesn't reach the forwarding VM, so that the outcome is unknown.
+  @fixture.platform_fleet
+  Scenario Outline: An entry VM refuses an upload that was forwarded to it
+    Given 10 s go by on the platform
+    And no "filing" endpoint of "sofia" has room
+    And the entry VMs of "plovdiv" refuse what is forwarded to them
+    When a client of "sofia-a" uploads 150000 bytes 6 times with <framing>
+    Then no upload runs without a part of its body
+    And each upload gets 200 or 503, and some of them 503 with a time to return
+
+    Examples:
+      | framing          |
+      | chunks           |
+      | a content length |
+
   # Guards against a small request that is refused although it can be sent again.
   @fixture.platform_fleet
   Scenario: A buffered request is sent to another endpoint
--- a/features/steps/upload_steps.py
+++ b/features/steps/upload_steps.py
@@ -1,6 +1,7 @@
 """Steps for uploads that are too large to be buffered."""
 
 import asyncio
+from datetime import timedelta
 
 from behave import given, then, when
 
@@ -8,10 +9,11 @@
 from camphorspread.connection.limits import ConnectionLimits
 from camphorspread.connection.messages import RequestHead
 from camphorspread.connection.network import Address
-from features.fixtures.platform_fleet import CLIENT_HOST, FRONT_PORT
+from features.fixtures.platform_fleet import CLIENT_HOST, FRONT_PORT, ZONES
 
 CHUNK_BYTES = 10_000
 UPLOAD_LIMIT_S = 5
+STOPPING_TIME = timedelta(milliseconds=-1)
 
 
 @given('a new endpoint has taken the address of each "filing" endpoint of "{place}"')
@@ -23,6 +25,24 @@
             endpoint.instance = f"new-{endpoint.instance}"
 
 
+@given('no "filing" endpoint of "{region}" has room')
+def step_full(context, region):
+    for zone in ZONES:
+        if zone.startswith(f"{region}-"):
+            board = context.fleet.entries[f"front-{zone}-2"].state.board
+            for item in board.registry.by_service["filing"]:
+                item.in_flight += 100
+
+
+@given('the entry VMs of "{region}" refuse what is forwarded to them')
+def step_refuse(context, region):
+    for zone in ZONES:
+        if zone.startswith(f"{region}-"):
+            # A VM that stops before a request can end refuses it.
+            state = context.fleet.entries[f"front-{zone}-2"].state
+            state.exit_at = state.clock.monotonic() + STOPPING_TIME
+
+
 async def upload(fleet, zone, number, size, framing):
     """Send one upload and return status and headers, or None without a complete response."""
     address = Address(fleet.host(zone, 2), FRONT_PORT)
