Divide the retry budget among all VMs that may use it

What callers saw: while endpoints refused many requests and all control VMs were away for some seconds, services got up to twice the repeats that the fleet's budget allows (BUDGET in the users' record).

Cause: an entry VM that no control VM had listed for 2.5 s counted as dead, also if no control VM responded at all, so that each VM took the whole slack; so did a VM that had just started.

Change: VMs that were alive still count while no control VM responds; the slack is divided by all VMs that were alive within the window; in its first window a VM uses only what its former process can't have used.

--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -87,6 +87,9 @@
         announced_at: When it was first announced.
         table: Routes in force; None before the first catalogue with routes.
         controls: Control VMs by their address for other processes of the fleet.
+        first_listed_at: When a control VM first sent a list of entry VMs; None before that.
+        last_report_at: When a control VM last responded to a poll; None before that.
+        held_vms: Entry VMs that still count as alive while no control VM responds.
         waiting_futures: Future of each waiting request, by ticket.
         has_waiting: Set while a request waits.
         next_ticket: Ticket of the next request.
@@ -119,6 +122,9 @@
     announced_at: timedelta = timedelta(0)
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
+    first_listed_at: timedelta | None = None
+    last_report_at: timedelta | None = None
+    held_vms: frozenset[str] = frozenset()
     waiting_futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
     has_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
     next_ticket: int = 0
@@ -146,12 +152,6 @@
         """Return True if a request with this deadline ends before the process exits."""
         return self.exit_at is None or deadline <= self.exit_at
 
-    @property
-    def live_vms(self) -> int:
-        """Number of entry VMs that are alive, this one included."""
-        now = self.clock.monotonic()
-        return 1 + sum(1 for peer in self.board.peers.values() if now < peer.alive_until)
-
 
 def make_steering_state(
     settings: SteeringSettings,
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -17,6 +17,7 @@
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import mark_zone_cold
+from camphorspread.process.live_vms import hold_live_vms, record_listed_vms
 from camphorspread.process.steering_state import RATE_WINDOW, ControlVm, SteeringState
 from camphorspread.process.supervision import start_supervised
 from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_vm
@@ -39,8 +40,8 @@
 FETCH_TIMEOUT = timedelta(milliseconds=250)
 # A control VM that responded within this time may be the source of the catalogue.
 SOURCE_TTL = timedelta(seconds=3)
-# An entry VM that no control VM has listed for this long is treated as dead.
-ALIVE_TTL = timedelta(seconds=2.5)
+# A control VM that has been silent for this long is no longer polled once it isn't listed.
+SILENCE_LIMIT = timedelta(seconds=10)
 # Random delay of the first poll of each control VM, so that responses don't arrive together.
 MAX_START_DELAY_S = 0.15
 
@@ -67,6 +68,7 @@
                 if task is None or task.done():
                     poll = partial(poll_control_vm, state, address, decode_table)
                     polls[address] = start_supervised(poll, f"poll of {address}", state.log)
+            hold_live_vms(state, poll_hold(len(state.controls)), state.clock.monotonic())
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
     finally:
         for task in polls.values():
@@ -196,12 +198,7 @@
             control.listed_vms = (control.listed_vms - names).union(
                 apply_vm_list(state, changed, now)
             )
-    for name in control.listed_vms:
-        peer = state.board.peers.get(name)
-        if peer is not None:
-            if now >= peer.alive_until:
-                peer.first_alive = now
-            peer.alive_until = now + ALIVE_TTL
+    record_listed_vms(state, control, now)
     announced = value.get("version")
     if type(announced) is int and announced > state.announced_version:
         state.announced_version, state.announced_at = announced, now
@@ -252,7 +249,7 @@
     now = state.clock.monotonic()
     for address, control in list(state.controls.items()):
         is_silent = (
-            control.last_response_at is None or now - control.last_response_at > 4 * ALIVE_TTL
+            control.last_response_at is None or now - control.last_response_at > SILENCE_LIMIT
         )
         if address not in listed and is_silent and len(state.controls) > len(listed):
             del state.controls[address]
--- a/camphorspread/request/fleet_retry_budget.py
+++ b/camphorspread/request/fleet_retry_budget.py
@@ -58,21 +58,26 @@
     record_event(budget.get_counts(service).requests, now)
 
 
-def allowed_repeats(budget: FleetRetryBudget, service: str, vms: int, now: timedelta) -> int:
+def allowed_repeats(budget: FleetRetryBudget, service: str, vms: int | None, now: timedelta) -> int:
     """Return how many retries this VM may send in a window.
 
     Args:
         budget: This VM's share of the budget.
         service: Name of the service.
-        vms: Number of entry VMs that share the slack.
+        vms: Number of entry VMs that share the slack. None in the first window of this process, in
+            which it uses only what a former process of this VM has certainly left over.
         now: Current monotonic time.
     """
     requests = count_recent(budget.get_counts(service).requests, now)
+    if vms is None:
+        return int((1 - SAFETY_FACTOR) * budget.ratio * requests)
     return int(SAFETY_FACTOR * (budget.ratio * requests + budget.slack / max(vms, 1)))
 
 
-def try_fleet_retry(budget: FleetRetryBudget, service: str, vms: int, now: timedelta) -> bool:
-    """Count a retry if the budget allows it."""
+def try_fleet_retry(
+    budget: FleetRetryBudget, service: str, vms: int | None, now: timedelta
+) -> bool:
+    """Count a retry if the budget allows it; `vms` is as for `allowed_repeats`."""
     counts = budget.get_counts(service)
     if count_recent(counts.repeats, now) >= allowed_repeats(budget, service, vms, now):
         return False
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -6,7 +6,8 @@
 from behave import then, when
 
 from camphorspread.process import vm_poll_listener
-from camphorspread.process.vm_poll import ALIVE_TTL, encode_poll, poll_hold
+from camphorspread.process.live_vms import ALIVE_TTL
+from camphorspread.process.vm_poll import encode_poll, poll_hold
 
 
 @then(
