Acknowledge a change once it is in force at the entry VMs

What callers saw: all control VMs were killed in the moment in which a configuration was acknowledged; entry VMs answered 404 on its new route, or kept a dropped one, until the control VMs had a leader again (CONFIG and DENIED in the users' record).

Cause: a change was acknowledged when a majority of the control VMs had synced it, before the entry VMs had it.

Change: the control VM that executed the change waits until all live entry VMs state its version in their polls, for 0.5 s at most; event 430 names those that haven't.

--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -78,6 +78,7 @@
     ORDER_UNANSWERED = 427
     SETTINGS_RELOADED = 428
     STORAGE_REGAINED = 429
+    CHANGE_UNCONFIRMED = 430
 
 
 # Events that an operator should look into soon, and events that show a fault.
--- a/camphorspread/process/operation_shell.py
+++ b/camphorspread/process/operation_shell.py
@@ -7,7 +7,7 @@
 
 from camphorspread.connection.network import Address
 from camphorspread.process.events import Event
-from camphorspread.process.steering_control import SteeringControl
+from camphorspread.process.steering_control import SteeringControl, wait_until_in_force
 from camphorspread.version.catalogue import Catalogue
 from camphorspread.version.changes import (
     ANY_VERSION,
@@ -30,6 +30,11 @@
 ]
 
 OPERATOR = "operator"
+# An accepted change is normally in force everywhere after a round trip between regions and
+# FETCH_TIMEOUT of the entry VMs. The operator waits a second for the response.
+IN_FORCE_TIMEOUT = timedelta(milliseconds=500)
+# Entry VMs that a log line names.
+MAX_LOGGED_VMS = 10
 # An operator waits a second and then asks another VM.
 READ_TIMEOUT = timedelta(milliseconds=900)
 READ_CHECK_INTERVAL = timedelta(milliseconds=10)
@@ -64,7 +69,11 @@
 async def execute_operation(
     steering: SteeringControl, change: Change, operation_id: str
 ) -> OperationResult:
-    """Propose a change to the group and wait for its outcome.
+    """Propose a change to the group and wait until it is accepted and in force.
+
+    Control VMs may be lost just after the response. An entry VM that hasn't received the change by
+    then would have to wait until a majority of them is back. An entry VM that doesn't respond
+    delays the response by `IN_FORCE_TIMEOUT` at most.
 
     Args:
         steering: State of the control VM.
@@ -74,10 +83,17 @@
     """
     request = ChangeRequest(operation_id, ANY_VERSION, OPERATOR, change)
     match await steering.shell.propose(request):
-        case (
-            ChangeOutcome(error=None)
-            | ChangeOutcome(error=ChangeError(kind=ChangeErrorKind.NOT_FOUND))
-        ):
+        case ChangeOutcome(error=None, version=version):
+            lagging = await wait_until_in_force(steering, version, IN_FORCE_TIMEOUT)
+            if lagging:
+                steering.control.log.write(
+                    Event.CHANGE_UNCONFIRMED,
+                    version=version,
+                    count=len(lagging),
+                    vms=lagging[:MAX_LOGGED_VMS],
+                )
+            return OperationDone()
+        case ChangeOutcome(error=ChangeError(kind=ChangeErrorKind.NOT_FOUND)):
             # An entry that is to be removed and doesn't exist was removed before.
             return OperationDone()
         case ChangeError(kind=ChangeErrorKind.NOT_LEADER):
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -1,6 +1,7 @@
 """Tracks the entry VMs on a control VM, and places announcements of backend servers."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 import attrs
@@ -34,6 +35,7 @@
     "mark_dead",
     "place_announcement",
     "record_poll",
+    "wait_until_in_force",
     "watch_vms",
 ]
 
@@ -55,6 +57,7 @@
         record: The record in its last poll.
         last_poll_at: When it last polled.
         hold: For how long that poll may be held.
+        catalogue_version: Catalogue version in force there, as its last poll stated.
         alive_since: Since when its present process has polled without interruption.
         revision: Revision of the list at which its record last changed.
         is_alive: False after too long a silence, or once its connection was closed.
@@ -63,6 +66,7 @@
     record: EntryVm
     last_poll_at: timedelta
     hold: timedelta
+    catalogue_version: int
     alive_since: timedelta
     revision: int = 0
     is_alive: bool = True
@@ -80,6 +84,7 @@
         vms: Entry VMs by name.
         list_revision: Incremented with each change of `vms`.
         caller_spread: Callers of each zone that use the VMs of other zones.
+        polled: Event that is set, and replaced by a new one, at each poll.
     """
 
     settings: SteeringSettings
@@ -89,6 +94,7 @@
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     list_revision: int = 0
     caller_spread: CallerSpread = attrs.field(factory=CallerSpread)
+    polled: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def fleet_list_version(self) -> str:
@@ -112,14 +118,19 @@
     return view.current_as_of is not None and now - view.current_as_of <= MAX_STALENESS
 
 
-def record_poll(steering: SteeringControl, record: EntryVm, hold: timedelta) -> None:
+def record_poll(
+    steering: SteeringControl, record: EntryVm, hold: timedelta, catalogue_version: int
+) -> None:
     """Record that an entry VM polled, and publish a change of its state.
 
     Args:
         steering: State of this control VM.
         record: The record in the poll.
         hold: For how long the poll may be held.
+        catalogue_version: Catalogue version in force at the entry VM.
     """
+    steering.polled.set()
+    steering.polled = asyncio.Event()
     now = steering.control.clock.monotonic()
     known = steering.vms.get(record.vm)
     is_unchanged = (
@@ -131,22 +142,53 @@
     )
     if is_unchanged:
         known.last_poll_at, known.hold = now, hold
+        known.catalogue_version = catalogue_version
         known.record.caller_rate = record.caller_rate
         return
     is_same_process = (
         known is not None and known.is_alive and known.record.incarnation == record.incarnation
     )
     alive_since = known.alive_since if is_same_process else now
-    steering.vms[record.vm] = listed = ListedVm(record, now, hold, alive_since)
+    steering.vms[record.vm] = listed = ListedVm(record, now, hold, catalogue_version, alive_since)
     log_vm_change(steering, record, True)
     steering.publish_list_change(listed)
 
 
+async def wait_until_in_force(
+    steering: SteeringControl, catalogue_version: int, limit: timedelta
+) -> list[str]:
+    """Wait until a catalogue version is in force at all entry VMs that poll this control VM.
+
+    Args:
+        steering: State of this control VM.
+        catalogue_version: The version.
+        limit: Longest time to wait.
+
+    Returns:
+        Names of the live entry VMs that haven't confirmed the version within the limit.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit.total_seconds()):
+            while list_lagging(steering, catalogue_version):
+                await steering.polled.wait()
+    return list_lagging(steering, catalogue_version)
+
+
+def list_lagging(steering: SteeringControl, catalogue_version: int) -> list[str]:
+    """Return the live entry VMs at which a catalogue version isn't known to be in force."""
+    return sorted(
+        name
+        for name, item in steering.vms.items()
+        if item.is_alive and item.catalogue_version < catalogue_version
+    )
+
+
 def mark_dead(steering: SteeringControl, record: EntryVm) -> None:
     """Mark an entry VM as dead, unless another process of it has polled since."""
     known = steering.vms.get(record.vm)
     if known is not None and known.record.incarnation == record.incarnation and known.is_alive:
         known.is_alive = False
+        steering.polled.set()
         log_vm_change(steering, record, False)
         steering.publish_list_change(known)
 
--- a/camphorspread/process/vm_poll_listener.py
+++ b/camphorspread/process/vm_poll_listener.py
@@ -33,7 +33,7 @@
         message = "a poll needs the record of an entry VM, its catalogue version and a hold time"
         await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
         return
-    record_poll(steering, record, hold)
+    record_poll(steering, record, hold, value["version"])
     if hold and not has_update(steering, value):
         waiting = wait_for_update(steering, value)
         if isinstance(await run_while_connected(waiting, exchange.stream, hold), Disconnected):
--- /dev/null
+++ b/features/platform/changes_in_force.feature
@@ -0,0 +1,35 @@
+Feature: Changes that are acknowledged to the operator
+  Guards against an acknowledged change that isn't in force at the entry VMs.
+
+  Background:
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+
+  # Guards against a new route that entry VMs answer with 404 after all control VMs were lost.
+  @fixture.platform_fleet
+  Scenario Outline: All control VMs are killed when a change is acknowledged
+    Given 5 s go by on the platform
+    When <change> is acknowledged, and all control VMs are killed at that moment
+    Then each entry VM <result>
+
+    Examples:
+      | change                              | result                                      |
+      | configuration 2 with a new route    | serves a request on the new route           |
+      | configuration 2 without the route   | answers 404 on the dropped route            |
+      | the evacuation of "sofia-a"         | sends nothing to the endpoints of "sofia-a" |
+
+  # Guards against an operator that waits for an entry VM that doesn't respond.
+  @fixture.platform_fleet
+  Scenario: An entry VM is cut off
+    Given 5 s go by on the platform
+    And the entry VM of "varna-b" is cut off from the control VMs
+    When the operator sends configuration 2 with a new route
+    Then it is acknowledged within 0.9 s
+    And a control VM has logged that "front-varna-b-2" hasn't confirmed it
+
+  # Guards against a delay that callers of the operator's interface would notice.
+  @fixture.platform_fleet
+  Scenario: All entry VMs respond
+    Given 5 s go by on the platform
+    When the operator sends configuration 2 with a new route
+    Then it is acknowledged within 0.7 s
