Log what a control VM has heard while it has no leader

In the users' record no leader_changed appears for five seconds after all control VMs were restarted, and for twelve seconds at one that had been restarted alone. The logs don't tell whether it heard nothing, was refused votes, or wasn't a member. Event 431 states this once for each silence of 2 s. The missing leader itself wasn't reproduced; it stays open.

--- a/camphorspread/process/events.py
+++ b/camphorspread/process/events.py
@@ -79,6 +79,7 @@
     SETTINGS_RELOADED = 428
     STORAGE_REGAINED = 429
     CHANGE_UNCONFIRMED = 430
+    LEADER_MISSING = 431
 
 
 # Events that an operator should look into soon, and events that show a fault.
@@ -95,6 +96,7 @@
         Event.ONCE_HOME_UNREACHABLE,
         Event.ONCE_OUTCOME_UNKNOWN,
         Event.STOPPED_AT_ONCE,
+        Event.LEADER_MISSING,
         Event.QUORUM_LOST,
         Event.STORAGE_FAILED,
         Event.FORMAT_REFUSED,
--- a/camphorspread/process/replica_shell.py
+++ b/camphorspread/process/replica_shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+from collections import Counter
 from datetime import timedelta
 
 import attrs
@@ -46,7 +47,13 @@
     WriteEntries,
 )
 from camphorspread.version.replica_events import Event as ReplicaEvent
-from camphorspread.version.replica_messages import ChangeOutcome, Envelope, MembershipChange
+from camphorspread.version.replica_messages import (
+    ChangeOutcome,
+    Envelope,
+    MembershipChange,
+    Message,
+    VoteResponse,
+)
 from camphorspread.version.replica_state import ReplicaState
 from camphorspread.version.replica_storage import ReplicaStorage
 from camphorspread.version.share_allocator import observe_catalogue
@@ -55,6 +62,8 @@
 
 CHANGE_TIMEOUT = timedelta(seconds=3)
 ISOLATION_TIMEOUT = timedelta(seconds=10)
+# Longer than an election that needs a second attempt usually takes.
+LEADER_TIMEOUT = timedelta(seconds=2)
 # The timer of the loop may fire slightly early; this prevents it from firing again immediately.
 MIN_TIMER_DELAY = timedelta(milliseconds=1)
 OUTCOME_UNKNOWN = ChangeError(
@@ -77,6 +86,8 @@
         sync_sequence: Newest write that the next sync covers, 0 if no sync is scheduled.
         timer: Timer for the next wake.
         is_isolated: True after 10 s without contact to a majority.
+        received: Messages received since it last heard from a leader, by type.
+        is_leader_missing: True once the absence of a leader was logged.
         is_stopped: True once the replica was stopped.
     """
 
@@ -90,6 +101,8 @@
     sync_sequence: int = 0
     timer: asyncio.TimerHandle | None = None
     is_isolated: bool = False
+    received: Counter[str] = attrs.field(factory=Counter)
+    is_leader_missing: bool = False
     is_stopped: bool = False
 
     def handle_event(self, event: ReplicaEvent, replies: list[Envelope] | None = None) -> None:
@@ -104,7 +117,10 @@
             return
         now = self.control.clock.monotonic()
         leader = self.control.view.leader
-        source = event.source if isinstance(event, Received) else ""
+        source = ""
+        if isinstance(event, Received):
+            source = event.source
+            self.received[describe_message(event.message)] += 1
         try:
             for effect in apply_event(self.state, event, now):
                 match effect:
@@ -198,6 +214,7 @@
     def report_isolation(self, now: timedelta) -> None:
         """Log the loss and the return of contact to a majority."""
         silence = now - self.state.quorum_contact_at
+        self.report_missing_leader(silence)
         if silence >= ISOLATION_TIMEOUT and not self.is_isolated:
             self.is_isolated = True
             self.control.log.write(Event.QUORUM_LOST, seconds=int(silence.total_seconds()))
@@ -205,6 +222,26 @@
             self.is_isolated = False
             self.control.log.write(Event.QUORUM_REGAINED)
 
+    def report_missing_leader(self, silence: timedelta) -> None:
+        """Log once what this replica knows, if it hears from no leader for long."""
+        if silence < LEADER_TIMEOUT:
+            self.is_leader_missing = False
+            self.received.clear()
+        elif not self.is_leader_missing:
+            self.is_leader_missing = True
+            state = self.state
+            self.control.log.write(
+                Event.LEADER_MISSING,
+                seconds=silence.total_seconds(),
+                role=type(state.role).__name__.lower(),
+                term=state.term,
+                voter=state.is_voter,
+                fault=state.storage_fault,
+                members=len(state.members),
+                last_index=state.log.last_index,
+                received=dict(self.received),
+            )
+
     def schedule_wake(self) -> None:
         """Set the timer for the next wake."""
         if self.is_stopped:
@@ -294,6 +331,14 @@
         self.storage.close()
 
 
+def describe_message(message: Message) -> str:
+    """Return the type of a message for the log; a refused vote counts as a type of its own."""
+    match message:
+        case VoteResponse(is_granted=False):
+            return "vote_refused"
+    return type(message).__name__
+
+
 def set_results(waiters: list[asyncio.Future], value: object) -> None:
     """Set the result of all futures that aren't done."""
     for future in waiters:
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -165,6 +165,14 @@
     When the endpoint "status-sofia-a" departs through the control VM of "varna-a"
     Then its call isn't acknowledged
 
+  # Guards against a group without a leader whose logs don't tell why.
+  @fixture.platform_fleet
+  Scenario: A control VM without a leader logs what it has heard
+    Given the control VM of "varna-a" is cut off from the others
+    And 6 s go by on the platform
+    Then it has logged once that it hears from no leader, and that it received nothing
+    And the other control VMs haven't logged this
+
   @fixture.platform_fleet
   Scenario: The endpoints of a killed entry VM get another owner
     When the entry VM of "sofia-a" is killed
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -401,6 +401,28 @@
     assert not context.acknowledged
 
 
+def list_leader_missing(context):
+    """Return the log lines on a missing leader, by control VM."""
+    return {
+        vm: [json.loads(line) for line in log.getvalue().splitlines() if "leader_missing" in line]
+        for vm, log in context.fleet.logs.items()
+        if vm.startswith("core-")
+    }
+
+
+@then("it has logged once that it hears from no leader, and that it received nothing")
+def step_leader_missing(context):
+    (line,) = list_leader_missing(context)["core-varna-a-1"]
+    assert line["received"] == {} and line["voter"] and line["members"] == len(ZONES), line
+    assert line["seconds"] >= 2, line
+
+
+@then("the other control VMs haven't logged this")
+def step_others_have_leader(context):
+    others = {vm: lines for vm, lines in list_leader_missing(context).items() if lines}
+    assert set(others) == {"core-varna-a-1"}, others
+
+
 @then('none of {count:d} "{kind}" requests of "{zone}" runs at this endpoint')
 def step_none_at_departed(context, count, kind, zone):
     check_not_run_at(context, count, kind, zone, context.departed)
