Don't block the control process while it waits for a lost entry VM

Reading the change again showed it: mark_dead set the event `polled` without replacing it, so that a change that waited for another entry VM looped without a pause, and the control process hung until the next poll, which it couldn't read.

The new scenario of changes_in_force.feature hangs with the former code (ended after 30 s) and passes now. Both callers use wake_waits, which sets and replaces the event.

--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -41,8 +41,8 @@
 # The departure of a server whose start isn't known here rejects all of its announcements for this
 # long, also those of its next start. Announcements arrive some seconds late at most.
 UNKNOWN_START_TTL = timedelta(seconds=10)
-# A server that states that it leaves exits within this time, so that one which still announces
-# itself after it has sent a wrong statement.
+# A server that states that it leaves exits within this time. One that still announces itself
+# afterwards is used again.
 LEAVING_TTL = timedelta(seconds=60)
 # After this time most of the reported runs have ended, so a load report is no longer used.
 LOAD_TTL = timedelta(milliseconds=300)
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -84,7 +84,7 @@
         vms: Entry VMs by name.
         list_revision: Incremented with each change of `vms`.
         caller_spread: Callers of each zone that use the VMs of other zones.
-        polled: Event that is set, and replaced by a new one, at each poll.
+        polled: Event that is set, and replaced by a new one, at each poll and loss of an entry VM.
     """
 
     settings: SteeringSettings
@@ -102,6 +102,11 @@
         members = len(self.shell.state.members)
         return f"{self.shell.state.incarnation:x}.{self.list_revision}.{members}"
 
+    def wake_waits(self) -> None:
+        """Wake those that wait for a poll or the loss of an entry VM."""
+        self.polled.set()
+        self.polled = asyncio.Event()
+
     def publish_list_change(self, changed: ListedVm) -> None:
         """Advance the version of the lists and wake the polls that wait for a change of it."""
         self.list_revision += 1
@@ -129,8 +134,7 @@
         hold: For how long the poll may be held.
         catalogue_version: Catalogue version in force at the entry VM.
     """
-    steering.polled.set()
-    steering.polled = asyncio.Event()
+    steering.wake_waits()
     now = steering.control.clock.monotonic()
     known = steering.vms.get(record.vm)
     is_unchanged = (
@@ -188,7 +192,7 @@
     known = steering.vms.get(record.vm)
     if known is not None and known.record.incarnation == record.incarnation and known.is_alive:
         known.is_alive = False
-        steering.polled.set()
+        steering.wake_waits()
         log_vm_change(steering, record, False)
         steering.publish_list_change(known)
 
--- a/features/platform/changes_in_force.feature
+++ b/features/platform/changes_in_force.feature
@@ -27,6 +27,23 @@
     Then it is acknowledged within 0.9 s
     And a control VM has logged that "front-varna-b-2" hasn't confirmed it
 
+  # Guards against a wait that blocks the process once an entry VM is lost.
+  @fixture.platform_fleet
+  Scenario Outline: An entry VM is killed while another one is waited for
+    Given 5 s go by on the platform
+    And the entry VM of "varna-b" is cut off from the control VMs
+    And the entry VM of "<killed>" is killed <seconds> s later
+    When the operator sends configuration 2 with a new route
+    Then it is acknowledged within 0.9 s
+
+    Examples:
+      | killed    | seconds |
+      | varna-a   | 0.3     |
+      | varna-a   | 0.45    |
+      | varna-a   | 0.55    |
+      | sofia-a   | 0.45    |
+      | plovdiv-a | 0.45    |
+
   # Guards against a delay that callers of the operator's interface would notice.
   @fixture.platform_fleet
   Scenario: All entry VMs respond
--- a/features/steps/changes_in_force_steps.py
+++ b/features/steps/changes_in_force_steps.py
@@ -1,5 +1,7 @@
 """Steps for changes that are in force when they are acknowledged."""
 
+import asyncio
+
 from behave import given, then, when
 
 from features.fixtures.platform_fleet import make_configuration, make_route
@@ -86,6 +88,19 @@
     fleet.network.cut({fleet.host(zone, 2)}, controls)
 
 
+@given('the entry VM of "{zone}" is killed {seconds:g} s later')
+def step_killed_later(context, zone, seconds):
+    fleet = context.fleet
+    node = fleet.entries.pop(f"front-{zone}-2")
+
+    async def kill():
+        await asyncio.sleep(seconds)
+        fleet.network.kill(node.state.settings.peers.host)
+        await node.stop()
+
+    context.killing = fleet.loop.create_task(kill())
+
+
 @when("the operator sends configuration 2 with a new route")
 def step_send(context):
     put(context, [READ_ROUTE, FILE_ROUTE, NEW_ROUTE])
