--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -79,6 +79,7 @@
       | sofia-a | Content-Length: 120        |
       | sofia-a | Transfer-Encoding: chunked |
 
+  # Entry VMs have their whole part of the retry budget only after its first window, which is 10 s.
   @fixture.platform_fleet
   Scenario: An idempotent request whose endpoint fails is served by another one
     Given 10 s go by on the platform
