--- a/camphorspread/platform/dialect.py
+++ b/camphorspread/platform/dialect.py
@@ -16,6 +16,9 @@
     DepartureStatement,
     Leaving,
     Limited,
+    LoadStated,
+    LoadStatement,
+    LoadUnstated,
     RateStatement,
     ReplyFacts,
     Staying,
@@ -116,7 +119,7 @@
         """Decode the head of an endpoint's response."""
         request_id = b""
         is_not_run = False
-        requests = None
+        load: LoadStatement = LoadUnstated()
         limits, departures = [], []
         for name, value in head.headers:
             if name == REQUEST_ID:
@@ -124,7 +127,7 @@
             elif name == NOT_EXECUTED:
                 is_not_run = True
             elif name == SERVER_LOAD:
-                requests = parse_server_load(value)
+                load = parse_server_load(value)
             elif name == SERVER_LIMIT:
                 limits.append(value)
             elif name == SERVER_LEAVING:
@@ -134,7 +137,7 @@
             request_id.decode("ascii", "replace"),
             is_not_run or is_misdirected,
             is_misdirected,
-            requests,
+            load,
             parse_rate_limit(limits),
             parse_departure(departures),
         )
@@ -165,15 +168,12 @@
         return ResponseHead(status, headers)
 
 
-def parse_server_load(load: bytes) -> int | None:
-    """Return the sum of running and waiting requests in a load header, None if it is malformed.
-
-    The third number of the header is the number of slots.
-    """
+def parse_server_load(load: bytes) -> LoadStatement:
+    """Return the statement of a load header: running and waiting requests, and slots."""
     match load.split(b","):
         case [running, waiting, _] if running.strip().isdigit() and waiting.strip().isdigit():
-            return int(running) + int(waiting)
-    return None
+            return LoadStated(int(running), int(waiting), 0)
+    return LoadUnstated()
 
 
 def parse_rate_limit(values: list[bytes]) -> RateStatement:
--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -181,4 +181,12 @@
         cold_rate_slack=bound("coldTolerance", float, defaults.cold_rate_slack),
         lookup_ttl_limit=bound("ttl_max_s", parse_seconds, defaults.lookup_ttl_limit),
         region_shift_limit=bound("maxRegionShift", float, defaults.region_shift_limit),
+        quota_window=bound("quotaWindowS", parse_seconds, defaults.quota_window),
+        quota_overage=bound("quotaOverage", float, defaults.quota_overage),
+        quota_tolerance=bound(
+            "quotaTolerance", lambda text: int(float(text)), defaults.quota_tolerance
+        ),
+        revocation_limit=bound("revokeMs", parse_milliseconds, timedelta(seconds=5))
+        if reader.read("terms.bounds.strictRevoke", parse_flag, "true or false", False)
+        else None,
     )
--- a/camphorspread/process/steering_settings.py
+++ b/camphorspread/process/steering_settings.py
@@ -40,6 +40,11 @@
         cold_rate_slack: Requests a second to a cold endpoint on top of that.
         lookup_ttl_limit: Longest time for which callers cache a lookup response.
         region_shift_limit: Fraction of a region's requests that may move to another region at once.
+        quota_window: Time over which the requests of an organisation are counted.
+        quota_overage: Fraction by which they may exceed the organisation's limit.
+        quota_tolerance: Requests on top of that.
+        revocation_limit: Time without contact to control VMs after which a VM accepts no keys, None
+            for no limit.
     """
 
     lost_disks: int = 1
@@ -54,6 +59,10 @@
     cold_rate_slack: float = 5.0
     lookup_ttl_limit: timedelta = timedelta(seconds=5)
     region_shift_limit: float = 0.15
+    quota_window: timedelta = timedelta(seconds=5)
+    quota_overage: float = 0.1
+    quota_tolerance: int = 20
+    revocation_limit: timedelta | None = None
 
     @property
     def announcement_lease(self) -> timedelta:
--- a/camphorspread/request/dialect.py
+++ b/camphorspread/request/dialect.py
@@ -10,10 +10,17 @@
 from camphorspread.request.errors import Refusal
 
 __all__ = [
+    "Credential",
     "DepartureStatement",
     "Dialect",
+    "KeyCredential",
     "Leaving",
     "Limited",
+    "LoadStated",
+    "LoadStatement",
+    "LoadUnstated",
+    "MalformedCredential",
+    "NoCredential",
     "RateStatement",
     "ReplyFacts",
     "Staying",
@@ -23,6 +30,26 @@
 ]
 
 
+@attrs.frozen
+class NoCredential:
+    """The request carries no key."""
+
+
+@attrs.frozen
+class KeyCredential:
+    """The request carries a key, which is left out of the text form."""
+
+    key: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class MalformedCredential:
+    """The request carries something that isn't a key, or several keys."""
+
+
+Credential = NoCredential | KeyCredential | MalformedCredential
+
+
 @attrs.frozen
 class SteeredCall:
     """A caller's request, decoded once on arrival.
@@ -34,6 +61,8 @@
         request_id: Identifier of the attempt, empty if it has none.
         object_key: Affinity key: the object that the request is about, empty if it names none.
         time_left: Time that the caller will wait, None if not stated.
+        credential: The key that identifies the caller's organisation.
+        organisation: Name of the organisation, empty before it is identified or for none.
     """
 
     head: RequestHead
@@ -42,6 +71,8 @@
     request_id: str
     object_key: str
     time_left: timedelta | None
+    credential: Credential = NoCredential()
+    organisation: str = ""
 
 
 @attrs.frozen
@@ -79,6 +110,31 @@
 DepartureStatement = Staying | Leaving | Unreadable
 
 
+@attrs.frozen
+class LoadUnstated:
+    """The server doesn't state its load."""
+
+
+@attrs.frozen
+class LoadStated:
+    """The server states its load.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it runs at the same time.
+        speed: How long work takes on its machine now, 1.0 for as long as usual; None if not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    speed: float | None = None
+
+
+LoadStatement = LoadUnstated | LoadStated | Unreadable
+
+
 @attrs.frozen
 class ReplyFacts:
     """Metadata in the head of a backend server's response.
@@ -87,17 +143,19 @@
         request_id: Identifier of the request that it answers, empty if it names none.
         is_not_run: True if the server states that it didn't run the request.
         is_misdirected: True if a server other than the expected one responded at the address.
-        requests: Running and queued requests at the server, None if not stated.
+        load: What the server states about its load.
         rate_limit: What the server states about the request rate that it takes.
         departure: What the server states about its departure.
+        pause: For how long the server wants no requests of this VM, None if not stated.
     """
 
     request_id: str
     is_not_run: bool
     is_misdirected: bool
-    requests: int | None = None
+    load: LoadStatement = LoadUnstated()
     rate_limit: RateStatement = Unlimited()
     departure: DepartureStatement = Staying()
+    pause: timedelta | None = None
 
 
 class Dialect(Protocol):
@@ -106,6 +164,16 @@
     def decode_request(self, head: RequestHead) -> Result[SteeredCall, Refusal]:
         """Decode a caller's request, or return the refusal of an invalid one."""
 
+    def identify_call(self, call: SteeredCall, organisation: str) -> SteeredCall:
+        """Return a request without its key and without a caller's claim to an organisation.
+
+        It is used only where the configuration has organisations.
+
+        Args:
+            call: The caller's request.
+            organisation: Name of its organisation, empty for none.
+        """
+
     def encode_request(self, call: SteeredCall, instance: str, time_left: timedelta) -> RequestHead:
         """Return the head for a backend server, without the headers that frame the body.
 
--- a/camphorspread/request/errors.py
+++ b/camphorspread/request/errors.py
@@ -47,6 +47,8 @@
     LEAVING = "leaving"
     NOT_READY = "not_ready"
     ACCESS_DENIED = "access_denied"
+    KEY_REFUSED = "key_refused"
+    QUOTA_EXCEEDED = "quota_exceeded"
     NOT_FOUND = "not_found"
     INTERNAL = "internal"
 
@@ -93,6 +95,8 @@
     ErrorKind.LEAVING: ErrorResponse(503, Outcome.NOT_RUN),
     ErrorKind.NOT_READY: ErrorResponse(503, Outcome.NOT_RUN),
     ErrorKind.ACCESS_DENIED: ErrorResponse(403, Outcome.NOT_RUN),
+    ErrorKind.KEY_REFUSED: ErrorResponse(401, Outcome.NOT_RUN),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, Outcome.NOT_RUN),
     ErrorKind.NOT_FOUND: ErrorResponse(404, Outcome.NOT_RUN),
     ErrorKind.INTERNAL: ErrorResponse(500, Outcome.UNKNOWN),
 }
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -77,6 +77,8 @@
         excluded: Backend servers and VMs at which earlier attempts failed.
         may_forward: False if the request was forwarded to this VM, so that it isn't forwarded
             again.
+        organisation: Name of the caller's organisation, empty for none.
+        organisation_rank: Priority of the organisation, which goes before `rank`.
     """
 
     service: str
@@ -88,6 +90,8 @@
     home_regions: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
     may_forward: bool = True
+    organisation: str = ""
+    organisation_rank: int = 0
 
 
 @attrs.define(eq=False)
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -20,6 +20,8 @@
     DepartureStatement,
     Leaving,
     Limited,
+    LoadStated,
+    LoadStatement,
     RateStatement,
     ReplyFacts,
     Unlimited,
@@ -157,13 +159,22 @@
         requests = None
         if isinstance(result, Reply | StreamedReply):
             facts = state.dialect.decode_response(result.head)
-            requests = facts.requests
+            requests = count_stated_requests(facts.load)
             if not facts.is_misdirected:
                 note_statements(state, job, instance, facts)
         record_run_end(state.board, instance, job.req, is_success, counted_s, now, requests)
         grant_freed_slots(state, instance)
 
 
+def count_stated_requests(load: LoadStatement) -> int | None:
+    """Return the running and waiting requests that a server states, None if it states none."""
+    match load:
+        case LoadStated(running=running, waiting=waiting):
+            return running + waiting
+        case _:
+            return None
+
+
 def note_statements(
     state: SteeringState, job: RoutedRequest, instance: Instance, facts: ReplyFacts
 ) -> None:
--- a/camphorspread/version/routing.py
+++ b/camphorspread/version/routing.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from camphorspread.version.organisations import OrganisationTable, list_organisation_errors
+
 __all__ = [
     "CallerLimits",
     "Route",
@@ -43,6 +45,7 @@
         max_attempts: Maximum number of endpoints that one request is sent to.
         has_affinity: True if an endpoint is faster for objects that it handled recently.
         home_regions: Regions in which the requests may run; empty for all.
+        is_public: True if the requests need no key where the configuration has organisations.
     """
 
     name: str
@@ -56,6 +59,7 @@
     max_attempts: int = 1
     has_affinity: bool = False
     home_regions: tuple[str, ...] = ()
+    is_public: bool = False
 
 
 @attrs.frozen
@@ -98,6 +102,7 @@
     routes: tuple[Route, ...]
     services: dict[str, SteeredService]
     limits: CallerLimits = CallerLimits()
+    organisations: OrganisationTable = attrs.field(factory=OrganisationTable)
 
     @cached_property
     def routes_by_host(self) -> dict[str, tuple[Route, ...]]:
@@ -128,7 +133,7 @@
 
 def list_route_errors(table: RouteTable) -> list[str]:
     """Return the errors that make a table invalid, each with route, value and allowed values."""
-    faults = []
+    faults = list_organisation_errors(table.organisations)
     seen: set[tuple[str, str]] = set()
     for route in table.routes:
         if not route.host:
