Keep a share of the objects in a region that is short of servers

Each request left the region by the expected wait alone, whatever its object.

For scarce services a hash now decides which objects the region keeps; requests about the others prefer another region, which is warm for them. The share follows from slots and request rate. It is off until a service is marked as scarce.

--- a/camphorspread/process/summary_partners.py
+++ b/camphorspread/process/summary_partners.py
@@ -11,7 +11,7 @@
 
 from camphorspread.request.rendezvous import order_by_rendezvous
 
-__all__ = ["OBSERVERS_PER_REGION", "choose_partners", "is_large_region"]
+__all__ = ["ALL_PAIRS_LIMIT", "OBSERVERS_PER_REGION", "choose_partners", "is_large_region"]
 
 # Between regions that have no more VMs, all pairs exchange summaries.
 ALL_PAIRS_LIMIT = 12
--- a/camphorspread/request/peer_placement.py
+++ b/camphorspread/request/peer_placement.py
@@ -1,9 +1,11 @@
 """Placements of a request at other entry VMs, with the expected time until the response."""
 
+from collections import Counter
 from collections.abc import Iterator
 from datetime import timedelta
 
 from camphorspread.process.entry_vms import EntryVm
+from camphorspread.process.summary_partners import ALL_PAIRS_LIMIT, OBSERVERS_PER_REGION
 from camphorspread.request.object_affinity import find_home_vms
 from camphorspread.request.placement_board import (
     ForwardPlacement,
@@ -15,12 +17,22 @@
     estimate_cold_surcharge_s,
 )
 
-__all__ = ["HOME_WARM_FRACTION", "SUMMARY_TTL", "ZONE_SURCHARGE_S", "list_peer_placements"]
+__all__ = [
+    "HOME_WARM_FRACTION",
+    "SUMMARY_TTL",
+    "ZONE_SURCHARGE_S",
+    "list_peer_placements",
+    "sum_slots_by_region",
+]
 
 # Assumed fraction of warm runs at an object's home VM, in this and in another region, before a run
 # was measured. Requests about an object are sent to one home per region to reuse warm servers.
 HOME_WARM_FRACTION = 0.7
 FAR_HOME_WARM_FRACTION = 0.4
+# Assumed fractions of warm runs of objects that this region doesn't keep, at their home VM in
+# another region and at other VMs there, which send to the same servers.
+MOVED_HOME_WARM_FRACTION = 0.9
+MOVED_WARM_FRACTION = 0.8
 # Traffic between regions is expensive, so another region must be faster by this much.
 REGION_SURCHARGE_S = 0.03
 # Another availability zone must be faster by this much.
@@ -34,6 +46,7 @@
     req: PlacementRequest,
     times: RunTimes,
     totals: ServiceTotals,
+    is_kept: bool,
     now: timedelta,
 ) -> Iterator[ForwardPlacement]:
     """Yield a forward with its cost for each eligible entry VM."""
@@ -45,16 +58,7 @@
         if peer.vm in totals.lenders or not may_forward_to(board, peer, req, now):
             continue
         load = peer.loads[req.service]
-        warm = peer.warm_objects.get((req.service, req.object_key)) if req.object_key else None
-        match warm:
-            case True:
-                warm_fraction = 1.0
-            case None if peer.vm == homes[0]:
-                warm_fraction = HOME_WARM_FRACTION
-            case None if peer.vm == homes[1]:
-                warm_fraction = FAR_HOME_WARM_FRACTION
-            case _:
-                warm_fraction = 0.0
+        warm_fraction = estimate_warm_fraction(peer, req, homes, is_kept or is_near(board, peer))
         cold_excess_s = (times.cold_s - times.warm_s) * (1.0 - warm_fraction)
         cost_s = times.warm_s + cold_excess_s + peer.round_trip_s
         if count_unseen_vms(board):
@@ -69,6 +73,37 @@
         yield ForwardPlacement(peer, cost_s)
 
 
+def is_near(board: PlacementBoard, peer: EntryVm) -> bool:
+    """Return True if another VM is in the same region."""
+    return peer.region == board.region
+
+
+def estimate_warm_fraction(
+    peer: EntryVm, req: PlacementRequest, homes: tuple[str, str], is_kept: bool
+) -> float:
+    """Return the expected fraction of warm runs of an object at the servers of another VM.
+
+    Args:
+        peer: The other VM.
+        req: The request.
+        homes: Home VMs of the object in this region and in the others.
+        is_kept: False if the object belongs to the region of the other VM.
+    """
+    is_warm = peer.warm_objects.get((req.service, req.object_key)) if req.object_key else None
+    match is_warm:
+        case True:
+            return 1.0
+        case _ if not is_kept:
+            # A single slow run says little, as the callers of that region keep the object warm.
+            return MOVED_HOME_WARM_FRACTION if peer.vm == homes[1] else MOVED_WARM_FRACTION
+        case None if peer.vm == homes[0]:
+            return HOME_WARM_FRACTION
+        case None if peer.vm == homes[1]:
+            return FAR_HOME_WARM_FRACTION
+        case _:
+            return 0.0
+
+
 def may_forward_to(
     board: PlacementBoard, peer: EntryVm, req: PlacementRequest, now: timedelta
 ) -> bool:
@@ -82,3 +117,25 @@
     if peer.is_leaving or now >= peer.alive_until or now < peer.suspended_until:
         return False
     return not req.home_regions or peer.region in req.home_regions
+
+
+def sum_slots_by_region(board: PlacementBoard, service: str, now: timedelta) -> list[float]:
+    """Return the slots of a service in each other region that can be reached.
+
+    A VM of a large region states its part of the region's slots, and only some VMs of that region
+    exchange summaries with this one.
+    """
+    vms = Counter(peer.region for peer in board.peers.values())
+    stated: dict[str, list[int]] = {}
+    for peer in board.peers.values():
+        load = peer.loads.get(service)
+        if peer.region == board.region or load is None or peer.summary_at is None:
+            continue
+        if now - peer.summary_at <= SUMMARY_TTL and now < peer.alive_until:
+            stated.setdefault(peer.region, []).append(load.slots)
+    return [
+        sum(slots) * OBSERVERS_PER_REGION / len(slots)
+        if vms[region] > ALL_PAIRS_LIMIT
+        else float(sum(slots))
+        for region, slots in stated.items()
+    ]
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -16,11 +16,13 @@
 
 from camphorspread.process.instances import Instance, is_usable
 from camphorspread.process.loans import max_requests_per_vm
+from camphorspread.request.home_share import HomeShare, is_kept, is_update_due, update_share
 from camphorspread.request.object_affinity import rank_instances
 from camphorspread.request.peer_placement import (
     HOME_WARM_FRACTION,
     ZONE_SURCHARGE_S,
     list_peer_placements,
+    sum_slots_by_region,
 )
 from camphorspread.request.placement_board import (
     ForwardPlacement,
@@ -94,11 +96,12 @@
     """
     times = find_run_times(board, req.service, req.route, promised_s)
     totals = find_totals(board, req.service, now)
+    is_at_home = is_kept_at_home(board, req, times, totals, now)
     placements: list[LocalPlacement | ForwardPlacement | QueuedPlacement] = list(
-        list_local_placements(board, req, times, totals, now)
+        list_local_placements(board, req, times, totals, is_at_home, now)
     )
     if req.may_forward and board.peers:
-        placements += list_peer_placements(board, req, times, totals, now)
+        placements += list_peer_placements(board, req, times, totals, is_at_home, now)
     if not placements:
         return NoPlacement()
     if not req.may_forward:
@@ -106,6 +109,26 @@
     return choose_within_shift_limit(board, req, placements, totals.slots, now)
 
 
+def is_kept_at_home(
+    board: PlacementBoard,
+    req: PlacementRequest,
+    times: RunTimes,
+    totals: ServiceTotals,
+    now: timedelta,
+) -> bool:
+    """Return False if requests about the object should run in another region by preference."""
+    if req.service not in board.scarce_services or not req.object_key or not req.may_forward:
+        return True
+    share = board.home_shares.get(req.service)
+    if share is None:
+        share = board.home_shares[req.service] = HomeShare()
+    if is_update_due(share, now):
+        slots = totals.find_usable_slots(times.mean_s)
+        others = sum_slots_by_region(board, req.service, now)
+        update_share(share, slots, others, board.sharers, times.warm_s, times.cold_s, now)
+    return is_kept(share, board.region, req.service, req.object_key)
+
+
 def get_cost(place: LocalPlacement | ForwardPlacement | QueuedPlacement) -> float:
     """Return the expected time until the response, in seconds."""
     return place.cost_s
@@ -154,6 +177,7 @@
     req: PlacementRequest,
     times: RunTimes,
     totals: ServiceTotals,
+    is_kept: bool,
     now: timedelta,
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
@@ -167,7 +191,7 @@
         if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank)
+        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank if is_kept else 1)
         if not is_probed:
             # For a probe, the server is assumed to have recovered.
             run_s *= item.slowdown * (1.0 + 2.0 * excess_failures)
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -7,6 +7,7 @@
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
+from camphorspread.request.home_share import HomeShare
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
 
 __all__ = [
@@ -172,6 +173,8 @@
         homes: Cached home VMs of objects by service.
         region_shares: Regions to which the requests of this VM's callers were sent.
         capacities: Recent maximum of the region's slots by service.
+        home_shares: Share of the objects that the region keeps, by service that is scarce.
+        scarce_services: Services for which decisions under scarce capacity are enabled.
     """
 
     vm: str
@@ -193,6 +196,8 @@
     homes: dict[str, HomeCache] = attrs.field(factory=dict)
     region_shares: RegionShares = attrs.field(factory=RegionShares)
     capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
+    home_shares: dict[str, HomeShare] = attrs.field(factory=dict)
+    scarce_services: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -12,6 +12,7 @@
 import attrs
 
 from camphorspread.process.instances import Instance
+from camphorspread.request.home_share import record_arrival
 from camphorspread.request.placement import can_start_run, choose_placement, match_freed_slot
 from camphorspread.request.placement_board import (
     ForwardPlacement,
@@ -121,6 +122,10 @@
         waiter: The request.
         now: Current monotonic time.
     """
+    if waiter.req.may_forward and not waiter.req.excluded:
+        share = board.home_shares.get(waiter.req.service)
+        if share is not None:
+            record_arrival(share, now)
     decision = decide_placement(board, queue, waiter, now)
     if decision is None:
         queue.by_service.setdefault(waiter.req.service, {})[waiter.ticket] = waiter
