Decode organisations and public routes, and the keys in requests

A configuration with organisations was accepted and its `tenants` ignored. They are decoded now, with strict types; names must fit in a header, keys mustn't have spaces, and neither two organisations with one name nor two with one key are valid. The dialect decodes the key, removes it and every `Tenant` header from an identified request, and adds the name of the organisation.

An error about a configuration could contain any part of it: that of a document that isn't UTF-8 had all of its bytes, also in the log, as decoding it again raised. It names the byte now. An error that would contain a key, or the beginning of one, is replaced. A byte order mark is refused at the control VM; before, it was accepted there and refused by all entry VMs.

--- a/camphorspread/platform/dialect.py
+++ b/camphorspread/platform/dialect.py
@@ -1,5 +1,6 @@
 """The platform's headers on requests and responses."""
 
+import contextlib
 import re
 from datetime import timedelta
 
@@ -13,12 +14,16 @@
     find_header,
 )
 from camphorspread.request.dialect import (
+    Credential,
     DepartureStatement,
+    KeyCredential,
     Leaving,
     Limited,
     LoadStated,
     LoadStatement,
     LoadUnstated,
+    MalformedCredential,
+    NoCredential,
     RateStatement,
     ReplyFacts,
     Staying,
@@ -38,6 +43,10 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+AUTHORIZATION = b"authorization"
+WWW_AUTHENTICATE = b"www-authenticate"
+TENANT = b"tenant"
+KEY_SCHEME = b"token"
 AFFINITY_COOKIE = "Affinity-Key"
 MISDIRECTED_STATUS = 421
 # Hop-by-hop headers, and headers that are set anew for each hop.
@@ -62,6 +71,8 @@
 MAX_DEADLINE_DIGITS = 9
 # Requests per second: a decimal number without sign or exponent, of a bounded size.
 RATE_LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+# Credentials with the scheme of keys, also in a list with others.
+KEY_HEADER_PATTERN = re.compile(rb"(^|,)\s*token\b", re.IGNORECASE)
 # Part of an unreadable header that is logged.
 MAX_LOGGED_BYTES = 64
 # The only server error that assures a client that its request didn't run.
@@ -77,8 +88,11 @@
         """Decode a client's request."""
         host = request_id = cookie = b""
         time_left = None
+        authorizations = []
         for name, value in head.headers:
             match name:
+                case b"authorization":
+                    authorizations.append(value)
                 case b"host":
                     host = value
                 case b"request-id":
@@ -98,9 +112,18 @@
                 request_id.decode("ascii", "replace"),
                 find_affinity_key(cookie.decode("ascii", "replace")),
                 time_left,
+                decode_credential(authorizations),
             )
         )
 
+    def identify_call(self, call: SteeredCall, organisation: str) -> SteeredCall:
+        """Return a request without its key and without a caller's claim to an organisation."""
+        headers = tuple(
+            item for item in call.head.headers if not is_identity_header(item[0].lower(), item[1])
+        )
+        head = attrs.evolve(call.head, headers=headers)
+        return attrs.evolve(call, head=head, credential=NoCredential(), organisation=organisation)
+
     def encode_request(self, call: SteeredCall, instance: str, time_left: timedelta) -> RequestHead:
         """Return the request head that is forwarded to an endpoint."""
         hop_headers = find_connection_headers(call.head.headers)
@@ -112,7 +135,10 @@
             and not item[0].startswith(INTERNAL_HEADER_PREFIX)
         )
         left_ms = max(time_left // timedelta(milliseconds=1), 1)
-        own = ((DEADLINE, b"%d" % left_ms), (EXPECTED_INSTANCE, instance.encode()))
+        own: Headers = ((DEADLINE, b"%d" % left_ms), (EXPECTED_INSTANCE, instance.encode()))
+        if call.organisation:
+            # Added after the filters, so that `Connection: Tenant` of the caller can't remove it.
+            own += ((TENANT, call.organisation.encode()),)
         return attrs.evolve(call.head, headers=(*forwarded, *own))
 
     def decode_response(self, head: ResponseHead) -> ReplyFacts:
@@ -165,9 +191,36 @@
         headers: Headers = ((b"content-type", b"text/plain"),)
         if retry_after is not None:
             headers += ((RETRY_AFTER, b"%.2f" % retry_after.total_seconds()),)
+        if refusal.kind is ErrorKind.KEY_REFUSED:
+            headers += ((WWW_AUTHENTICATE, b"Token"),)
         return ResponseHead(status, headers)
 
 
+def decode_credential(values: list[bytes]) -> Credential:
+    """Return the credential in the authorization headers, of which there should be one at most."""
+    match values:
+        case []:
+            return NoCredential()
+        case [value]:
+            match value.split():
+                case [scheme, key] if scheme.lower() == KEY_SCHEME:
+                    with contextlib.suppress(UnicodeDecodeError):
+                        return KeyCredential(key.decode())
+    return MalformedCredential()
+
+
+def is_identity_header(name: bytes, value: bytes) -> bool:
+    """Return True if a header carries a key or names an organisation.
+
+    Args:
+        name: Name of the header in lower case.
+        value: Its value.
+    """
+    return name == TENANT or (
+        name == AUTHORIZATION and KEY_HEADER_PATTERN.search(value) is not None
+    )
+
+
 def parse_server_load(load: bytes) -> LoadStatement:
     """Return the statement of a load header: running and waiting requests, and slots."""
     match load.split(b","):
--- a/camphorspread/platform/routing_codec.py
+++ b/camphorspread/platform/routing_codec.py
@@ -5,6 +5,11 @@
 
 from returns.result import Failure, Result, Success
 
+from camphorspread.platform.organisation_codec import (
+    build_organisations,
+    contains_key,
+    parse_flag,
+)
 from camphorspread.version.catalogue import RoutingDocument
 from camphorspread.version.routing import (
     CallerLimits,
@@ -38,16 +43,27 @@
 
 
 def decode_table(data: bytes | str) -> Result[RouteTable, str]:
-    """Decode a configuration, or return why it is invalid."""
+    """Decode a configuration, or return why it is invalid; the error contains no key."""
+    try:
+        # The text form of this error contains all of the data.
+        text = data if isinstance(data, str) else data.decode()
+    except UnicodeDecodeError as exc:
+        return Failure(f"the configuration isn't UTF-8 at byte {exc.start}")
+    value = None
     try:
-        value = json.loads(data)
+        value = json.loads(text)
         table = build_table(value)
+        faults = list_route_errors(table)
+        if not faults:
+            return Success(table)
+        fault = "; ".join(faults[:5])
     except RecursionError:
         return Failure("the configuration is nested too deeply")
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
-        return Failure(f"the configuration can't be read: {exc!r}")
-    faults = list_route_errors(table)
-    return Failure("; ".join(faults[:5])) if faults else Success(table)
+        fault = f"the configuration can't be read: {exc!r}"
+    if contains_key(fault, value):
+        return Failure("the configuration is invalid; the cause isn't shown as it contains a key")
+    return Failure(fault)
 
 
 def build_table(value: dict) -> RouteTable:
@@ -55,7 +71,11 @@
     services = {item["name"]: build_service(item) for item in value["services"]}
     routes = tuple(build_route(item) for item in value["routes"])
     return RouteTable(
-        parse_revision(value["version"]), routes, services, build_limits(value.get("limits"))
+        parse_revision(value["version"]),
+        routes,
+        services,
+        build_limits(value.get("limits")),
+        build_organisations(value.get("tenants")),
     )
 
 
@@ -90,6 +110,7 @@
         max_attempts=max(int(value.get("maxAttempts", 1)), 1),
         has_affinity=value.get("sessionAffinity") is True,
         home_regions=tuple(require_string(item) for item in value.get("allowedRegions") or ()),
+        is_public=parse_flag(value.get("public"), "public"),
     )
 
 
--- a/camphorspread/version/organisations.py
+++ b/camphorspread/version/organisations.py
@@ -1,5 +1,6 @@
 """Organisations whose requests are identified by a key, and their limits."""
 
+from collections import Counter
 from functools import cached_property
 
 import attrs
@@ -62,6 +63,9 @@
     """Return the errors that make the organisations invalid; no message contains a key."""
     faults = []
     holders: dict[str, str] = {}
+    for name, count in Counter(item.name for item in table.organisations).items():
+        if count > 1:
+            faults.append(f"organisation {name} is listed {count} times")
     for item in table.organisations:
         for key in item.keys:
             holder = holders.setdefault(key, item.name)
