Serve only requests whose key is known, for the organisation of the key

Keys weren't checked. A request is now identified on arrival, before its body is read, and checked again against the newest routes before each send, forward and repeat, and with each review while it is queued. What is decided:

- An unknown or malformed key on a public route is like no key.
- A withdrawn key gets 401.
If the key belongs to another organisation now, or keys became necessary while the request waited, it gets 503 and can be sent again at once; after an attempt that may have run it gets 502, as 503 would assure the caller that the request didn't run.
- A forwarded request states the organisation and the revision of the routes against which the key was checked.
A VM whose routes are older doesn't refuse it: the organisation may be new, and refusing it would fail requests after each such change.
A VM at which a key of the organisation is withdrawn while the request waits returns it, and the VM that has the key decides.
- A request that another process forwards without these fields is served, without key and `Tenant`.
- If no region is allowed by both route and organisation, the request gets 503.

--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -28,6 +28,7 @@
         unreadable_limits: Responses whose stated rate limit can't be read, by service.
         unreadable_departures: Responses whose statement on the server's departure can't be read, by
             service.
+        key_refusals: Requests that were refused for their key, by reason.
         times: Time to the response by service, in microseconds.
         time_sums: Sum of the recorded microseconds.
         waits: Time in the queue by service, in microseconds.
@@ -39,6 +40,7 @@
     repeats: Counter = attrs.field(factory=Counter)
     unreadable_limits: Counter = attrs.field(factory=Counter)
     unreadable_departures: Counter = attrs.field(factory=Counter)
+    key_refusals: Counter = attrs.field(factory=Counter)
     times: dict[str, HdrHistogram] = attrs.field(factory=dict)
     time_sums: Counter = attrs.field(factory=Counter)
     waits: dict[str, HdrHistogram] = attrs.field(factory=dict)
@@ -78,6 +80,7 @@
         ("service",),
         "Responses whose statement on the server's departure can't be read.",
     ),
+    ("key_refusals", ("reason",), "Requests that were refused for their key."),
 )
 
 
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -91,6 +92,7 @@
         last_report_at: When a control VM last responded to a poll; None before that.
         held_vms: Entry VMs that still count as alive while no control VM responds.
         waiting_futures: Future of each waiting request, by ticket.
+        waiting_checks: Returns whether a waiting request may still run, by ticket.
         has_waiting: Set while a request waits.
         next_ticket: Ticket of the next request.
         arrivals: Callers' requests in the window of the request rate.
@@ -126,6 +128,7 @@
     last_report_at: timedelta | None = None
     held_vms: frozenset[str] = frozenset()
     waiting_futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    waiting_checks: dict[int, Callable[[], bool]] = attrs.field(factory=dict)
     has_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
     next_ticket: int = 0
     arrivals: SlidingWindow = attrs.field(
--- a/camphorspread/request/peer_forward_codec.py
+++ b/camphorspread/request/peer_forward_codec.py
@@ -42,6 +42,9 @@
         excluded: Backend servers at which earlier attempts failed.
         home_regions: Regions that may run the request, empty if all may. They are checked again,
             as the receiving VM may own servers of another region.
+        organisation: Name of the caller's organisation, empty for none.
+        organisation_rank: Priority of the organisation.
+        routes_revision: Revision of the routes against which the caller's key was checked.
     """
 
     service: str
@@ -53,6 +56,9 @@
     time_left: timedelta
     excluded: tuple[str, ...] = ()
     home_regions: tuple[str, ...] = ()
+    organisation: str = ""
+    organisation_rank: int = 0
+    routes_revision: int = 0
 
 
 @attrs.frozen
@@ -99,6 +105,10 @@
         "excluded": forward.excluded,
         "homes": forward.home_regions,
     }
+    if forward.organisation:
+        fields["organisation"] = forward.organisation
+        fields["organisation_rank"] = forward.organisation_rank
+        fields["routes_revision"] = forward.routes_revision
     encoded = json.dumps(fields, separators=(",", ":")).encode()
     return attrs.evolve(head, headers=(*strip_own_headers(head.headers), (FORWARD_HEADER, encoded)))
 
@@ -121,6 +131,9 @@
             fields["left_ms"] * MILLISECOND,
             tuple(fields["excluded"]),
             tuple(fields["homes"]),
+            str(fields.get("organisation", "")),
+            int(fields.get("organisation_rank", 0)),
+            int(fields.get("routes_revision", 0)),
         )
     except (KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise ValueError(f"{FORWARD_HEADER.decode()} is malformed: {exc}") from exc
--- a/camphorspread/request/placement_driver.py
+++ b/camphorspread/request/placement_driver.py
@@ -1,6 +1,7 @@
 """Awaits the placement of a request, and places queued requests when capacity becomes free."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from camphorspread.process.instances import Instance
@@ -26,11 +27,21 @@
 
 
 async def wait_for_placement(
-    state: SteeringState, req: PlacementRequest, promised: timedelta
+    state: SteeringState,
+    req: PlacementRequest,
+    promised: timedelta,
+    may_wait: Callable[[], bool] = lambda: True,
 ) -> LocalPlacement | ForwardPlacement | Refused:
     """Return the placement of a request, or its refusal.
 
     The capacity of a granted placement is reserved; `release_unused` frees it if it isn't used.
+
+    Args:
+        state: State of this VM.
+        req: The request.
+        promised: Promised response time of its route.
+        may_wait: Returns False once the request may no longer run; it is then refused with the next
+            review, so that it doesn't occupy the queue.
     """
     started = state.clock.monotonic()
     state.next_ticket += 1
@@ -39,6 +50,7 @@
     if decision is None:
         fut = asyncio.get_running_loop().create_future()
         state.waiting_futures[waiter.ticket] = fut
+        state.waiting_checks[waiter.ticket] = may_wait
         state.has_waiting.set()
         try:
             decision = await fut
@@ -49,6 +61,7 @@
             raise
         finally:
             state.waiting_futures.pop(waiter.ticket, None)
+            state.waiting_checks.pop(waiter.ticket, None)
             record_wait(state.metrics, req.service, state.clock.monotonic() - started)
     else:
         reserve_capacity(state, decision, req.service)
@@ -88,8 +101,19 @@
         resolve_waiter(state, decision, instance.report.service)
 
 
+def refuse_disallowed(state: SteeringState, service: str) -> None:
+    """Refuse the queued requests of a service that may no longer run."""
+    waiters = state.waiting.by_service.get(service, {})
+    for waiter in list(waiters.values()):
+        may_wait = state.waiting_checks.get(waiter.ticket)
+        if may_wait is not None and not may_wait():
+            remove_waiter(state.board, state.waiting, waiter)
+            resolve_waiter(state, Refused(waiter.ticket, timedelta(0)), service)
+
+
 def review_queue(state: SteeringState, service: str) -> None:
     """Review the queued requests of a service until no further one is granted."""
+    refuse_disallowed(state, service)
     while True:
         now = state.clock.monotonic()
         decisions = review_waiters(state.board, state.waiting, service, now)
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -15,6 +15,7 @@
     suspend_instance,
 )
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.caller_identity import is_still_identified
 from camphorspread.request.deadline import time_left
 from camphorspread.request.dialect import (
     DepartureStatement,
@@ -116,6 +117,9 @@
         now = state.clock.monotonic()
         if now >= job.req.deadline or not may_send_to(state, instance, now):
             return None
+        # The key may have been withdrawn while the request waited for a slot or a connection.
+        if not is_still_identified(state, job):
+            return None
         was_sent = True
         job.sends += 1
         remaining = time_left(job.req.deadline, now)
@@ -259,7 +263,7 @@
             )
             return Rejected(f"not sent: {detail}", instance.name, False)
         case Withheld():
-            return Rejected("the server may no longer be used", instance.name, False)
+            return Rejected("the request or the server is no longer allowed", instance.name, False)
         case ResponseLost(detail=detail):
             return Failed(detail, instance.name)
         case Reply() | StreamedReply():
@@ -280,7 +284,9 @@
 
     def prepare() -> RequestHead | None:
         now = state.clock.monotonic()
-        return None if now >= job.req.deadline else make_forward_head(job, peer, now)
+        if now >= job.req.deadline or not is_still_identified(state, job):
+            return None
+        return make_forward_head(state, job, peer, now)
 
     may_have_run = job.may_have_run
     job.may_have_run = True
@@ -293,7 +299,9 @@
     return outcome
 
 
-def make_forward_head(job: RoutedRequest, peer: EntryVm, now: timedelta) -> RequestHead:
+def make_forward_head(
+    state: SteeringState, job: RoutedRequest, peer: EntryVm, now: timedelta
+) -> RequestHead:
     """Return the head with which a request is forwarded to another entry VM."""
     one_way = timedelta(seconds=peer.round_trip_s / 2)
     remaining = time_left(job.req.deadline, now) - one_way
@@ -307,6 +315,9 @@
         max(remaining - RETURN_MARGIN, timedelta(milliseconds=1)),
         tuple(job.req.excluded),
         job.req.home_regions,
+        job.req.organisation,
+        job.req.organisation_rank,
+        state.table.revision if state.table else 0,
     )
     head = encode_forward(job.call.head, forward)
     return attrs.evolve(
@@ -341,7 +352,7 @@
             suspend_peer(state, peer, detail)
             return Rejected(f"{peer.vm} is unreachable: {detail}", peer.vm, False)
         case Withheld():
-            return Rejected("the deadline has passed", peer.vm, False)
+            return Rejected("the request is no longer allowed", peer.vm, False)
         case ResponseLost(detail=detail):
             job.sends += 1
             suspend_peer(state, peer, detail)
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -16,6 +16,11 @@
 from camphorspread.connection.messages import ResponseHead
 from camphorspread.process.reported_load import measure_loads
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.caller_identity import (
+    check_identity,
+    identify_forwarded,
+    is_still_identified,
+)
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.peer_forward_codec import (
     ForwardMetadata,
@@ -35,7 +40,7 @@
 from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_local
 from camphorspread.request.route_steering import read_first_part
-from camphorspread.request.routed_request import RoutedRequest
+from camphorspread.request.routed_request import Denied, RoutedRequest
 from camphorspread.request.send import Reply, RequestBody, StreamedReply
 from camphorspread.version.routing import Route
 
@@ -55,6 +60,7 @@
         return
     now = state.clock.monotonic()
     call = state.dialect.decode_request(exchange.head).unwrap()
+    caller = identify_forwarded(state, call, forward)
     deadline = now + forward.time_left
     req = PlacementRequest(
         forward.service,
@@ -66,6 +72,8 @@
         home_regions=forward.home_regions,
         excluded=frozenset(forward.excluded),
         may_forward=False,
+        organisation=forward.organisation,
+        organisation_rank=forward.organisation_rank,
     )
     body = await read_first_part(state, exchange)
     if not state.can_end_before_exit(deadline):
@@ -73,7 +81,7 @@
         await discard_rest(body, forward.time_left)
         await respond_forwarded(state, exchange, forward, facts, None)
         return
-    job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
+    job = RoutedRequest(caller.call, make_route(forward), req, body, now, deadline, caller.identity)
     stream = exchange.stream if body.is_complete else None
     state.in_flight += 1
     try:
@@ -129,9 +137,17 @@
     state: SteeringState, job: RoutedRequest
 ) -> tuple[ForwardResult, Reply | StreamedReply | None]:
     """Make one attempt at a backend server of this VM; retries are up to the forwarding VM."""
-    place = await wait_for_placement(state, job.req, job.route.promised)
+    denied = check_identity(state, job)
+    if denied is not None:
+        return make_denied_result(denied), None
+    place = await wait_for_placement(
+        state, job.req, job.route.promised, lambda: is_still_identified(state, job)
+    )
     match place:
         case Refused(retry_after=return_delay, has_server=has_server):
+            denied = check_identity(state, job)
+            if denied is not None:
+                return make_denied_result(denied), None
             kind = ErrorKind.OVERLOADED if has_server else ErrorKind.NO_BACKEND_SERVER
             return ForwardResult(Outcome.NOT_RUN, kind, 0, retry_after=return_delay), None
         case ForwardPlacement():
@@ -145,6 +161,8 @@
             run = state.clock.monotonic() - started
             fast = is_fast(state, job, run)
             return ForwardResult(Outcome.COMPLETED, None, job.sends, fast, leaving=leaving), reply
+        case Rejected(was_sent=False) if denied := check_identity(state, job):
+            return make_denied_result(denied), None
         case Rejected(retry_after=return_delay):
             return ForwardResult(
                 Outcome.NOT_RUN, ErrorKind.OVERLOADED, job.sends, False, 0, return_delay, leaving
@@ -153,6 +171,11 @@
             return ForwardResult(Outcome.UNKNOWN, ErrorKind.BACKEND_FAILED, job.sends), None
 
 
+def make_denied_result(denied: Denied) -> ForwardResult:
+    """Return the result of a request that this VM may not send for its caller."""
+    return ForwardResult(Outcome.NOT_RUN, denied.refusal.kind, 0, retry_after=denied.retry_after)
+
+
 def find_leaving(place: LocalPlacement, now: timedelta) -> LeavingServer | None:
     """Return the backend server of a placement if it has stated that it leaves."""
     instance = place.instance
