--- a/camphorspread/connection/messages.py
+++ b/camphorspread/connection/messages.py
@@ -1,5 +1,7 @@
 """Heads of HTTP requests and responses, independent of their encoding."""
 
+import re
+
 import attrs
 
 __all__ = [
@@ -9,9 +11,12 @@
     "find_header",
     "has_body",
     "has_conflicting_lengths",
+    "is_header_value",
     "without_headers",
 ]
 
+CONTROL_BYTES = re.compile(rb"[\x00-\x1f\x7f]")
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -55,3 +60,12 @@
 def without_headers(headers: Headers, names: frozenset[bytes]) -> Headers:
     """Return the headers whose names aren't in `names`."""
     return tuple(item for item in headers if item[0] not in names)
+
+
+def is_header_value(text: str) -> bool:
+    """Return True if a text isn't empty and can be sent as the value of a header."""
+    try:
+        data = text.encode()
+    except UnicodeEncodeError:
+        return False
+    return bool(data) and data == data.strip() and not CONTROL_BYTES.search(data)
--- a/camphorspread/platform/organisation_codec.py
+++ b/camphorspread/platform/organisation_codec.py
@@ -4,14 +4,13 @@
 """
 
 import math
-import re
 from collections.abc import Iterator
 
+from camphorspread.connection.messages import is_header_value
 from camphorspread.version.organisations import Organisation, OrganisationTable
 
 __all__ = ["build_organisations", "contains_key", "parse_flag"]
 
-CONTROLS = re.compile(rb"[\x00-\x1f\x7f]")
 KEYS_FIELD = "apiKeys"
 # Part of a key that identifies it in an error, which may contain the beginning of a long value.
 PROBE_LENGTH = 16
@@ -57,15 +56,6 @@
     )
 
 
-def is_header_value(text: str) -> bool:
-    """Return True if a text isn't empty and can be sent as the value of a header."""
-    try:
-        data = text.encode()
-    except UnicodeEncodeError:
-        return False
-    return bool(data) and data == data.strip() and not CONTROLS.search(data)
-
-
 def parse_strings(value: dict, field: str, name: str) -> tuple[str, ...]:
     """Return an optional field that is a list of strings."""
     items = value.get(field)
--- a/camphorspread/request/peer_forward_codec.py
+++ b/camphorspread/request/peer_forward_codec.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-from camphorspread.connection.messages import Headers, RequestHead, ResponseHead, find_header
+from camphorspread.connection.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    find_header,
+    is_header_value,
+)
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.forwarding import ERROR_HEADER, OUTCOME_HEADER
 
@@ -131,7 +137,7 @@
             fields["left_ms"] * MILLISECOND,
             tuple(fields["excluded"]),
             tuple(fields["homes"]),
-            str(fields.get("organisation", "")),
+            decode_organisation(fields),
             int(fields.get("organisation_rank", 0)),
             int(fields.get("routes_revision", 0)),
         )
@@ -139,6 +145,18 @@
         raise ValueError(f"{FORWARD_HEADER.decode()} is malformed: {exc}") from exc
 
 
+def decode_organisation(fields: dict) -> str:
+    """Decode the name of the caller's organisation; it is optional.
+
+    Raises:
+        ValueError: The name can't be sent to a backend server.
+    """
+    name = fields.get("organisation", "")
+    if name != "" and not (isinstance(name, str) and is_header_value(name)):
+        raise ValueError(f"{FORWARD_HEADER.decode()} has no valid organisation")
+    return name
+
+
 def encode_forward_result(facts: ForwardResult) -> Headers:
     """Return the headers for the response to a forwarded request."""
     fields = {
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -108,6 +108,9 @@
     "left_ms": 1500,
     "excluded": ["i-2"],
     "homes": ["sofia"],
+    "organisation": "acme",
+    "organisation_rank": 1,
+    "routes_revision": 3,
 }
 ENVELOPE = {
     "format": 1,
@@ -132,11 +135,16 @@
         "terms.bounds.drainMs=2500",
     )
 )
+TENANTS = [
+    {"name": "acme", "apiKeys": ["k-1"], "priority": 1, "ratePerS": 2.5, "burst": 3},
+    {"name": "bolt", "apiKeys": ["k-2", "k-3"], "allowedRegions": ["sofia"]},
+]
 REQUEST_HEADERS = (
     (b"host", b"water.example"),
     (b"request-id", b"q1"),
     (b"cookie", b"Affinity-Key=17"),
     (b"deadline-ms", b"2000"),
+    (b"authorization", b"Token k-1"),
 )
 RESPONSE_HEADERS = (
     (b"request-id", b"q1"),
@@ -177,7 +185,9 @@
         "departure": lambda: decode_departure(
             "i-1", mutate_bytes(rng, json.dumps(HEARTBEAT).encode())
         ),
-        "configuration": lambda: decode_document(mutate_bytes(rng, make_configuration(3))),
+        "configuration": lambda: decode_document(
+            mutate_bytes(rng, make_configuration(3, tenants=TENANTS))
+        ),
         "settings file": lambda: decode_settings(
             mutate_bytes(rng, SETTINGS.encode()).decode("utf-8", "replace")
         ),
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -49,6 +49,12 @@
     '"deadline-ms"',
     "expected-instance",
     "not-executed",
+    "apiKeys",
+    "ratePerS",
+    'b"tenant"',
+    "www-authenticate",
+    "quotaWindowS",
+    "strictRevoke",
 )
 
 
