Let a caller that is refused for its key read the 401 while it sends a body

A key is refused before the body is read. Closing the connection then reset it, and the caller could lose the response. The body is now discarded for up to 0.5 s after the response.

--- a/camphorspread/connection/exchange.py
+++ b/camphorspread/connection/exchange.py
@@ -230,6 +230,22 @@
         }
         await self.respond_json(response.status, value, headers)
 
+    async def discard_body(self, limit: timedelta) -> None:
+        """Read and discard the rest of the request body after a response.
+
+        Closing the connection while the client still sends would reset it, which may discard the
+        response before the client has read it.
+
+        Args:
+            limit: Longest time for reading it.
+        """
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                while await self.read_body():
+                    pass
+        except (TimeoutError, CallerDisconnectedError, ProgressTimeoutError, RequestRefusedError):
+            return
+
     async def wait_for_disconnect(self) -> None:
         """Return when the client closes the connection; the request body must have been read.
 
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -69,6 +69,9 @@
 PROMPT_RETRY_DELAY = timedelta(milliseconds=50)
 # Only a change of the configuration helps a request that no region may run.
 NO_REGION_RETRY_DELAY = timedelta(seconds=1)
+# A caller that is refused before its body was read may send it for this long. It includes a round
+# trip between regions.
+REFUSED_BODY_LIMIT = timedelta(milliseconds=500)
 # Other VMs to which a request is forwarded. The second one compensates for an outdated summary of
 # the first; under overload, more would transfer bodies without finding a free slot.
 MAX_FORWARDS = 2
@@ -107,6 +110,7 @@
     match identify_caller(state, call, route):
         case Denied() as denied:
             await respond_denied(state, exchange, denied)
+            await exchange.discard_body(REFUSED_BODY_LIMIT)
         case IdentifiedCall() as caller:
             await steer_on_route(state, exchange, caller, route, arrived)
 
@@ -309,6 +313,7 @@
         return final
     if now + MIN_ATTEMPT_TIME >= job.deadline:
         return final
+    # Before the retry is counted in the budget.
     denied = check_identity(state, job)
     if denied is not None:
         return denied
