--- a/camphorspread/request/peer_forward_codec.py
+++ b/camphorspread/request/peer_forward_codec.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-from camphorspread.connection.messages import Headers, RequestHead, ResponseHead, find_header
+from camphorspread.connection.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    find_header,
+    is_header_value,
+)
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.forwarding import ERROR_HEADER, OUTCOME_HEADER
 
@@ -42,6 +48,9 @@
         excluded: Backend servers at which earlier attempts failed.
         home_regions: Regions that may run the request, empty if all may. They are checked again,
             as the receiving VM may own servers of another region.
+        organisation: Name of the caller's organisation, empty for none.
+        organisation_rank: Priority of the organisation.
+        routes_revision: Revision of the routes against which the caller's key was checked.
     """
 
     service: str
@@ -53,6 +62,9 @@
     time_left: timedelta
     excluded: tuple[str, ...] = ()
     home_regions: tuple[str, ...] = ()
+    organisation: str = ""
+    organisation_rank: int = 0
+    routes_revision: int = 0
 
 
 @attrs.frozen
@@ -99,6 +111,10 @@
         "excluded": forward.excluded,
         "homes": forward.home_regions,
     }
+    if forward.organisation:
+        fields["organisation"] = forward.organisation
+        fields["organisation_rank"] = forward.organisation_rank
+        fields["routes_revision"] = forward.routes_revision
     encoded = json.dumps(fields, separators=(",", ":")).encode()
     return attrs.evolve(head, headers=(*strip_own_headers(head.headers), (FORWARD_HEADER, encoded)))
 
@@ -121,11 +137,26 @@
             fields["left_ms"] * MILLISECOND,
             tuple(fields["excluded"]),
             tuple(fields["homes"]),
+            decode_organisation(fields),
+            int(fields.get("organisation_rank", 0)),
+            int(fields.get("routes_revision", 0)),
         )
     except (KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise ValueError(f"{FORWARD_HEADER.decode()} is malformed: {exc}") from exc
 
 
+def decode_organisation(fields: dict) -> str:
+    """Decode the name of the caller's organisation; it is optional.
+
+    Raises:
+        ValueError: The name can't be sent to a backend server.
+    """
+    name = fields.get("organisation", "")
+    if name != "" and not (isinstance(name, str) and is_header_value(name)):
+        raise ValueError(f"{FORWARD_HEADER.decode()} has no valid organisation")
+    return name
+
+
 def encode_forward_result(facts: ForwardResult) -> Headers:
     """Return the headers for the response to a forwarded request."""
     fields = {
