Decide in one module what may be resent

Cause: whether a request may be attempted again after a part of its body was read was decided in three places (a flag of RequestBody, send_request, and received_bytes > 0 of the catalogue), each with its own rule.

Change: request/resend.py has the progress of a body (WholeBuffered, RestUnread, RestConsumed) and may_resend. route_steering, send and retry ask it; RequestBody.read_rest records each read, so that no reader of a body can forget to. A body that ended exactly with its buffered part counts as unread now: it was refused a second attempt although all of it is buffered.

Tests: features/request/resend.feature (new), features/connection, uploads.feature and steering.feature pass; faults.feature passed before the default values became factories.

--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -41,6 +41,7 @@
     UploadStalled,
     relay,
 )
+from camphorspread.request.resend import BodyProgress
 from camphorspread.request.retry import AttemptFailure
 from camphorspread.version.catalogue import ServiceEntry
 
@@ -94,9 +95,9 @@
     may_have_run: bool = False
     is_final: bool = False
 
-    def as_attempt_failure(self, is_body_read: bool) -> AttemptFailure:
+    def as_attempt_failure(self, body: BodyProgress) -> AttemptFailure:
         """Return the failure as the input of the retry decision."""
-        return AttemptFailure(self.refusal, self.may_have_run, is_body_read)
+        return AttemptFailure(self.refusal, self.may_have_run, body)
 
 
 AttemptResult = (
--- a/camphorspread/request/catalogue_steering.py
+++ b/camphorspread/request/catalogue_steering.py
@@ -37,6 +37,7 @@
     ResponseCut,
     UploadStalled,
 )
+from camphorspread.request.resend import RestUnread, note_read
 from camphorspread.request.retry import decide_retry, record_request
 from camphorspread.version.catalogue import ServiceEntry
 
@@ -222,7 +223,8 @@
         return ending.refusal
     now = state.clock.monotonic()
     decision = decide_retry(
-        ending.as_attempt_failure(req.exchange.received_bytes > 0),
+        # This interface buffers no part of a body.
+        ending.as_attempt_failure(note_read(RestUnread(), req.exchange.received_bytes)),
         entry,
         req.method,
         req.path,
--- a/camphorspread/request/retry.py
+++ b/camphorspread/request/retry.py
@@ -7,6 +7,7 @@
 
 from camphorspread.request.errors import Refusal
 from camphorspread.request.reasons import Reason
+from camphorspread.request.resend import BodyProgress, RestUnread, may_resend
 from camphorspread.request.window import SlidingWindow, count_recent, record_event
 from camphorspread.version.catalogue import ServiceEntry, is_idempotent
 
@@ -58,12 +59,12 @@
     Attributes:
         refusal: Error response for the caller if there is no retry.
         may_have_run: False only if no byte reached a backend server.
-        is_body_read: True if a part of the request body has been read, so that it can't be resent.
+        body: How much of the request body has been read.
     """
 
     refusal: Refusal
     may_have_run: bool
-    is_body_read: bool = False
+    body: BodyProgress = attrs.field(factory=RestUnread)
 
 
 def decide_retry(
@@ -91,7 +92,7 @@
         there is none. Its outcome remains that of the failed attempt.
     """
     refusal = failure.refusal
-    if failure.is_body_read:
+    if not may_resend(failure.body):
         return Failure(refusal)
     if failure.may_have_run and not is_idempotent(entry, method, path):
         return Failure(refusal)
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -74,7 +74,7 @@
         await respond_forwarded(state, exchange, forward, facts, None)
         return
     job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
-    stream = exchange.stream if body.is_complete else None
+    stream = exchange.stream if body.receive is None else None
     state.in_flight += 1
     try:
         match await run_while_connected(run_forwarded(state, job), stream, forward.time_left):
@@ -103,8 +103,6 @@
         body: Body of the forwarded request.
         limit: Longest time for reading it.
     """
-    if body.is_complete:
-        return
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(limit.total_seconds()):
             while await body.read_rest():
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -35,6 +35,7 @@
 from camphorspread.request.placement_queue import Refused
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
+from camphorspread.request.resend import RestUnread, may_resend
 from camphorspread.request.route_attempt import (
     SERVER_ERROR,
     AttemptResult,
@@ -167,14 +168,14 @@
             return RequestBody((length,), bytes(held))
         held += chunk
 
-    async def read_rest() -> bytes:
+    async def receive() -> bytes:
         chunk = await exchange.read_body()
         if exchange.received_bytes > limit:
             raise make_body_limit_error(limit)
         return chunk
 
     framing: Headers = tuple(item for item in headers if item[0] in FRAMING_HEADERS)
-    return RequestBody(framing, bytes(held), False, read_rest)
+    return RequestBody(framing, bytes(held), RestUnread(), receive)
 
 
 def make_body_limit_error(limit: int) -> RequestRefusedError:
@@ -187,7 +188,7 @@
 ) -> Denied | Reply | StreamedReply | None:
     """Run a request until it has a result, its deadline passes, or its caller leaves (None)."""
     # While the rest of a body is being read, reading it detects a disconnect.
-    stream = exchange.stream if job.body.is_complete else None
+    stream = exchange.stream if job.body.receive is None else None
     remaining = job.deadline - RESPONSE_MARGIN - state.clock.monotonic()
     try:
         result = await run_while_connected(run_attempts(state, job), stream, remaining)
@@ -265,7 +266,7 @@
     now = state.clock.monotonic()
     match result:
         case Rejected(was_sent=was_sent, retry_after=return_delay):
-            if not was_sent and not job.body.is_consumed:
+            if not was_sent and may_resend(job.body.progress):
                 return None if now + MIN_ATTEMPT_TIME < job.deadline else deny_late(job)
             if not was_sent:
                 # Only the caller can send the body again, which another server may take at once.
@@ -282,7 +283,7 @@
                 return final
         case Served(reply=reply):
             final = reply
-    if job.body.is_consumed or job.sends >= job.route.max_attempts:
+    if not may_resend(job.body.progress) or job.sends >= job.route.max_attempts:
         return final
     if now + MIN_ATTEMPT_TIME >= job.deadline:
         return final
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -16,6 +16,7 @@
 from camphorspread.connection.messages import Headers, RequestHead, ResponseHead
 from camphorspread.connection.network import Address
 from camphorspread.connection.pool import ConnectionPool
+from camphorspread.request.resend import BodyProgress, WholeBuffered, may_resend, note_read
 
 __all__ = [
     "NotSent",
@@ -42,16 +43,23 @@
     Attributes:
         framing: Headers that frame the body, empty without a body.
         held: Buffered first part of the body.
-        is_complete: True if `held` is the complete body.
-        read_rest: Returns the next chunk after `held`, `b""` at the end.
-        is_consumed: True once a chunk after `held` has been read, so that it can't be resent.
+        progress: How much of the body has been read from the caller.
+        receive: Receives the next chunk after `held`, `b""` at the end; None if `held` is the whole
+            body.
     """
 
     framing: Headers = ()
     held: bytes = b""
-    is_complete: bool = True
-    read_rest: Callable[[], Awaitable[bytes]] | None = None
-    is_consumed: bool = False
+    progress: BodyProgress = attrs.field(factory=WholeBuffered)
+    receive: Callable[[], Awaitable[bytes]] | None = None
+
+    async def read_rest(self) -> bytes:
+        """Return the next chunk after `held`, `b""` at the end of the body."""
+        if self.receive is None:
+            return b""
+        chunk = await self.receive()
+        self.progress = note_read(self.progress, len(chunk))
+        return chunk
 
 
 @attrs.frozen
@@ -126,9 +134,9 @@
             carried no other request.
 
     Raises:
-        RuntimeError: A part of the body was consumed by an earlier attempt.
+        RuntimeError: An earlier attempt has read bytes of the body that aren't buffered.
     """
-    if body.is_consumed:
+    if not may_resend(body.progress):
         raise RuntimeError("the body was consumed by an earlier attempt")
     conn: ClientConnection | None = None
     is_complete = False
@@ -192,12 +200,11 @@
     is_answer: Callable[[ResponseHead], bool],
 ) -> SendResult:
     """Send the request and read its response; responses to other requests are skipped."""
-    if body.is_complete:
+    if body.receive is None:
         await conn.send_whole(head, body.held)
     else:
         await conn.send_head(head)
         await conn.send_body(body.held)
-        body.is_consumed = True
         while chunk := await body.read_rest():
             await conn.send_body(chunk)
         await conn.finish_request()
