--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -29,6 +29,8 @@
         unreadable_departures: Responses whose statement on the server's departure can't be read, by
             service.
         key_refusals: Requests that were refused for their key, by reason.
+        unreadable_loads: Responses whose stated load can't be read, by service.
+        pauses: Pauses that servers have asked for, by service.
         times: Time to the response by service, in microseconds.
         time_sums: Sum of the recorded microseconds.
         waits: Time in the queue by service, in microseconds.
@@ -41,6 +43,8 @@
     unreadable_limits: Counter = attrs.field(factory=Counter)
     unreadable_departures: Counter = attrs.field(factory=Counter)
     key_refusals: Counter = attrs.field(factory=Counter)
+    unreadable_loads: Counter = attrs.field(factory=Counter)
+    pauses: Counter = attrs.field(factory=Counter)
     times: dict[str, HdrHistogram] = attrs.field(factory=dict)
     time_sums: Counter = attrs.field(factory=Counter)
     waits: dict[str, HdrHistogram] = attrs.field(factory=dict)
@@ -81,6 +85,8 @@
         "Responses whose statement on the server's departure can't be read.",
     ),
     ("key_refusals", ("reason",), "Requests that were refused for their key."),
+    ("unreadable_loads", ("service",), "Responses whose stated load can't be read."),
+    ("pauses", ("service",), "Pauses that backend servers have asked for."),
 )
 
 
