Admit requests by their place in the queue under scarce capacity

The queue sorted by the route's priority only, and an arriving request counted all queued ones as ahead of it, so that an urgent request was refused although it would have been served first. The organisation's priority now goes before the route's. Queued requests are counted by priority; where scarce capacity is enabled (PlacementBoard.has_organisations, scarce_services), an arriving one counts only those of the same or a higher priority, and queued ones that it makes late are refused at once. The decisions of the recorded runs, with one and with three priorities, are unchanged. The scenario of the order fails with the previous sort key. The features of the folder features/request pass.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -34,10 +34,12 @@
     ServiceTotals,
     count_unseen_vms,
     estimate_cold_surcharge_s,
+    find_counted_priority,
     find_region,
     find_run_times,
     usable_instances,
 )
+from camphorspread.request.queue_counts import Priority, count_ahead
 from camphorspread.request.region_shift import (
     HARD_LIMIT_FRACTION,
     SOFT_LIMIT_FRACTION,
@@ -158,6 +160,7 @@
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
     hidden_wait_s = estimate_hidden_wait_s(board, times, totals)
+    priority = find_counted_priority(board, req)
     for rank, item in enumerate(list_candidates(board, req, now)):
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
@@ -183,7 +186,8 @@
                 # A small region knows its load and, if short of servers, sends requests away early.
                 cold_excess_s = times.cold_s - times.warm_s
             cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
-        yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
+        cost_s += hidden_wait_s
+        yield start_or_wait(board, item, times, totals, cost_s, run_s, is_warm, priority, now)
 
 
 def estimate_hidden_wait_s(board: PlacementBoard, times: RunTimes, totals: ServiceTotals) -> float:
@@ -224,9 +228,13 @@
     cost_s: float,
     run_s: float,
     is_warm: bool,
+    priority: Priority | None,
     now: timedelta,
 ) -> LocalPlacement | QueuedPlacement:
-    """Return an immediate start at a server, or a wait for it if it has no free slot."""
+    """Return an immediate start at a server, or a wait for it if it has no free slot.
+
+    The wait is for those queued requests that are served before one of this priority.
+    """
     in_use = item.count_busy(now)
     if has_free_slot(board, item, now):
         if not item.sends and not item.lender:
@@ -234,12 +242,12 @@
         return LocalPlacement(
             item, cost_s + UTILISATION_COST_S * in_use / item.report.slots, is_warm
         )
-    queued = board.queued_per_server.get(item.name, 0)
+    queued = count_ahead(board.queued_per_server, item.name, priority)
     wait_here_s = max(
         (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
     )
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
-    waiting = board.queued_per_service.get(item.report.service, 0)
+    waiting = count_ahead(board.queued_per_service, item.report.service, priority)
     # The totals may be older than the server's lease or loan.
     slots = max(
         totals.find_usable_slots(times.mean_s), find_usable_slots(item, times.mean_s), MIN_SLOTS
@@ -303,7 +311,7 @@
     awaited = board.registry.instances.get(awaited_name)
     if awaited is None:
         return LocalPlacement(instance, times.cold_s, False)
-    queued = board.queued_per_server.get(awaited_name, 0)
+    queued = count_ahead(board.queued_per_server, awaited_name, find_counted_priority(board, req))
     wait_there_s = max(
         queued * times.mean_s * awaited.slowdown / awaited.report.slots,
         estimate_limit_wait_s(awaited, max(queued - 1, 0), now),
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -1,12 +1,12 @@
 """State on which placement decisions are based, and their results."""
 
-from collections import Counter
 from datetime import timedelta
 
 import attrs
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
+from camphorspread.request.queue_counts import Priority, QueueCounts
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
 
 __all__ = [
@@ -21,8 +21,11 @@
     "ServiceTotals",
     "count_unseen_vms",
     "estimate_cold_surcharge_s",
+    "find_counted_priority",
+    "find_priority",
     "find_region",
     "find_run_times",
+    "has_scarce_capacity",
     "usable_instances",
 ]
 
@@ -166,6 +169,9 @@
         run_times: Mean run times by (service, route).
         queued_per_server: Number of queued requests by the server that they wait for.
         queued_per_service: Number of queued requests that wait for a server, by service.
+        has_organisations: True if the configuration has organisations, so that admission under
+            scarce capacity is enabled for all services.
+        scarce_services: Services for which it is enabled without organisations.
         totals: Cached totals over the servers by service.
         rankings: Cached preference order of servers by (service, object key).
         rankings_revision: Revision of the registry for which `rankings` is valid.
@@ -185,8 +191,10 @@
     cold_rate_limits: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
     run_times: dict[tuple[str, str], RunTimes] = attrs.field(factory=dict)
-    queued_per_server: Counter[str] = attrs.field(factory=Counter)
-    queued_per_service: Counter[str] = attrs.field(factory=Counter)
+    queued_per_server: QueueCounts = attrs.field(factory=dict)
+    queued_per_service: QueueCounts = attrs.field(factory=dict)
+    has_organisations: bool = False
+    scarce_services: set[str] = attrs.field(factory=set)
     totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
@@ -232,6 +240,21 @@
     """No backend server is known that may run the request."""
 
 
+def has_scarce_capacity(board: PlacementBoard, service: str) -> bool:
+    """Return True if admission under scarce capacity is enabled for a service."""
+    return board.has_organisations or service in board.scarce_services
+
+
+def find_priority(req: PlacementRequest) -> Priority:
+    """Return the priority of a request in the queue."""
+    return req.organisation_rank, req.rank
+
+
+def find_counted_priority(board: PlacementBoard, req: PlacementRequest) -> Priority | None:
+    """Return the lowest priority that counts as ahead of a request, None if all queued ones do."""
+    return find_priority(req) if has_scarce_capacity(board, req.service) else None
+
+
 def count_unseen_vms(board: PlacementBoard) -> int:
     """Return the number of VMs that send to the same servers and whose load isn't known.
 
--- a/camphorspread/request/placement_driver.py
+++ b/camphorspread/request/placement_driver.py
@@ -6,6 +6,7 @@
 from camphorspread.process.instances import Instance
 from camphorspread.process.steering_metrics import record_wait
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.displacement import refuse_displaced
 from camphorspread.request.placement_board import ForwardPlacement, LocalPlacement, PlacementRequest
 from camphorspread.request.placement_queue import (
     Granted,
@@ -40,6 +41,8 @@
         fut = asyncio.get_running_loop().create_future()
         state.waiting_futures[waiter.ticket] = fut
         state.has_waiting.set()
+        for refusal in refuse_displaced(state.board, state.waiting, waiter, started):
+            resolve_waiter(state, refusal, req.service)
         try:
             decision = await fut
         except asyncio.CancelledError:
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -22,8 +22,10 @@
     QueuedPlacement,
     RunTimes,
     count_unseen_vms,
+    find_priority,
     find_run_times,
 )
+from camphorspread.request.queue_counts import Priority, count_queued, remove_queued
 from camphorspread.request.server_limit import MIN_SLOTS
 from camphorspread.request.service_totals import find_totals
 
@@ -36,6 +38,7 @@
     "remove_waiter",
     "request_placement",
     "review_waiters",
+    "sort_by_priority",
     "suggest_retry_delay",
 ]
 
@@ -64,6 +67,7 @@
         req: The request.
         promised_s: Promised response time of its route in seconds.
         instance: Name of the backend server that it is expected to be sent to, empty if none.
+        priority: Priority with which it is counted while `instance` is set.
         has_waited: True once it has been queued.
         is_late: True once it isn't expected to be on time; it may use leftover capacity only.
     """
@@ -72,6 +76,7 @@
     req: PlacementRequest
     promised_s: float
     instance: str = ""
+    priority: Priority = (0, 0)
     has_waited: bool = False
     is_late: bool = False
 
@@ -172,15 +177,15 @@
         waiter: The request.
         name: Name of the server, empty if it no longer waits for one.
     """
+    service = waiter.req.service
     if waiter.instance:
-        board.queued_per_server[waiter.instance] -= 1
-        board.queued_per_service[waiter.req.service] -= 1
-        if not board.queued_per_server[waiter.instance]:
-            del board.queued_per_server[waiter.instance]
+        remove_queued(board.queued_per_server, waiter.instance, waiter.priority)
+        remove_queued(board.queued_per_service, service, waiter.priority)
     waiter.instance = name
     if name:
-        board.queued_per_server[name] += 1
-        board.queued_per_service[waiter.req.service] += 1
+        waiter.priority = find_priority(waiter.req)
+        count_queued(board.queued_per_server, name, waiter.priority)
+        count_queued(board.queued_per_service, service, waiter.priority)
 
 
 def may_queue_late(
@@ -212,9 +217,9 @@
 ) -> list[Waiter]:
     """Sort queued requests in the order in which they are served."""
 
-    def order(waiter: Waiter) -> tuple[bool, int, int]:
+    def order(waiter: Waiter) -> tuple[bool, Priority, int]:
         is_late = waiter.is_late or now + estimate_warm_run(board, waiter) > waiter.req.promised_at
-        return is_late, waiter.req.rank, waiter.ticket
+        return is_late, find_priority(waiter.req), waiter.ticket
 
     return sorted(waiters, key=order)
 
--- a/features/request/scarce_capacity.feature
+++ b/features/request/scarce_capacity.feature
@@ -7,3 +7,37 @@
   Scenario: Without organisations and stated speeds, the decisions are as before
     When seeded runs of one VM and of a region get more requests than they have capacity for
     Then their decisions are the recorded ones
+
+  # Guards against a route's priority that goes before the organisation's.
+  Scenario: The organisation's priority goes before the route's, and on time before late
+    Given a full server
+    And a queued request of organisation rank 2 and route rank 0
+    And a queued request of organisation rank 0 and route rank 3
+    And a queued request of organisation rank 0 and route rank 1
+    And a late queued request of organisation rank 0 and route rank 0
+    When a slot is freed 4 times
+    Then the order of organisation and route ranks is "0.1 0.3 2.0 0.0"
+
+  # Guards against the refusal of an urgent request because of less urgent ones behind it.
+  Scenario Outline: A request counts only those that are served before it
+    Given a full server
+    And <scarce> capacity
+    And as many queued requests of organisation rank 2 as are admitted
+    When a request of organisation rank <rank> arrives
+    Then the arriving request is <result>
+
+    Examples:
+      | scarce | rank | result  |
+      | scarce | 0    | queued  |
+      | scarce | 2    | refused |
+      | scarce | 3    | refused |
+      | usual  | 0    | refused |
+
+  # Guards against requests that are held although more urgent ones have taken their turn.
+  Scenario: Less urgent requests that a more urgent one makes late are refused at once
+    Given a full server
+    And scarce capacity
+    And as many queued requests of organisation rank 2 as are admitted
+    When 10 requests of organisation rank 0 arrive
+    Then 5 to 15 of organisation rank 2 are refused with a time after which to retry
+    And none of organisation rank 0 is refused
