--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -293,6 +293,7 @@
     state.catalogue_version = version
     if table is not None:
         state.table = table
+        state.board.has_organisations = bool(table.organisations)
         bounds = state.settings.bounds
         state.board.cold_rate_limits = {
             name: service.cold_per_second * bounds.cold_rate_factor + bounds.cold_rate_slack
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -1,6 +1,5 @@
 """State on which placement decisions are based, and their results."""
 
-from collections import Counter
 from datetime import timedelta
 
 import attrs
@@ -8,7 +7,9 @@
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
 from camphorspread.request.home_share import HomeShare
+from camphorspread.request.queue_counts import Priority, QueueCounts
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
+from camphorspread.request.service_fairness import ServiceFairness, is_underserved
 
 __all__ = [
     "ForwardPlacement",
@@ -22,8 +23,11 @@
     "ServiceTotals",
     "count_unseen_vms",
     "estimate_cold_surcharge_s",
+    "find_counted_priority",
+    "find_priority",
     "find_region",
     "find_run_times",
+    "has_scarce_capacity",
     "usable_instances",
 ]
 
@@ -167,6 +171,11 @@
         run_times: Mean run times by (service, route).
         queued_per_server: Number of queued requests by the server that they wait for.
         queued_per_service: Number of queued requests that wait for a server, by service.
+        has_organisations: True if the configuration has organisations, so that admission under
+            scarce capacity is enabled for all services.
+        scarce_services: Services for which it is enabled without organisations, since their servers
+            state the speed of their machines.
+        fairness: Recent decisions by organisation.
         totals: Cached totals over the servers by service.
         rankings: Cached preference order of servers by (service, object key).
         rankings_revision: Revision of the registry for which `rankings` is valid.
@@ -174,7 +183,6 @@
         region_shares: Regions to which the requests of this VM's callers were sent.
         capacities: Recent maximum of the region's slots by service.
         home_shares: Share of the objects that the region keeps, by service that is scarce.
-        scarce_services: Services for which decisions under scarce capacity are enabled.
     """
 
     vm: str
@@ -188,8 +196,11 @@
     cold_rate_limits: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
     run_times: dict[tuple[str, str], RunTimes] = attrs.field(factory=dict)
-    queued_per_server: Counter[str] = attrs.field(factory=Counter)
-    queued_per_service: Counter[str] = attrs.field(factory=Counter)
+    queued_per_server: QueueCounts = attrs.field(factory=dict)
+    queued_per_service: QueueCounts = attrs.field(factory=dict)
+    has_organisations: bool = False
+    scarce_services: set[str] = attrs.field(factory=set)
+    fairness: ServiceFairness = attrs.field(factory=ServiceFairness)
     totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
@@ -197,7 +208,6 @@
     region_shares: RegionShares = attrs.field(factory=RegionShares)
     capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
     home_shares: dict[str, HomeShare] = attrs.field(factory=dict)
-    scarce_services: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
@@ -243,6 +253,26 @@
     return_delay: timedelta | None = None
 
 
+def has_scarce_capacity(board: PlacementBoard, service: str) -> bool:
+    """Return True if admission under scarce capacity is enabled for a service."""
+    return board.has_organisations or service in board.scarce_services
+
+
+def find_priority(board: PlacementBoard, req: PlacementRequest) -> Priority:
+    """Return the priority of a request in the queue."""
+    rank = req.organisation_rank
+    if has_scarce_capacity(board, req.service) and is_underserved(
+        board.fairness, req.organisation, rank
+    ):
+        return 0, rank, req.rank
+    return 1, rank, req.rank
+
+
+def find_counted_priority(board: PlacementBoard, req: PlacementRequest) -> Priority | None:
+    """Return the lowest priority that counts as ahead of a request, None if all queued ones do."""
+    return find_priority(board, req) if has_scarce_capacity(board, req.service) else None
+
+
 def count_unseen_vms(board: PlacementBoard) -> int:
     """Return the number of VMs that send to the same servers and whose load isn't known.
 
--- a/camphorspread/request/placement_driver.py
+++ b/camphorspread/request/placement_driver.py
@@ -7,11 +7,13 @@
 from camphorspread.process.instances import Instance
 from camphorspread.process.steering_metrics import record_wait
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.displacement import refuse_displaced
 from camphorspread.request.placement_board import ForwardPlacement, LocalPlacement, PlacementRequest
 from camphorspread.request.placement_queue import (
     Granted,
     Refused,
     Waiter,
+    count_decision,
     grant_slot,
     remove_waiter,
     request_placement,
@@ -52,10 +54,14 @@
         state.waiting_futures[waiter.ticket] = fut
         state.waiting_checks[waiter.ticket] = may_wait
         state.has_waiting.set()
+        for refusal in refuse_displaced(state.board, state.waiting, waiter, started):
+            resolve_waiter(state, refusal, req.service)
         try:
             decision = await fut
         except asyncio.CancelledError:
             remove_waiter(state.board, state.waiting, waiter)
+            if not fut.done() or fut.cancelled():
+                count_decision(state.board, waiter, False, state.clock.monotonic())
             if fut.done() and not fut.cancelled():
                 release_unused(state, fut.result())
             raise
--- a/camphorspread/request/stated_facts.py
+++ b/camphorspread/request/stated_facts.py
@@ -52,6 +52,8 @@
 ) -> None:
     """Log and count a load that can't be read; `record_run_end` applies any other one."""
     match statement:
+        case LoadStated(speed=float()):
+            state.board.scarce_services.add(instance.report.service)
         case Unreadable(text=text):
             state.metrics.unreadable_loads[(instance.report.service,)] += 1
             fields = {"instance": instance.name, "request": job.call.request_id}
--- /dev/null
+++ b/features/request/scarce_capacity.feature
@@ -0,0 +1,78 @@
+Feature: Admission under scarce capacity
+  Load pattern: organisations of different priority and size whose callers ask for twice the
+  capacity. Guards against urgent requests that are refused because of less urgent ones, against
+  organisations that are never served, and against refused callers that return to be refused again.
+
+  # Guards against a change of the decisions of deployments that state nothing about scarce capacity.
+  Scenario: Without organisations and stated speeds, the decisions are as before
+    When seeded runs of one VM and of a region get more requests than they have capacity for
+    Then their decisions are the recorded ones
+
+  # Guards against a route's priority that goes before the organisation's.
+  Scenario: The organisation's priority goes before the route's, and on time before late
+    Given a full server
+    And a queued request of organisation rank 2 and route rank 0
+    And a queued request of organisation rank 0 and route rank 3
+    And a queued request of organisation rank 0 and route rank 1
+    And a late queued request of organisation rank 0 and route rank 0
+    When a slot is freed 4 times
+    Then the order of organisation and route ranks is "0.1 0.3 2.0 0.0"
+
+  # Guards against the refusal of an urgent request because of less urgent ones behind it.
+  Scenario Outline: A request counts only those that are served before it
+    Given a full server
+    And <scarce> capacity
+    And as many queued requests of organisation rank 2 as are admitted
+    When a request of organisation rank <rank> arrives
+    Then the arriving request is <result>
+
+    Examples:
+      | scarce | rank | result  |
+      | scarce | 0    | queued  |
+      | scarce | 2    | refused |
+      | scarce | 3    | refused |
+      | usual  | 0    | refused |
+
+  # Guards against requests that are held although more urgent ones have taken their turn.
+  Scenario: Less urgent requests that a more urgent one makes late are refused at once
+    Given a full server
+    And scarce capacity
+    And as many queued requests of organisation rank 2 as are admitted
+    When 10 requests of organisation rank 0 arrive
+    Then 5 to 15 of organisation rank 2 are refused with a time after which to retry
+    And none of organisation rank 0 is refused
+
+  # Guards against other decisions where all requests have the same priority.
+  Scenario: With a single priority, the decisions are the same with scarce capacity
+    When seeded runs of one priority are made with usual and with scarce capacity
+    Then both make the same decisions
+
+  # Guards against priorities without effect where most requests wait in the servers' queues.
+  Scenario: At twice the capacity of 26 VMs, the urgent organisations are served
+    Given 77 organisations of very different size with priorities 0 to 3, seed 1
+    When their callers ask 26 VMs for twice the capacity, without regard to fairness
+    Then at least 95 percent of the callers of priority 0 are served
+    And no priority is served more often than a higher one, by 5 in 100
+    And some organisation is served less than a quarter as often as all together
+
+  # Guards against organisations that are never served because of their priority or size.
+  Scenario Outline: No organisation starves
+    Given 77 organisations of very different size with priorities 0 to 3, seed <seed>
+    When their callers ask 26 VMs for twice the capacity
+    Then each organisation is served at least a quarter as often as all together
+    And no priority is served more often than a higher one, by 5 in 100
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against counts that grow without bound or are never forgotten, and against failed attempts
+  # that count as served.
+  Scenario: Decisions are counted for 10 s, and for a bounded number of organisations
+    Given 3000 organisations with one served and one refused request each
+    Then at most 2001 of them are counted
+    And an organisation with 8 refused requests is underserved
+    And another one with 8 requests whose attempts failed is underserved
+    But 11 s later no organisation is
