Remove a key from Authorization also if it has another scheme

On a public route, a key sent as `Bearer KEY`, `KEY` or `TokenKEY` reached the endpoint, as other schemes pass there. A header that contains a known key is removed now. The text form of a routing document no longer contains its text, which has keys. A scenario covers a key that is withdrawn while the connection to another entry VM opens.

--- a/camphorspread/platform/dialect.py
+++ b/camphorspread/platform/dialect.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import re
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -43,7 +44,6 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
-AUTHORIZATION = b"authorization"
 WWW_AUTHENTICATE = b"www-authenticate"
 TENANT = b"tenant"
 KEY_SCHEME = b"token"
@@ -72,7 +72,9 @@
 # Requests per second: a decimal number without sign or exponent, of a bounded size.
 RATE_LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 # Credentials with the scheme of keys, also in a list with others.
-KEY_HEADER_PATTERN = re.compile(rb"(^|,)\s*token\b", re.IGNORECASE)
+KEY_HEADER_PATTERN = re.compile(rb"(^|,)\s*token", re.IGNORECASE)
+# Parts of other credentials that may be a key, sent with the wrong scheme.
+AUTHORIZATION_WORD = re.compile(rb'[^\s,"]+')
 # Part of an unreadable header that is logged.
 MAX_LOGGED_BYTES = 64
 # The only server error that assures a client that its request didn't run.
@@ -116,11 +118,11 @@
             )
         )
 
-    def identify_call(self, call: SteeredCall, organisation: str) -> SteeredCall:
+    def identify_call(
+        self, call: SteeredCall, organisation: str, is_key: Callable[[str], bool]
+    ) -> SteeredCall:
         """Return a request without its key and without a caller's claim to an organisation."""
-        headers = tuple(
-            item for item in call.head.headers if not is_identity_header(item[0].lower(), item[1])
-        )
+        headers = tuple(item for item in call.head.headers if not is_identity_header(*item, is_key))
         head = attrs.evolve(call.head, headers=headers)
         return attrs.evolve(call, head=head, credential=NoCredential(), organisation=organisation)
 
@@ -209,16 +211,23 @@
     return MalformedCredential()
 
 
-def is_identity_header(name: bytes, value: bytes) -> bool:
-    """Return True if a header carries a key or names an organisation.
+def is_identity_header(name: bytes, value: bytes, is_key: Callable[[str], bool]) -> bool:
+    """Return True if a header names an organisation or carries a key, in whatever form.
 
     Args:
-        name: Name of the header in lower case.
+        name: Name of the header.
         value: Its value.
+        is_key: Returns True if a text is the key of an organisation.
     """
-    return name == TENANT or (
-        name == AUTHORIZATION and KEY_HEADER_PATTERN.search(value) is not None
-    )
+    match name.lower():
+        case b"tenant":
+            return True
+        case b"authorization":
+            words = AUTHORIZATION_WORD.findall(value)
+            return KEY_HEADER_PATTERN.search(value) is not None or any(
+                is_key(word.decode("utf-8", "replace")) for word in words
+            )
+    return False
 
 
 def parse_server_load(load: bytes) -> LoadStatement:
--- a/camphorspread/request/caller_identity.py
+++ b/camphorspread/request/caller_identity.py
@@ -68,13 +68,19 @@
         case Identified() if not table.organisations:
             return IdentifiedCall(call, UnidentifiedCaller())
         case Identified(organisation=None):
-            return IdentifiedCall(state.dialect.identify_call(call, ""), KeylessCaller())
+            return IdentifiedCall(remove_key(state, call, ""), KeylessCaller())
         case Identified(organisation=organisation):
             identity = make_key_holder(call, organisation)
-            identified = state.dialect.identify_call(call, organisation.name)
+            identified = remove_key(state, call, organisation.name)
             return IdentifiedCall(identified, identity, organisation)
 
 
+def remove_key(state: SteeringState, call: SteeredCall, organisation: str) -> SteeredCall:
+    """Return a request without its key and with the name of its organisation."""
+    keys = state.table.organisations.by_key if state.table is not None else {}
+    return state.dialect.identify_call(call, organisation, lambda text: text in keys)
+
+
 def make_key_holder(call: SteeredCall, organisation: Organisation) -> Identity:
     """Return the identity of a request whose key was found."""
     match call.credential:
@@ -95,7 +101,7 @@
     has_organisations = table is not None and bool(table.organisations)
     if not has_organisations and not forward.organisation:
         return IdentifiedCall(call, UnidentifiedCaller())
-    identified = state.dialect.identify_call(call, forward.organisation)
+    identified = remove_key(state, call, forward.organisation)
     if not forward.organisation:
         return IdentifiedCall(identified, KeylessCaller())
     known = table.organisations.by_name.get(forward.organisation) if table is not None else None
--- a/camphorspread/request/dialect.py
+++ b/camphorspread/request/dialect.py
@@ -1,5 +1,6 @@
 """Interface between route steering and the message format, which an adapter implements."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
@@ -164,7 +165,9 @@
     def decode_request(self, head: RequestHead) -> Result[SteeredCall, Refusal]:
         """Decode a caller's request, or return the refusal of an invalid one."""
 
-    def identify_call(self, call: SteeredCall, organisation: str) -> SteeredCall:
+    def identify_call(
+        self, call: SteeredCall, organisation: str, is_key: Callable[[str], bool]
+    ) -> SteeredCall:
         """Return a request without its key and without a caller's claim to an organisation.
 
         It is used only where the configuration has organisations.
@@ -172,6 +175,7 @@
         Args:
             call: The caller's request.
             organisation: Name of its organisation, empty for none.
+            is_key: Returns True if a text is the key of an organisation.
         """
 
     def encode_request(self, call: SteeredCall, instance: str, time_left: timedelta) -> RequestHead:
--- a/camphorspread/version/catalogue.py
+++ b/camphorspread/version/catalogue.py
@@ -134,11 +134,11 @@
     """The routes and services of one revision, as the text that the operator sent.
 
     The text is stored unchanged, so that operators read back what they sent. Entry VMs decode it
-    into a `RouteTable`.
+    into a `RouteTable`. It contains keys, so it is left out of the text form.
     """
 
     revision: int
-    text: str
+    text: str = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/features/platform/organisation_codec.feature
+++ b/features/platform/organisation_codec.feature
@@ -113,6 +113,10 @@
       | tenant: x                                          |      |                          |
       | authorization: Token k-9 / authorization: Basic x  |      | authorization: Basic x   |
       | authorization: Bearer token                        |      | authorization: Bearer token |
+      | authorization: Bearer k-1                          |      |                          |
+      | authorization: k-1                                 |      |                          |
+      | authorization: Tokenk-1                            |      |                          |
+      | authorization: Digest a="k-1", b=2                 |      |                          |
 
   # Guards against a change of the heads in a deployment without organisations.
   Scenario: A request that isn't identified is sent as before
--- a/features/platform/organisations.feature
+++ b/features/platform/organisations.feature
@@ -25,6 +25,7 @@
       | open  | Tenant: acme                                                  | 200    |                         |
       | open  | Authorization: Token key-acme-1                               | 200    | tenant: acme            |
       | open  | Authorization: Token key-none-1 / Tenant: acme                | 200    |                         |
+      | open  | Authorization: Bearer key-acme-1                              | 200    |                         |
       | open  | Authorization: Basic abc                                      | 200    | authorization: Basic abc |
 
   # Guards against a claim to an organisation in a trailer, which is read after the head.
@@ -139,6 +140,15 @@
     Then it gets 401 and an endpoint gets "nothing"
     And no slot is in use
 
+  # Guards against a body that is sent to another region although the key was withdrawn.
+  @fixture.platform_fleet
+  Scenario: A key is withdrawn while the connection to another entry VM opens
+    Given a fleet with "status" endpoints in "sofia-a" only
+    And the organisations are "acme: key-acme-1; bolt: key-bolt-1"
+    When a client of "varna-a" sends a "read" request with the key "key-acme-1" and 0.05 s later the organisations become "bolt: key-bolt-1"
+    Then it gets 401 and an endpoint gets "nothing"
+    And none of them left their entry VM
+
   # Guards against a repeat with a key that has been withdrawn since the first attempt.
   @fixture.platform_fleet
   Scenario Outline: A key is withdrawn before a retry
--- a/features/steps/organisation_codec_steps.py
+++ b/features/steps/organisation_codec_steps.py
@@ -220,7 +220,7 @@
 @when('it is identified as "{name}" and sent to an endpoint')
 def step_identified(context, name):
     dialect = PlatformDialect()
-    call = dialect.identify_call(context.call, name)
+    call = dialect.identify_call(context.call, name, lambda text: text == "k-1")
     assert "k-1" not in repr(call) and call.organisation == name, call
     context.sent = dialect.encode_request(call, "i-1", LEFT).headers
 
