Notice callers that leave after a long body was read

What was seen: callers uploaded 160,000 to 220,000 bytes and left 0.5 s after the end of their bodies; 0.5 s later all 8 requests still ran at endpoints, in the region and in another one, until their end or their deadline.

Cause: run_until_disconnect and serve_forwarded watched the caller's stream only if its body was buffered completely; the rest of a longer body isn't read any more after its end.

The fix works because the end of a stream is reported without reading from it, so watching it from the start takes no byte of a body or of the next request.

Effect on callers: one that closes its sending direction after a long body counts as having left, as for shorter bodies before.

--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -74,10 +74,10 @@
         await respond_forwarded(state, exchange, forward, facts, None)
         return
     job = RoutedRequest(call, make_route(forward), req, body, now, deadline)
-    stream = exchange.stream if body.receive is None else None
     state.in_flight += 1
     try:
-        match await run_while_connected(run_forwarded(state, job), stream, forward.time_left):
+        work = run_forwarded(state, job)
+        match await run_while_connected(work, exchange.stream, forward.time_left):
             case Finished(value=(facts, reply)):
                 pass
             case Disconnected():
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -190,11 +190,9 @@
     state: SteeringState, exchange: Exchange, job: RoutedRequest
 ) -> Denied | Reply | StreamedReply | None:
     """Run a request until it has a result, its deadline passes, or its caller leaves (None)."""
-    # While the rest of a body is being read, reading it detects a disconnect.
-    stream = exchange.stream if job.body.receive is None else None
     remaining = job.deadline - RESPONSE_MARGIN - state.clock.monotonic()
     try:
-        result = await run_while_connected(run_attempts(state, job), stream, remaining)
+        result = await run_while_connected(run_attempts(state, job), exchange.stream, remaining)
     except (CallerDisconnectedError, ProgressTimeoutError):
         return None
     match result:
--- a/features/platform/broken_uploads.feature
+++ b/features/platform/broken_uploads.feature
@@ -190,3 +190,17 @@
       | a limit that isn't exceeded          | 150000 | 150000 | 103  | 200            | all   | none   |
       | a limit within the buffered part     | 50000  | 150000 | 104  | 413 or nothing | no    | any    |
       | a limit that a buffered body exceeds | 50000  | 60000  | 105  | 413            | no    | none   |
+
+  # Guards against work that goes on for callers that left once their bodies had been read.
+  @fixture.platform_fleet
+  Scenario Outline: A caller leaves after the end of its body
+    Given the endpoints of "filing" never answer
+    And the endpoints of "status" never answer
+    And <place>
+    When each caller leaves 0.5 s after the end of its body, with seed <seed>
+    Then 0.5 s after that no work goes on
+
+    Examples:
+      | guards against          | place                            | seed |
+      | work in the region      | 0 s go by on the platform        | 111  |
+      | work in another region  | no endpoint of "sofia" has room  | 112  |
