--- a/features/steps/broken_upload_steps.py
+++ b/features/steps/broken_upload_steps.py
@@ -10,7 +10,6 @@
 from camphorspread.connection.network import Address
 from camphorspread.process.steering_node import stop_gracefully
 from features.fixtures.body_faults import (
-    CallOnce,
     EndConnection,
     ReadLate,
     RespondFirst,
@@ -76,6 +75,7 @@
             size or rng.randint(MIN_SIZE, MAX_SIZE),
             path=path,
             is_chunked=is_chunked,
+            is_once=path.startswith("/file/"),
             **fields,
         )
         for number, (path, is_chunked, _) in enumerate(
@@ -184,6 +184,25 @@
     upload_all(context, SendAll, seed)
 
 
+@given("callers upload once and are refused, with seed {seed:d}")
+def step_refused_uploads(context, seed):
+    for endpoint in list_endpoints(context):
+        endpoint.fault = "shed"
+    upload_all(context, SendAll, seed, settle_s=0.1)
+    assert set(context.latest.values()) == {503}, context.latest
+    context.seed = seed
+    for endpoint in list_endpoints(context):
+        endpoint.fault = ""
+
+
+@when("callers repeat their uploads with the same identifiers")
+def step_repeat(context):
+    context.uploads, context.statuses = {}, {}
+    for endpoint in list_endpoints(context):
+        endpoint.bodies.clear()
+    upload_all(context, SendAll, context.seed)
+
+
 @when("callers upload {size:d} bytes with seed {seed:d}")
 def step_upload_size(context, size, seed):
     upload_all(context, SendAll, seed, size)
@@ -191,19 +210,23 @@
 
 @when("each caller {action} after {size:d} bytes, with seed {seed:d}")
 def step_caller_action(context, action, size, seed):
+    behaviour = make_behaviour(action, size)
+    deadline_ms = 20_000 if isinstance(behaviour, PauseMidway) else 2000
+    upload_all(context, lambda: behaviour, seed, deadline_ms=deadline_ms)
+
+
+def make_behaviour(action, size):
+    """Return what a caller does after so many bytes, from the text of a feature."""
     match action.split():
         case ["leaves"]:
-            behaviour = LeaveMidway(size, is_reset=False)
+            return LeaveMidway(size, is_reset=False)
         case ["resets"]:
-            behaviour = LeaveMidway(size, is_reset=True)
+            return LeaveMidway(size, is_reset=True)
         case ["sends", "an", "invalid", "chunk"]:
-            behaviour = InvalidChunk(size)
+            return InvalidChunk(size)
         case ["pauses", "for", seconds, "s"]:
-            behaviour = PauseMidway(size, float(seconds))
-        case _:
-            raise ValueError(action)
-    deadline_ms = 20_000 if isinstance(behaviour, PauseMidway) else 2000
-    upload_all(context, lambda: behaviour, seed, deadline_ms=deadline_ms)
+            return PauseMidway(size, float(seconds))
+    raise ValueError(action)
 
 
 @when("each caller leaves {seconds:g} s after the end of its body, with seed {seed:d}")
@@ -227,15 +250,6 @@
     assert state["done"]
 
 
-@when("{event} once an endpoint has read {size:d} bytes, with seed {seed:d}")
-def step_event_at_endpoint(context, event, size, seed):
-    act = make_act(context, event)
-    fault = CallOnce(size, act)
-    for endpoint in list_endpoints(context):
-        endpoint.body_fault = fault
-    upload_all(context, SendAll, seed)
-
-
 def make_act(context, event):
     """Return the asynchronous function that makes an event of a feature happen."""
     match event.split():
