--- a/camphorspread/process/control_metrics.py
+++ b/camphorspread/process/control_metrics.py
@@ -36,11 +36,13 @@
         sync_times: Histogram of the durations of log syncs, in microseconds.
         sync_time_sum: Sum of the recorded durations, in microseconds.
         polls: Answered polls by result.
+        quota_renewals: Renewals of quota shares by result.
     """
 
     sync_times: HdrHistogram = attrs.field(factory=make_histogram)
     sync_time_sum: int = 0
     polls: Counter = attrs.field(factory=Counter)
+    quota_renewals: Counter = attrs.field(factory=Counter)
 
 
 def record_sync(metrics: ControlMetrics, duration: timedelta) -> None:
@@ -106,6 +108,12 @@
     lines = format_gauges(gauges)
     lines += list(format_role(state))
     lines += format_counter("polls", ("result",), "Answered polls of entry VMs.", metrics.polls)
+    lines += format_counter(
+        "quota_renewals",
+        ("result",),
+        "Renewals of shares of organisations' limits.",
+        metrics.quota_renewals,
+    )
     name = "camphorspread_sync_seconds"
     lines += [f"# HELP {name} Duration of a log sync.", f"# TYPE {name} summary"]
     lines += list(format_summary(name, {}, metrics.sync_times, metrics.sync_time_sum))
--- /dev/null
+++ b/camphorspread/process/quota_allocator.py
@@ -0,0 +1,374 @@
+"""Division of the limits of organisations among the entry VMs, by the leader of the control VMs.
+
+For each VM and organisation the leader keeps a reservation: the largest number of requests that
+the VM may send in any window, whichever of its messages and responses are lost. It grants only what
+the reservations of all VMs leave free, so that their sum is a bound at all times. How the limit
+should be divided is a separate question, whose answer may be out of date.
+"""
+
+import math
+from collections.abc import Collection
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.process.quota_levels import DEMAND_MARGIN, Pool, find_target, set_demand
+from camphorspread.request.quota import (
+    GRANT_LEASE,
+    KEPT_DIVISOR,
+    KEPT_TIME,
+    QuotaGrant,
+    QuotaNeed,
+)
+from camphorspread.version.organisations import OrganisationTable
+from camphorspread.version.quota_total import QuotaRules, compute_usable_total
+
+__all__ = ["QuotaAllocator", "QuotaRequest", "begin_term", "observe_limits", "renew_quotas"]
+
+# A new leader increases no share before this time has passed or every VM has reported.
+REPORT_TIME = timedelta(seconds=1)
+# A VM that hasn't renewed for this long has no demand in the division; the longest interval of
+# renewals is half of it.
+SILENCE_LIMIT = timedelta(seconds=6)
+SWEEP_INTERVAL = timedelta(seconds=1)
+
+
+@attrs.frozen
+class QuotaRequest:
+    """A renewal of an entry VM.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: Random number of its process.
+        number: Number of the renewal, growing within the incarnation. The VM ignores the responses
+            to all earlier ones from now on.
+        age: Time since the process started.
+        needs: Organisations with demand, use or a share.
+        is_returning: True if the VM stops and uses no share any more.
+    """
+
+    vm: str
+    incarnation: int
+    number: int
+    age: timedelta
+    needs: dict[str, QuotaNeed]
+    is_returning: bool = False
+
+
+@attrs.define(eq=False)
+class Holder:
+    """An entry VM, as the leader sees it.
+
+    Attributes:
+        incarnation: Random number of its process.
+        started_at: When that process started, as its first renewal stated.
+        number: Number of its newest renewal.
+        heard_at: When that renewal arrived.
+        reserved: Reservation by organisation, `former` included.
+        demanded: Organisations that it has demand for.
+        former: What a process that has ended may have sent in its last window, by organisation.
+        former_at: When that process ended at the latest; `former` decreases from then on.
+        is_silent: True if it hasn't renewed for `SILENCE_LIMIT`.
+        is_lapsed: True if the lease of its grants has ended and it keeps a part of them.
+        is_returned: True once it has returned its shares.
+    """
+
+    incarnation: int
+    started_at: timedelta
+    number: int = 0
+    heard_at: timedelta = timedelta(0)
+    reserved: dict[str, int] = attrs.field(factory=dict)
+    demanded: set[str] = attrs.field(factory=set)
+    former: dict[str, int] = attrs.field(factory=dict)
+    former_at: timedelta = timedelta(0)
+    is_silent: bool = False
+    is_lapsed: bool = False
+    is_returned: bool = False
+
+
+@attrs.define(eq=False)
+class QuotaAllocator:
+    """State of the division on one control VM.
+
+    Attributes:
+        rules: Rules of counting.
+        revision: Revision of the routes that the limits are from.
+        limits: Usable total by organisation, for limited ones.
+        unlimited: Names of the other organisations.
+        term: Term in which this control VM leads and has received a renewal.
+        began_at: When the first renewal of that term arrived.
+        ready_at: From when shares are increased; None before that is known.
+        missing: VMs that poll this control VM and haven't renewed in this term.
+        known: Number of VMs that polled it when the term began.
+        unknown_end: Until when processes that this leader doesn't know, and that have ended, may
+            have sent something in the last window.
+        holders: Entry VMs by name.
+        pools: State of the division by organisation.
+        swept_at: When silent VMs were last looked for.
+        stale: Number of renewals that came too late to be served.
+    """
+
+    rules: QuotaRules
+    revision: int = 0
+    limits: dict[str, int] = attrs.field(factory=dict)
+    unlimited: frozenset[str] = frozenset()
+    term: int | None = None
+    began_at: timedelta = timedelta(0)
+    ready_at: timedelta | None = None
+    missing: set[str] = attrs.field(factory=set)
+    known: int = 1
+    unknown_end: timedelta = timedelta(0)
+    holders: dict[str, Holder] = attrs.field(factory=dict)
+    pools: dict[str, Pool] = attrs.field(factory=dict)
+    swept_at: timedelta = timedelta(0)
+    stale: int = 0
+
+
+def observe_limits(allocator: QuotaAllocator, table: OrganisationTable, revision: int) -> None:
+    """Use the limits of the newest configuration from now on."""
+    rules = allocator.rules
+    allocator.revision = revision
+    allocator.limits = {
+        item.name: compute_usable_total(item, rules)
+        for item in table.organisations
+        if item.is_limited
+    }
+    allocator.unlimited = frozenset(
+        item.name for item in table.organisations if not item.is_limited
+    )
+
+
+def begin_term(allocator: QuotaAllocator, term: int, vms: Collection[str], now: timedelta) -> None:
+    """Forget what is known when this control VM becomes the leader, unless it already is.
+
+    Args:
+        allocator: State of the division.
+        term: Term in which it leads.
+        vms: Entry VMs that poll it, or did so within a lease.
+        now: Current instant.
+    """
+    if allocator.term == term:
+        return
+    allocator.term, allocator.began_at, allocator.ready_at = term, now, None
+    allocator.missing, allocator.known = set(vms), max(len(vms), 1)
+    allocator.unknown_end = timedelta(0)
+    allocator.holders, allocator.pools = {}, {}
+
+
+def renew_quotas(
+    allocator: QuotaAllocator, request: QuotaRequest, now: timedelta
+) -> dict[str, QuotaGrant] | None:
+    """Record a renewal and return its grants, None if a newer one has arrived before.
+
+    Args:
+        allocator: State of the leader, whose leader lease is valid.
+        request: The renewal.
+        now: Current instant, not later than the response is sent.
+    """
+    sweep_holders(allocator, now)
+    holder = find_holder(allocator, request, now)
+    if holder is None:
+        allocator.stale += 1
+        return None
+    holder.number, holder.heard_at, holder.is_lapsed = request.number, now, False
+    mark_heard(allocator, holder)
+    allocator.missing.discard(request.vm)
+    if request.is_returning:
+        return_shares(allocator, request, holder, now)
+        return {}
+    for name in request.needs.keys() | holder.reserved.keys() | holder.demanded:
+        need = request.needs.get(name, QuotaNeed(0, 0, 0))
+        # Earlier grants that the VM doesn't hold are void: it ignores their responses.
+        amount = max(need.held, need.used) + find_former(allocator, holder, name, now)
+        set_reserved(allocator, holder, name, amount)
+        record_demand(allocator, request.vm, holder, name, need.demand)
+    update_ready(allocator, now)
+    return {
+        name: grant_share(allocator, request.vm, holder, name, need, now)
+        for name, need in request.needs.items()
+    }
+
+
+def find_holder(allocator: QuotaAllocator, request: QuotaRequest, now: timedelta) -> Holder | None:
+    """Return the holder that a renewal is from, None if the renewal is out of date."""
+    started_at = now - request.age
+    known = allocator.holders.get(request.vm)
+    if known is not None and known.incarnation == request.incarnation:
+        return known if request.number > known.number else None
+    if known is not None and started_at < known.started_at:
+        return None
+    holder = Holder(request.incarnation, started_at)
+    if known is not None:
+        # Its process was replaced by this one, which ended all its grants.
+        mark_heard(allocator, known)
+        holder.reserved, holder.demanded = known.reserved, known.demanded
+        holder.former, holder.former_at = dict(known.reserved), started_at
+    elif (
+        allocator.ready_at is None
+        or started_at < allocator.ready_at
+        or request.vm in allocator.missing
+    ):
+        # A former process may have had any part of what nobody else reports.
+        end = started_at + allocator.rules.window
+        allocator.unknown_end = max(allocator.unknown_end, end)
+    allocator.holders[request.vm] = holder
+    return holder
+
+
+def find_former(allocator: QuotaAllocator, holder: Holder, name: str, now: timedelta) -> int:
+    """Return what processes of a VM that have ended may have sent in the last window."""
+    if name not in holder.former:
+        return 0
+    left = 1 - (now - holder.former_at) / allocator.rules.window
+    if left <= 0:
+        holder.former.clear()
+        return 0
+    return -int(-holder.former[name] * min(left, 1.0) // 1)
+
+
+def return_shares(
+    allocator: QuotaAllocator, request: QuotaRequest, holder: Holder, now: timedelta
+) -> None:
+    """Release the shares of a VM that stops, except what it has used in the last window."""
+    for name in list(holder.reserved):
+        used = request.needs[name].used if name in request.needs else 0
+        used += find_former(allocator, holder, name, now)
+        set_reserved(allocator, holder, name, used)
+    for name in list(holder.demanded):
+        record_demand(allocator, request.vm, holder, name, 0)
+    holder.former, holder.former_at = dict(holder.reserved), now
+    holder.is_returned = True
+
+
+def mark_heard(allocator: QuotaAllocator, holder: Holder) -> None:
+    """Record that a holder isn't silent any more."""
+    if not holder.is_silent:
+        return
+    holder.is_silent = False
+    for name, amount in holder.reserved.items():
+        allocator.pools[name].silent -= amount
+
+
+def get_pool(allocator: QuotaAllocator, name: str) -> Pool:
+    """Return the state of an organisation, created on first use."""
+    pool = allocator.pools.get(name)
+    if pool is None:
+        pool = allocator.pools[name] = Pool(unaccounted=allocator.limits.get(name, 0))
+    return pool
+
+
+def set_reserved(allocator: QuotaAllocator, holder: Holder, name: str, amount: int) -> None:
+    """Change a reservation and the sum of its organisation."""
+    pool = get_pool(allocator, name)
+    pool.reserved += amount - holder.reserved.get(name, 0)
+    if holder.is_silent:
+        pool.silent += amount - holder.reserved.get(name, 0)
+    if amount:
+        holder.reserved[name] = amount
+    else:
+        holder.reserved.pop(name, None)
+
+
+def record_demand(
+    allocator: QuotaAllocator, vm: str, holder: Holder, name: str, demand: int
+) -> None:
+    """Record the demand for an organisation at a VM."""
+    set_demand(get_pool(allocator, name), vm, demand)
+    if demand:
+        holder.demanded.add(name)
+    else:
+        holder.demanded.discard(name)
+
+
+def update_ready(allocator: QuotaAllocator, now: timedelta) -> None:
+    """Allow increases once all VMs have renewed in this term, or `REPORT_TIME` has passed."""
+    if allocator.ready_at is not None:
+        return
+    if allocator.missing and now - allocator.began_at < REPORT_TIME:
+        return
+    allocator.ready_at = now
+    for name, pool in allocator.pools.items():
+        pool.unaccounted = max(allocator.limits.get(name, 0) - pool.reserved, 0)
+
+
+def find_unreported(allocator: QuotaAllocator, name: str, now: timedelta) -> int:
+    """Return what VMs that haven't renewed in this term may send or have sent.
+
+    A VM that doesn't report is taken to have an equal part until its grants have lapsed. A process
+    that ended before this term may have had all that isn't reported by others.
+    """
+    usable = allocator.limits[name]
+    assumed = unknown = 0
+    window = allocator.rules.window
+    if allocator.missing and now - allocator.began_at < GRANT_LEASE + window:
+        assumed = -(-usable * len(allocator.missing) // allocator.known)
+    if now < allocator.unknown_end:
+        pool = allocator.pools[name]
+        left = min((allocator.unknown_end - now) / window, 1.0)
+        unknown = -int(-min(pool.unaccounted, usable) * left // 1)
+    return max(assumed, unknown)
+
+
+def grant_share(
+    allocator: QuotaAllocator,
+    vm: str,
+    holder: Holder,
+    name: str,
+    need: QuotaNeed,
+    now: timedelta,
+) -> QuotaGrant:
+    """Return a VM's new share and reserve it."""
+    pool = get_pool(allocator, name)
+    usable = allocator.limits.get(name)
+    reserved = holder.reserved.get(name, 0)
+    former = find_former(allocator, holder, name, now)
+    is_saturated = False
+    if usable is None:
+        # The VM has an older configuration, in which the organisation is limited.
+        wanted = math.ceil(need.demand * DEMAND_MARGIN)
+        share = wanted if name in allocator.unlimited else min(wanted, need.held)
+    elif allocator.ready_at is None:
+        share = need.held
+    else:
+        unreported = find_unreported(allocator, name, now)
+        free = usable - pool.reserved - unreported
+        target = find_target(pool, vm, name, usable - unreported, now)
+        share = min(target.share, reserved - former + max(free, 0))
+        is_saturated = target.is_saturated
+    set_reserved(allocator, holder, name, max(reserved, share + former))
+    return QuotaGrant(share, max(usable or 0, share), is_saturated)
+
+
+def sweep_holders(allocator: QuotaAllocator, now: timedelta) -> None:
+    """Reduce the reservations of VMs that have been silent, about once a second."""
+    if now - allocator.swept_at < SWEEP_INTERVAL:
+        return
+    allocator.swept_at = now
+    for vm, holder in list(allocator.holders.items()):
+        silence = now - holder.heard_at
+        if holder.is_returned:
+            for name in list(holder.reserved):
+                set_reserved(allocator, holder, name, find_former(allocator, holder, name, now))
+        elif silence >= SILENCE_LIMIT:
+            reduce_silent(allocator, vm, holder, silence)
+        if not holder.reserved and silence >= SILENCE_LIMIT:
+            del allocator.holders[vm]
+
+
+def reduce_silent(allocator: QuotaAllocator, vm: str, holder: Holder, silence: timedelta) -> None:
+    """Reduce the reservations of a silent VM: its demand is gone, its grants end with the lease."""
+    if not holder.is_silent:
+        holder.is_silent = True
+        for name, amount in holder.reserved.items():
+            allocator.pools[name].silent += amount
+        for name in list(holder.demanded):
+            record_demand(allocator, vm, holder, name, 0)
+    lapse = GRANT_LEASE + allocator.rules.window
+    if silence >= lapse and not holder.is_lapsed:
+        holder.is_lapsed = True
+        holder.former.clear()
+        for name, amount in list(holder.reserved.items()):
+            set_reserved(allocator, holder, name, amount // KEPT_DIVISOR)
+    if silence >= lapse + KEPT_TIME + allocator.rules.window:
+        for name in list(holder.reserved):
+            set_reserved(allocator, holder, name, 0)
--- /dev/null
+++ b/camphorspread/process/quota_codec.py
@@ -0,0 +1,142 @@
+"""JSON encoding of quota renewals and of the responses to them."""
+
+from datetime import timedelta
+
+from camphorspread.connection.network import Address
+from camphorspread.process.quota_allocator import QuotaRequest
+from camphorspread.process.vm_record_codec import decode_address, encode_address
+from camphorspread.request.quota import QuotaGrant, QuotaNeed
+
+__all__ = [
+    "QUOTA_PATH",
+    "QuotaResponse",
+    "decode_quota_request",
+    "decode_quota_response",
+    "encode_grants",
+    "encode_leader",
+    "encode_quota_request",
+]
+
+QUOTA_PATH = "/v1/vm/quota"
+MILLISECOND = timedelta(milliseconds=1)
+# Larger numbers are no counts of requests or milliseconds.
+MAX_NUMBER = 2**53
+
+
+# What a control VM responds: grants of the leader, the address of the leader, or neither.
+QuotaResponse = dict[str, QuotaGrant] | Address | None
+
+
+def encode_quota_request(request: QuotaRequest, revision: int) -> dict[str, object]:
+    """Return the JSON form of a renewal.
+
+    Args:
+        request: The renewal.
+        revision: Revision of the routes in force at the VM.
+    """
+    return {
+        "vm": request.vm,
+        "incarnation": request.incarnation,
+        "number": request.number,
+        "age_ms": request.age // MILLISECOND,
+        "revision": revision,
+        "needs": {
+            name: [need.demand, need.used, need.held] for name, need in request.needs.items()
+        },
+        "returning": request.is_returning,
+    }
+
+
+def decode_quota_request(value: object) -> QuotaRequest:
+    """Decode a renewal.
+
+    Raises:
+        ValueError: The value isn't a renewal.
+    """
+    match value:
+        case {
+            "vm": str(vm),
+            "incarnation": incarnation,
+            "number": number,
+            "age_ms": age_ms,
+            "needs": dict(needs),
+            "returning": bool(is_returning),
+        }:
+            return QuotaRequest(
+                vm,
+                decode_count(incarnation),
+                decode_count(number),
+                decode_count(age_ms) * MILLISECOND,
+                {str(name): decode_need(item) for name, item in needs.items()},
+                is_returning,
+            )
+    raise ValueError("a renewal needs vm, incarnation, number, age_ms, needs and returning")
+
+
+def decode_count(value: object) -> int:
+    """Decode a number from 0 on.
+
+    Raises:
+        ValueError: The value isn't one.
+    """
+    if type(value) is not int or not 0 <= value < MAX_NUMBER:
+        raise ValueError("a number of a renewal isn't a count")
+    return value
+
+
+def decode_need(value: object) -> QuotaNeed:
+    """Decode the need of one organisation.
+
+    Raises:
+        ValueError: The value isn't a need.
+    """
+    match value:
+        case [demand, used, held]:
+            return QuotaNeed(decode_count(demand), decode_count(used), decode_count(held))
+    raise ValueError("a need is [demand, used, held]")
+
+
+def encode_grants(number: int, grants: dict[str, QuotaGrant]) -> dict[str, object]:
+    """Return the JSON form of the leader's response to a renewal."""
+    return {
+        "number": number,
+        "grants": {
+            name: [grant.share, grant.usable, int(grant.is_saturated)]
+            for name, grant in grants.items()
+        },
+    }
+
+
+def encode_leader(leader: Address | None) -> dict[str, object]:
+    """Return the JSON form of a response that names the leader, if it is known."""
+    return {"leader": leader and encode_address(leader)}
+
+
+def decode_quota_response(value: object, number: int) -> QuotaResponse:
+    """Decode the response to a renewal, None if it is malformed or for another one.
+
+    Args:
+        value: The response.
+        number: Number of the renewal.
+    """
+    match value:
+        case {"number": int(answered), "grants": dict(grants)} if answered == number:
+            try:
+                return {str(name): decode_grant(item) for name, item in grants.items()}
+            except ValueError:
+                return None
+        case {"leader": [_, _] as leader}:
+            return decode_address(leader)
+    return None
+
+
+def decode_grant(value: object) -> QuotaGrant:
+    """Decode a grant.
+
+    Raises:
+        ValueError: The value isn't a grant.
+    """
+    match value:
+        case [share, usable, 0 | 1 as is_saturated]:
+            return QuotaGrant(decode_count(share), decode_count(usable), is_saturated == 1)
+    raise ValueError("a grant is [share, usable, is_saturated]")
--- /dev/null
+++ b/camphorspread/process/quota_listener.py
@@ -0,0 +1,93 @@
+"""Answers the renewals of entry VMs' shares at a control VM."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from camphorspread.connection.exchange import Exchange
+from camphorspread.connection.network import Address
+from camphorspread.process.events import Event
+from camphorspread.process.quota_allocator import (
+    begin_term,
+    observe_limits,
+    renew_quotas,
+)
+from camphorspread.process.quota_codec import (
+    decode_quota_request,
+    encode_grants,
+    encode_leader,
+)
+from camphorspread.process.steering_control import SteeringControl
+from camphorspread.request.errors import ErrorKind, Refusal
+from camphorspread.request.quota import GRANT_LEASE
+from camphorspread.version.routing import RouteTable
+
+__all__ = ["serve_quota"]
+
+TableDecoder = Callable[[str], Result[RouteTable, str]]
+
+
+async def serve_quota(
+    steering: SteeringControl, decode_table: TableDecoder, exchange: Exchange
+) -> None:
+    """Serve `POST /v1/vm/quota`: grant shares as the leader, or name the leader.
+
+    Args:
+        steering: State of this control VM.
+        decode_table: Decodes the text of a routing document into a `Result` with its table.
+        exchange: The exchange.
+    """
+    metrics = steering.control.metrics
+    try:
+        request = decode_quota_request(await exchange.read_json())
+    except ValueError as exc:
+        metrics.quota_renewals[("malformed",)] += 1
+        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(exc)))
+        return
+    now = steering.control.clock.monotonic()
+    view = steering.control.view
+    # The limits of earlier leaders hold until this one knows the newest configuration.
+    if not view.is_leader or view.lease_end <= now or not view.has_own_term_entry:
+        metrics.quota_renewals[("leader",)] += 1
+        await exchange.respond_json(200, encode_leader(find_leader(steering)))
+        return
+    read_limits(steering, decode_table)
+    begin_term(steering.quotas, view.term, list_possible_holders(steering, now), now)
+    grants = renew_quotas(steering.quotas, request, now)
+    metrics.quota_renewals[("stale" if grants is None else "granted",)] += 1
+    value = {} if grants is None else encode_grants(request.number, grants)
+    await exchange.respond_json(200, value)
+
+
+def find_leader(steering: SteeringControl) -> Address | None:
+    """Return where the leader listens for other processes, None if it isn't known."""
+    view = steering.control.view
+    if view.is_leader:
+        return None
+    members = steering.shell.state.members
+    return next((item.peers for item in members if item.vm == view.leader), None)
+
+
+def read_limits(steering: SteeringControl, decode_table: TableDecoder) -> None:
+    """Use the limits of the newest configuration."""
+    document = steering.control.catalogue.routing
+    if document is None or document.revision == steering.quotas.revision:
+        return
+    match decode_table(document.text):
+        case Success(table):
+            observe_limits(steering.quotas, table.organisations, document.revision)
+        case Failure(fault):
+            # It was valid where it was accepted, so that this program is older than that one.
+            steering.quotas.revision = document.revision
+            steering.control.log.write(Event.DOCUMENT_REFUSED, cause=fault)
+
+
+def list_possible_holders(steering: SteeringControl, now: timedelta) -> list[str]:
+    """Return the entry VMs that may hold shares, also those that have been lost recently."""
+    lapse: timedelta = GRANT_LEASE + steering.settings.bounds.quota_window
+    return [
+        name
+        for name, item in steering.vms.items()
+        if not (item.record.is_leaving and not item.is_alive) and now - item.last_poll_at < lapse
+    ]
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -23,6 +23,7 @@
 from camphorspread.process.instances import InstanceReport
 from camphorspread.process.owner_rank import rank_owners
 from camphorspread.process.possible_senders import SenderVm, list_possible_senders
+from camphorspread.process.quota_allocator import QuotaAllocator
 from camphorspread.process.replica_shell import ReplicaShell
 from camphorspread.process.steering_settings import SteeringSettings
 
@@ -81,6 +82,7 @@
         control: State of the control process, shared by the modules that do I/O for its replica.
         shell: Its replica.
         started_at: When the process started.
+        quotas: Division of the limits of organisations while this replica leads.
         vms: Entry VMs by name.
         list_revision: Incremented with each change of `vms`.
         caller_spread: Callers of each zone that use the VMs of other zones.
@@ -91,6 +93,7 @@
     control: ControlState
     shell: ReplicaShell
     started_at: timedelta
+    quotas: QuotaAllocator
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     list_revision: int = 0
     caller_spread: CallerSpread = attrs.field(factory=CallerSpread)
--- a/camphorspread/process/steering_control_node.py
+++ b/camphorspread/process/steering_control_node.py
@@ -22,6 +22,9 @@
 from camphorspread.process.events import Event, EventLog
 from camphorspread.process.group_shell import JOIN_PATH, GroupShell, run_upkeep, serve_join
 from camphorspread.process.metrics import METRICS_TYPE
+from camphorspread.process.quota_allocator import QuotaAllocator
+from camphorspread.process.quota_codec import QUOTA_PATH
+from camphorspread.process.quota_listener import TableDecoder, serve_quota
 from camphorspread.process.replica_start import start_replica
 from camphorspread.process.settings import ControlSettings, ReplicaSettings
 from camphorspread.process.steering_control import SteeringControl, watch_vms
@@ -34,6 +37,7 @@
 from camphorspread.process.vm_poll_listener import serve_vm_poll
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.version.log_file import FileOperations, LogCorruptedError
+from camphorspread.version.quota_total import QuotaRules
 from camphorspread.version.replica_storage import discard_folder, read_founders, store_founders
 
 __all__ = ["ControlNode", "start_control_vm"]
@@ -85,6 +89,7 @@
     handle_lookup: Handler,
     file_calls: FileOperations | None = None,
     started: timedelta | None = None,
+    decode_table: TableDecoder | None = None,
 ) -> ControlNode:
     """Start the replica and open the listeners.
 
@@ -99,6 +104,8 @@
         handle_lookup: Serves callers that ask which entry VMs to use.
         file_calls: How files are written and synced.
         started: When the process started; now if None.
+        decode_table: Decodes the text of a routing document, for the limits of organisations; None
+            if there are none.
 
     Raises:
         OSError: A listener can't be opened, or the data folder can't be used.
@@ -112,10 +119,14 @@
         discard_folder(Path(role.data_folder), calls)
         control = make_control_state(settings, role, clock, network, log, rng, calls)
         shell = start_replica(control, settings.bounds.lost_disks + 1)
-    steering = SteeringControl(settings, control, shell, clock.monotonic())
+    bounds = settings.bounds
+    rules = QuotaRules(bounds.quota_window, bounds.quota_overage, bounds.quota_tolerance)
+    steering = SteeringControl(settings, control, shell, clock.monotonic(), QuotaAllocator(rules))
     seeds = tuple(Address(item.host, settings.control_peer_port) for item in settings.seeds)
     group = GroupShell(control, shell, seeds)
-    peers = make_server(steering, lambda exchange: serve_peer(steering, group, exchange))
+    peers = make_server(
+        steering, lambda exchange: serve_peer(steering, group, decode_table, exchange)
+    )
     operators = make_server(steering, lambda exchange: handle_operator(steering, exchange))
     lookups = make_server(steering, lambda exchange: handle_lookup(steering, exchange))
     metrics = make_server(steering, lambda exchange: serve_metrics(steering, exchange))
@@ -218,11 +229,18 @@
     return HttpServer(handler, limits, on_refused=log_refusal, on_failed=log_failure)
 
 
-async def serve_peer(steering: SteeringControl, group: GroupShell, exchange: Exchange) -> None:
+async def serve_peer(
+    steering: SteeringControl,
+    group: GroupShell,
+    decode_table: TableDecoder | None,
+    exchange: Exchange,
+) -> None:
     """Serve a message from another process of the fleet."""
     match exchange.head.method, exchange.head.target.decode("ascii", "replace"):
         case b"POST", "/v1/vm/poll":
             await serve_vm_poll(steering, exchange)
+        case b"POST", path if path == QUOTA_PATH and decode_table is not None:
+            await serve_quota(steering, decode_table, exchange)
         case b"POST", path if path == JOIN_PATH:
             await serve_join(group, exchange)
         case _:
--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -17,6 +17,11 @@
 __all__ = ["SteeringMetrics", "format_steering_metrics", "record_result", "record_wait"]
 
 
+# Organisations with a label of their own; those with the most requests.
+MAX_ORGANISATIONS = 100
+OTHERS = "(others)"
+
+
 @attrs.define(eq=False)
 class SteeringMetrics:
     """Metrics of an entry VM.
@@ -28,6 +33,7 @@
         unreadable_limits: Responses whose stated rate limit can't be read, by service.
         unreadable_departures: Responses whose statement on the server's departure can't be read, by
             service.
+        quota_requests: Decisions on the quotas of organisations, by (organisation, result).
         times: Time to the response by service, in microseconds.
         time_sums: Sum of the recorded microseconds.
         waits: Time in the queue by service, in microseconds.
@@ -39,6 +45,7 @@
     repeats: Counter = attrs.field(factory=Counter)
     unreadable_limits: Counter = attrs.field(factory=Counter)
     unreadable_departures: Counter = attrs.field(factory=Counter)
+    quota_requests: Counter = attrs.field(factory=Counter)
     times: dict[str, HdrHistogram] = attrs.field(factory=dict)
     time_sums: Counter = attrs.field(factory=Counter)
     waits: dict[str, HdrHistogram] = attrs.field(factory=dict)
@@ -81,11 +88,31 @@
 )
 
 
+def sum_up_rest(counts: Counter) -> Counter:
+    """Return counts by (organisation, result), with one label for all but the largest ones."""
+    totals: Counter = Counter()
+    for (organisation, _), count in counts.items():
+        totals[organisation] += count
+    if len(totals) <= MAX_ORGANISATIONS:
+        return counts
+    largest = {organisation for organisation, _ in totals.most_common(MAX_ORGANISATIONS)}
+    result: Counter = Counter()
+    for (organisation, kind), count in counts.items():
+        result[(organisation if organisation in largest else OTHERS, kind)] += count
+    return result
+
+
 def format_steering_metrics(metrics: SteeringMetrics, gauges: dict[str, tuple[str, float]]) -> str:
     """Return all metrics in the Prometheus text format."""
     lines = format_gauges(gauges)
     for name, labels, description in COUNTERS:
         lines += format_counter(f"steering_{name}", labels, description, getattr(metrics, name))
+    lines += format_counter(
+        "quota_requests",
+        ("organisation", "result"),
+        "Decisions on the quotas of organisations; the last label sums up all other ones.",
+        sum_up_rest(metrics.quota_requests),
+    )
     for name, histograms, sums in (
         ("time", metrics.times, metrics.time_sums),
         ("wait", metrics.waits, metrics.wait_sums),
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -21,6 +21,7 @@
 from camphorspread.process.events import Event
 from camphorspread.process.instances import expire_instances, list_owned_instances
 from camphorspread.process.metrics import METRICS_TYPE
+from camphorspread.process.quota_renewal import renew_quotas_periodically, return_quotas
 from camphorspread.process.steering_metrics import format_steering_metrics
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.process.supervision import start_supervised
@@ -103,6 +104,7 @@
     tasks = (
         start_supervised(lambda: poll_control_vms(state, decode_table), "polls", log),
         start_supervised(lambda: exchange_summaries(state), "summaries", log),
+        start_supervised(lambda: renew_quotas_periodically(state), "quotas", log),
         start_supervised(lambda: review_periodically(state), "queue_review", log),
         start_supervised(lambda: watch_state(state, callers), "state_watch", log),
     )
@@ -239,6 +241,7 @@
             await node.listeners[0].close()
         if not is_listening and not state.in_flight:
             break
+    await return_quotas(state)
     drain_ms = (clock.monotonic() - started) // timedelta(milliseconds=1)
     state.log.write(Event.DRAIN_ENDED, drain_ms=drain_ms)
     await node.stop()
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -13,6 +13,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.instances import InstanceRegistry
 from camphorspread.process.loans import LentList
+from camphorspread.process.quota_contact import QuotaContact
 from camphorspread.process.reported_load import RegionLoads
 from camphorspread.process.steering_metrics import SteeringMetrics
 from camphorspread.process.steering_settings import (
@@ -24,9 +25,11 @@
 from camphorspread.request.fleet_retry_budget import FleetRetryBudget
 from camphorspread.request.placement_board import PlacementBoard
 from camphorspread.request.placement_queue import PlacementQueue
+from camphorspread.request.quota import QuotaBook
 from camphorspread.request.region_shift import RegionShares
 from camphorspread.request.splitting import Splitter
 from camphorspread.request.window import SlidingWindow
+from camphorspread.version.quota_total import QuotaRules
 from camphorspread.version.routing import RouteTable
 
 __all__ = ["RATE_WINDOW", "ControlVm", "SteeringState", "make_steering_state"]
@@ -77,6 +80,8 @@
         peer_pool: Connections to other entry VMs for forwarded requests.
         pool: Connections to backend servers.
         board: State of servers and VMs on which placement depends.
+        quotas: This VM's shares of the limits of organisations.
+        quota_contact: State of the renewals of these shares.
         lent_instances: Backend servers that the other VMs of the region may use.
         region_loads: Load of the servers of the region, as reported to other regions.
         waiting: Requests that wait for a placement.
@@ -113,6 +118,8 @@
     pool: ConnectionPool
     board: PlacementBoard
     retry_budget: FleetRetryBudget
+    quotas: QuotaBook
+    quota_contact: QuotaContact
     lent_instances: LentList = attrs.field(factory=LentList)
     region_loads: RegionLoads = attrs.field(factory=RegionLoads)
     waiting: PlacementQueue = attrs.field(factory=PlacementQueue)
@@ -196,4 +203,6 @@
         make_pool(),
         board,
         FleetRetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+        QuotaBook(QuotaRules(bounds.quota_window, bounds.quota_overage, bounds.quota_tolerance)),
+        QuotaContact(clock.monotonic()),
     )
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -18,6 +18,7 @@
 from camphorspread.process.events import Event
 from camphorspread.process.instances import mark_zone_cold
 from camphorspread.process.live_vms import hold_live_vms, record_listed_vms
+from camphorspread.process.quota_renewal import update_limits
 from camphorspread.process.steering_state import RATE_WINDOW, ControlVm, SteeringState
 from camphorspread.process.supervision import start_supervised
 from camphorspread.process.vm_record_codec import decode_address, decode_vm, encode_vm
@@ -293,6 +294,7 @@
     state.catalogue_version = version
     if table is not None:
         state.table = table
+        update_limits(state)
         bounds = state.settings.bounds
         state.board.cold_rate_limits = {
             name: service.cold_per_second * bounds.cold_rate_factor + bounds.cold_rate_slack
--- /dev/null
+++ b/camphorspread/request/quota.py
@@ -0,0 +1,389 @@
+"""An entry VM's decisions on requests of organisations with a limited rate.
+
+A VM holds a share of each organisation's limit: the maximum number of requests that it sends in any
+window. A token bucket spreads them over the window, so that a refused caller can be told when a
+retry is likely to be served.
+"""
+
+import math
+from collections.abc import Mapping
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.request.quota_window import QuotaWindow, count_latest, count_window, record_at
+from camphorspread.version.organisations import OrganisationTable
+from camphorspread.version.quota_total import QuotaRules, compute_usable_total
+
+__all__ = [
+    "MAX_SPARE_FACTOR",
+    "Charged",
+    "Exceeded",
+    "OrganisationQuota",
+    "QuotaBook",
+    "QuotaGrant",
+    "QuotaNeed",
+    "ShareLoss",
+    "Ticket",
+    "apply_grants",
+    "apply_limits",
+    "charge_request",
+    "count_used",
+    "expire_shares",
+    "find_demand",
+    "is_renewal_useful",
+    "list_needs",
+    "record_arrival",
+    "settle_ticket",
+]
+
+# While there is room, a share is this multiple of the demand, for the loss of the control VMs.
+MAX_SPARE_FACTOR = 2.6
+# A grant without renewal outlasts the loss of all control VMs for some seconds, and a longer time
+# of the VM without contact reduces it to a fraction instead of ending all service.
+GRANT_LEASE = timedelta(seconds=30)
+KEPT_DIVISOR = 4
+KEPT_TIME = timedelta(hours=1)
+# Growth is extrapolated from the last half second, less the fluctuation of a random arrival
+# process, so that a few requests don't claim many times their number.
+GROWTH_TIME = timedelta(milliseconds=500)
+GROWTH_DEVIATIONS = 1.5
+MIN_GROWTH = 1.5
+# A higher demand than this multiple of the limit changes no VM's part of it.
+MAX_DEMAND_FACTOR = 2
+# The bucket fills faster than the share needs, since the window is the bound.
+FILL_MARGIN = 1.1
+# Requests of a share that may be sent together: a few, and a fraction of it.
+MIN_TOKEN_LIMIT = 8
+TOKEN_FRACTION = 0.25
+MIN_RETRY_DELAY = timedelta(milliseconds=150)
+# Without a share, retries are spread over the window, in which the leader may grant one.
+UNSHARED_RETRIES = 8
+
+
+@attrs.frozen
+class Ticket:
+    """A charge to a quota, to be settled at the end of the request."""
+
+    organisation: str
+    number: int
+
+
+@attrs.frozen
+class Charged:
+    """The request may be sent."""
+
+    ticket: Ticket
+
+
+@attrs.frozen
+class Exceeded:
+    """This VM's share is used up.
+
+    Attributes:
+        retry_after: Time after which a retry is likely to be served.
+    """
+
+    retry_after: timedelta
+
+
+@attrs.frozen
+class QuotaNeed:
+    """What an entry VM reports about an organisation.
+
+    Attributes:
+        demand: Requests that it expects to get in a window.
+        used: Requests that it has sent in the last window.
+        held: Its share.
+    """
+
+    demand: int
+    used: int
+    held: int
+
+
+@attrs.frozen
+class QuotaGrant:
+    """A share granted by the leader.
+
+    Attributes:
+        share: Maximum number of requests in any window.
+        usable: Total of all shares under the configuration for which it was granted.
+        is_saturated: True if the demand of all VMs exceeds the limit.
+    """
+
+    share: int
+    usable: int
+    is_saturated: bool = False
+
+
+@attrs.frozen
+class ShareLoss:
+    """A share was reduced because its lease has ended."""
+
+    organisation: str
+    share: int
+    kept: int
+
+
+@attrs.define(eq=False)
+class OrganisationQuota:
+    """Share and use of one organisation at this VM.
+
+    Attributes:
+        usable: Total of all shares under the configuration in force here; None without a limit.
+        burst_fraction: Fraction of the limit that may come at once.
+        sends: Requests that were sent.
+        arrivals: Requests that arrived, refused ones included.
+        share: Maximum number of sends in any window.
+        usable_at_grant: Total of all shares to which the share refers.
+        granted_at: When the request for the share was sent.
+        lease_end: When the share is reduced to a part, or ends.
+        is_leased: False once it was reduced to that part.
+        is_saturated: True if the demand of all VMs exceeded the limit at that time.
+        asked: Demand in the last renewal that was answered; None before one.
+        tokens: Requests that may be sent now as far as pacing is concerned.
+        filled_at: When `tokens` was last updated.
+        charges: When the requests that haven't ended yet were charged, by number of the ticket.
+        retry_at: Time given to the caller that was refused last.
+    """
+
+    usable: int | None
+    burst_fraction: float
+    sends: QuotaWindow
+    arrivals: QuotaWindow
+    share: int = 0
+    usable_at_grant: int = 0
+    granted_at: timedelta = timedelta(0)
+    lease_end: timedelta = timedelta(0)
+    is_leased: bool = False
+    is_saturated: bool = False
+    asked: int | None = None
+    tokens: float = 0.0
+    filled_at: timedelta = timedelta(0)
+    charges: dict[int, timedelta] = attrs.field(factory=dict)
+    retry_at: timedelta = timedelta(0)
+
+    @property
+    def token_limit(self) -> float:
+        """Requests that may be sent together."""
+        fraction = max(TOKEN_FRACTION, self.burst_fraction)
+        return min(self.share, MIN_TOKEN_LIMIT + self.share * fraction)
+
+
+@attrs.define(eq=False)
+class QuotaBook:
+    """Quotas of this VM.
+
+    Attributes:
+        rules: Rules of counting.
+        table: Organisations whose limits are in force here; None before the first ones.
+        revision: Revision of the routes that they are part of.
+        quotas: Quotas by name of the organisation; organisations that were never limited while
+            this process ran have none.
+        next_number: Number of the next ticket.
+        has_limits: True if the configuration limits an organisation.
+    """
+
+    rules: QuotaRules
+    table: OrganisationTable | None = None
+    revision: int = 0
+    quotas: dict[str, OrganisationQuota] = attrs.field(factory=dict)
+    next_number: int = 0
+    has_limits: bool = False
+
+
+def apply_limits(book: QuotaBook, table: OrganisationTable, revision: int) -> None:
+    """Apply a configuration: shares are reduced with their limits, and never increased."""
+    limited = {item.name: item for item in table.organisations if item.is_limited}
+    for name in book.quotas.keys() - limited.keys():
+        quota = book.quotas[name]
+        quota.usable = None
+        if not quota.charges:
+            del book.quotas[name]
+    for name, item in limited.items():
+        quota = book.quotas.get(name)
+        if quota is None:
+            quota = book.quotas[name] = OrganisationQuota(
+                None, 0.0, QuotaWindow(book.rules.window), QuotaWindow(book.rules.window)
+            )
+        if quota.usable is None:
+            # What it held before the limit was removed may have been granted to others since.
+            quota.share, quota.asked, quota.is_leased = 0, None, False
+        limit = item.rate * book.rules.window.total_seconds() + item.burst
+        quota.burst_fraction = item.burst / limit
+        quota.usable = compute_usable_total(item, book.rules)
+        scale_share(quota)
+    book.table, book.revision = table, revision
+    book.has_limits = bool(limited)
+
+
+def scale_share(quota: OrganisationQuota) -> None:
+    """Reduce a share that was granted under a higher limit than the one in force here."""
+    if quota.usable is not None and quota.usable < quota.usable_at_grant:
+        quota.share = quota.share * quota.usable // quota.usable_at_grant
+        quota.usable_at_grant = quota.usable
+        quota.tokens = min(quota.tokens, quota.token_limit)
+
+
+def record_arrival(quota: OrganisationQuota, now: timedelta) -> None:
+    """Count a request, once, for the demand."""
+    record_at(quota.arrivals, now)
+
+
+def charge_request(book: QuotaBook, name: str, now: timedelta) -> Charged | Exceeded:
+    """Charge a request to this VM's share, or return when a retry is likely to be served.
+
+    Args:
+        book: Quotas of this VM.
+        name: Name of an organisation with a quota.
+        now: Current instant.
+    """
+    quota = book.quotas[name]
+    expire_share(quota, now)
+    fill_tokens(quota, book.rules.window, now)
+    is_paced = quota.is_saturated and quota.tokens < 1
+    if count_used(quota, now) < quota.share and not is_paced:
+        quota.tokens = max(quota.tokens - 1, 0)
+        book.next_number += 1
+        quota.charges[book.next_number] = now
+        return Charged(Ticket(name, book.next_number))
+    return Exceeded(find_retry_delay(quota, book.rules.window, now))
+
+
+def settle_ticket(book: QuotaBook, ticket: Ticket, sent_at: timedelta | None) -> None:
+    """End a charge.
+
+    Args:
+        book: Quotas of this VM.
+        ticket: The charge.
+        sent_at: When the request was first sent; None if it hasn't run, so that it is refunded.
+    """
+    quota = book.quotas.get(ticket.organisation)
+    if quota is None:
+        return
+    quota.charges.pop(ticket.number, None)
+    if sent_at is not None:
+        record_at(quota.sends, sent_at)
+    else:
+        quota.tokens = min(quota.tokens + 1, max(quota.token_limit, 1))
+
+
+def count_used(quota: OrganisationQuota, now: timedelta) -> int:
+    """Return the sends of the last window, with the requests that may still be sent.
+
+    A request may wait, or its VM may be paused, between its charge and its send. It counts until
+    it ends, at most for two windows, since a long run must not hold its part of the quota.
+    """
+    window = quota.sends.window
+    while quota.charges:
+        number, charged_at = next(iter(quota.charges.items()))
+        if now - charged_at <= 2 * window:
+            break
+        del quota.charges[number]
+    return count_window(quota.sends, now) + len(quota.charges)
+
+
+def fill_tokens(quota: OrganisationQuota, window: timedelta, now: timedelta) -> None:
+    """Add the tokens of the time that has passed."""
+    added = (now - quota.filled_at) / window * quota.share * FILL_MARGIN
+    quota.tokens = min(quota.tokens + added, quota.token_limit)
+    quota.filled_at = now
+
+
+def find_retry_delay(quota: OrganisationQuota, window: timedelta, now: timedelta) -> timedelta:
+    """Return when a retry is likely to be served; each refused caller gets a later time."""
+    interval = window / (quota.share * FILL_MARGIN or UNSHARED_RETRIES)
+    earliest = now + max(1 - quota.tokens, 0) * interval
+    if quota.sends.counts and count_used(quota, now) >= quota.share:
+        leaves_at = quota.sends.width * (min(quota.sends.counts) + 1) + window
+        earliest = max(earliest, leaves_at)
+    retry_at = max(earliest, quota.retry_at + interval, now + MIN_RETRY_DELAY)
+    quota.retry_at = min(retry_at, now + window)
+    return quota.retry_at - now
+
+
+def find_demand(quota: OrganisationQuota, now: timedelta) -> int:
+    """Return the requests to be expected in a window, 0 without any in the last one."""
+    window = quota.arrivals.window
+    demand = count_window(quota.arrivals, now)
+    if not demand or quota.usable is None:
+        return 0
+    latest = count_latest(quota.arrivals, now, GROWTH_TIME)
+    certain = (latest - GROWTH_DEVIATIONS * math.sqrt(latest)) * (window / GROWTH_TIME)
+    expected = certain if certain > MIN_GROWTH * demand else demand
+    return min(math.ceil(expected), MAX_DEMAND_FACTOR * quota.usable)
+
+
+def is_renewal_useful(quota: OrganisationQuota) -> bool:
+    """Return True if the leader may grant more than this VM holds.
+
+    If the demand of all VMs exceeds the limit, it is asked again by the next periodic renewal only:
+    otherwise each refused request would wait and send one.
+    """
+    return not quota.is_leased or not quota.is_saturated
+
+
+def expire_share(quota: OrganisationQuota, now: timedelta) -> int:
+    """Reduce a share whose lease has ended; return by how much."""
+    before = quota.share
+    if quota.is_leased and now >= quota.lease_end:
+        quota.is_leased = False
+        quota.share //= KEPT_DIVISOR
+        quota.lease_end += KEPT_TIME
+    if not quota.is_leased and now >= quota.lease_end:
+        quota.share = 0
+    return before - quota.share
+
+
+def expire_shares(book: QuotaBook, now: timedelta) -> list[ShareLoss]:
+    """Reduce the shares whose lease has ended."""
+    losses = []
+    for name, quota in book.quotas.items():
+        lost = expire_share(quota, now)
+        if lost:
+            losses.append(ShareLoss(name, quota.share + lost, quota.share))
+    return losses
+
+
+def list_needs(book: QuotaBook, now: timedelta) -> dict[str, QuotaNeed]:
+    """Return what is reported to the leader: organisations with demand, use or a share."""
+    needs = {}
+    for name, quota in book.quotas.items():
+        expire_share(quota, now)
+        demand = find_demand(quota, now)
+        # A share without demand is given up at once; a reduction by the leader would be in force
+        # only when the next renewal confirms it.
+        quota.share = min(quota.share, math.ceil(demand * MAX_SPARE_FACTOR))
+        need = QuotaNeed(demand, count_used(quota, now), quota.share)
+        if need.demand or need.used or need.held:
+            needs[name] = need
+    return needs
+
+
+def apply_grants(
+    book: QuotaBook,
+    needs: Mapping[str, QuotaNeed],
+    grants: Mapping[str, QuotaGrant],
+    sent_at: timedelta,
+) -> None:
+    """Apply the response to a renewal.
+
+    Args:
+        book: Quotas of this VM.
+        needs: What the renewal reported.
+        grants: Shares in the response.
+        sent_at: When the renewal was sent, at which the lease begins.
+    """
+    for name, grant in grants.items():
+        quota = book.quotas.get(name)
+        if quota is None or name not in needs or quota.usable is None:
+            continue
+        limit = quota.token_limit
+        quota.share, quota.usable_at_grant = grant.share, grant.usable
+        quota.granted_at, quota.lease_end = sent_at, sent_at + GRANT_LEASE
+        quota.is_leased, quota.asked = True, needs[name].demand
+        quota.is_saturated = grant.is_saturated
+        scale_share(quota)
+        # A larger share can be used at once; a smaller one has no more tokens than it allows.
+        quota.tokens = min(quota.tokens + max(quota.token_limit - limit, 0), quota.token_limit)
--- /dev/null
+++ b/camphorspread/request/quota_admission.py
@@ -0,0 +1,144 @@
+"""Admission of a caller's request under the limit of its organisation."""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+
+import attrs
+
+from camphorspread.process.events import Event
+from camphorspread.process.quota_renewal import update_limits
+from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.quota import (
+    Charged,
+    Exceeded,
+    Ticket,
+    charge_request,
+    is_renewal_useful,
+    record_arrival,
+    settle_ticket,
+)
+from camphorspread.version.organisations import Organisation
+
+__all__ = ["Admitted", "Over", "Undecided", "admit_quota", "settle_quota"]
+
+# Longest time for which a request waits for the leader: a round trip between regions, and the
+# retransmission of a lost packet.
+WAIT_LIMIT = timedelta(milliseconds=300)
+# After this number of renewals without a response a request doesn't wait for the next one.
+MAX_FAILURES = 2
+UNDECIDED_RETRY_DELAY = timedelta(seconds=1)
+
+
+@attrs.frozen
+class Admitted:
+    """The request may be sent.
+
+    Attributes:
+        ticket: Its charge, to be settled at its end; None without a limit.
+    """
+
+    ticket: Ticket | None = None
+
+
+@attrs.frozen
+class Over:
+    """The organisation's limit is reached."""
+
+    retry_after: timedelta
+
+
+@attrs.frozen
+class Undecided:
+    """It isn't known whether the organisation's limit is reached."""
+
+    retry_after: timedelta
+
+
+async def admit_quota(
+    state: SteeringState, organisation: Organisation | None
+) -> Admitted | Over | Undecided:
+    """Charge a request to its organisation's quota.
+
+    Args:
+        state: State of the entry VM that the request arrived at.
+        organisation: The organisation in the routes in force, None if the request has none.
+    """
+    if organisation is None:
+        return Admitted()
+    result = Admitted()
+    if organisation.is_limited:
+        update_limits(state)
+        result = await charge_limited(state, organisation.name)
+    kind = type(result).__name__.lower()
+    state.metrics.quota_requests[(organisation.name, kind)] += 1
+    if isinstance(result, Over):
+        log_over(state, organisation)
+    return result
+
+
+async def charge_limited(state: SteeringState, name: str) -> Admitted | Over | Undecided:
+    """Charge a request; wait for a renewal if it may grant the share that this needs."""
+    contact = state.quota_contact
+    quota = state.quotas.quotas[name]
+    until = state.clock.monotonic() + WAIT_LIMIT
+    record_arrival(quota, state.clock.monotonic())
+    while True:
+        now = state.clock.monotonic()
+        match charge_request(state.quotas, name, now):
+            case Charged(ticket=ticket):
+                return Admitted(ticket)
+            case Exceeded(retry_after=retry_after):
+                pass
+        if not is_renewal_useful(quota):
+            return Over(retry_after)
+        if now >= until or contact.failures >= MAX_FAILURES or not state.controls:
+            contact.is_urgent.set()
+            # Without a grant, nobody has said that the limit is reached.
+            return Over(retry_after) if quota.is_leased else Undecided(UNDECIDED_RETRY_DELAY)
+        contact.is_urgent.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((until - now).total_seconds()):
+                await contact.ended.wait()
+        if state.quotas.quotas.get(name) is not quota or quota.usable is None:
+            # A configuration without this limit came into force meanwhile.
+            return Admitted()
+
+
+def settle_quota(
+    state: SteeringState, ticket: Ticket | None, has_run: bool, sent_at: timedelta | None = None
+) -> None:
+    """End the charge of a request.
+
+    Args:
+        state: State of the entry VM that charged it.
+        ticket: The charge; None without one.
+        has_run: False if no backend server can have run the request, so that it is refunded.
+        sent_at: When it was first sent; now if None.
+    """
+    if ticket is None:
+        return
+    if not has_run:
+        state.metrics.quota_requests[(ticket.organisation, "refunded")] += 1
+        settle_ticket(state.quotas, ticket, None)
+        return
+    settle_ticket(state.quotas, ticket, sent_at or state.clock.monotonic())
+
+
+def log_over(state: SteeringState, organisation: Organisation) -> None:
+    """Log a refusal over the quota."""
+    quota = state.quotas.quotas.get(organisation.name)
+    if quota is None:
+        return
+    now = state.clock.monotonic()
+    state.log.write(
+        Event.QUOTA_EXCEEDED,
+        organisation=organisation.name,
+        rate=organisation.rate,
+        burst=organisation.burst,
+        share=quota.share,
+        demand=quota.asked,
+        saturated=quota.is_saturated,
+        age_ms=(now - quota.granted_at) // timedelta(milliseconds=1),
+        leased=quota.is_leased,
+    )
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -118,6 +118,7 @@
             return None
         was_sent = True
         job.sends += 1
+        job.sent_at = now
         remaining = time_left(job.req.deadline, now)
         return state.dialect.encode_request(job.call, instance.name, remaining)
 
@@ -280,7 +281,10 @@
 
     def prepare() -> RequestHead | None:
         now = state.clock.monotonic()
-        return None if now >= job.req.deadline else make_forward_head(job, peer, now)
+        if now >= job.req.deadline:
+            return None
+        job.sent_at = now
+        return make_forward_head(job, peer, now)
 
     may_have_run = job.may_have_run
     job.may_have_run = True
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -33,6 +33,14 @@
 )
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused
+from camphorspread.request.quota import Ticket
+from camphorspread.request.quota_admission import (
+    Admitted,
+    Over,
+    Undecided,
+    admit_quota,
+    settle_quota,
+)
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import (
@@ -109,7 +117,28 @@
 async def steer_on_route(
     state: SteeringState, exchange: Exchange, call: SteeredCall, route: Route, arrived: timedelta
 ) -> None:
-    """Serve one request whose route has been found."""
+    """Serve one request whose route has been found, within the quota of its organisation."""
+    organisation = state.table.organisations.by_name.get(call.organisation)
+    match await admit_quota(state, organisation):
+        case Admitted(ticket=ticket):
+            await steer_admitted(state, exchange, call, route, arrived, ticket)
+        case Over(retry_after=retry_after):
+            refusal = Refusal(ErrorKind.QUOTA_EXCEEDED, "the organisation's limit is reached")
+            await respond_denied(state, exchange, Denied(refusal, retry_after))
+        case Undecided(retry_after=retry_after):
+            refusal = Refusal(ErrorKind.NOT_READY, "this VM has no share of the limit yet")
+            await respond_denied(state, exchange, Denied(refusal, retry_after))
+
+
+async def steer_admitted(
+    state: SteeringState,
+    exchange: Exchange,
+    call: SteeredCall,
+    route: Route,
+    arrived: timedelta,
+    ticket: Ticket | None,
+) -> None:
+    """Serve one request that is charged to a quota, or that has none."""
     deadline = arrived + route.time_limit
     if call.time_left is not None:
         deadline = min(deadline, arrived + call.time_left)
@@ -124,13 +153,18 @@
         deadline - RESPONSE_MARGIN,
         route.home_regions,
     )
-    body = await read_first_part(state, exchange)
-    job = RoutedRequest(call, route, req, body, arrived, deadline)
-    if state.can_end_before_exit(deadline):
-        result = await run_until_disconnect(state, exchange, job)
-    else:
-        refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
-        result = Denied(refusal, PROMPT_RETRY_DELAY)
+    job: RoutedRequest | None = None
+    try:
+        body = await read_first_part(state, exchange)
+        job = RoutedRequest(call, route, req, body, arrived, deadline)
+        if state.can_end_before_exit(deadline):
+            result = await run_until_disconnect(state, exchange, job)
+        else:
+            refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
+            result = Denied(refusal, PROMPT_RETRY_DELAY)
+    finally:
+        sent_at = job.sent_at if job is not None and job.may_have_run else None
+        settle_quota(state, ticket, sent_at is not None, sent_at)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
