Count what an ended process may have sent by a concave decrease

Shares are divided by the usual demand while there is room, and a VM learns how much of the limit is in demand.

--- a/camphorspread/process/quota_allocator.py
+++ b/camphorspread/process/quota_allocator.py
@@ -13,10 +13,11 @@
 import attrs
 
 from camphorspread.process.quota_levels import DEMAND_MARGIN, Pool, find_target, set_demand
-from camphorspread.request.quota import (
+from camphorspread.process.quota_shares import (
     GRANT_LEASE,
     KEPT_DIVISOR,
     KEPT_TIME,
+    Pressure,
     QuotaGrant,
     QuotaNeed,
 )
@@ -177,11 +178,11 @@
         return_shares(allocator, request, holder, now)
         return {}
     for name in request.needs.keys() | holder.reserved.keys() | holder.demanded:
-        need = request.needs.get(name, QuotaNeed(0, 0, 0))
+        need = request.needs.get(name, QuotaNeed(0, 0, 0, 0))
         # Earlier grants that the VM doesn't hold are void: it ignores their responses.
         amount = max(need.held, need.used) + find_former(allocator, holder, name, now)
         set_reserved(allocator, holder, name, amount)
-        record_demand(allocator, request.vm, holder, name, need.demand)
+        record_demand(allocator, request.vm, holder, name, need.demand, need.usual)
     update_ready(allocator, now)
     return {
         name: grant_share(allocator, request.vm, holder, name, need, now)
@@ -219,11 +220,21 @@
     """Return what processes of a VM that have ended may have sent in the last window."""
     if name not in holder.former:
         return 0
-    left = 1 - (now - holder.former_at) / allocator.rules.window
-    if left <= 0:
+    left = find_fraction_left(allocator, holder.former_at, now)
+    if not left:
         holder.former.clear()
         return 0
-    return -int(-holder.former[name] * min(left, 1.0) // 1)
+    return math.ceil(holder.former[name] * left)
+
+
+def find_fraction_left(allocator: QuotaAllocator, ended_at: timedelta, now: timedelta) -> float:
+    """Return the fraction of a process's last window that is still in the present window.
+
+    It is that of requests whose rate grew evenly: after a restart, or as demand arrives, more are
+    sent at the end of a window than at its beginning, and a linear decrease exceeded the bound.
+    """
+    age = max((now - ended_at) / allocator.rules.window, 0.0)
+    return max(1 - age * age, 0.0)
 
 
 def return_shares(
@@ -235,7 +246,7 @@
         used += find_former(allocator, holder, name, now)
         set_reserved(allocator, holder, name, used)
     for name in list(holder.demanded):
-        record_demand(allocator, request.vm, holder, name, 0)
+        record_demand(allocator, request.vm, holder, name, 0, 0)
     holder.former, holder.former_at = dict(holder.reserved), now
     holder.is_returned = True
 
@@ -270,11 +281,11 @@
 
 
 def record_demand(
-    allocator: QuotaAllocator, vm: str, holder: Holder, name: str, demand: int
+    allocator: QuotaAllocator, vm: str, holder: Holder, name: str, demand: int, usual: int
 ) -> None:
     """Record the demand for an organisation at a VM."""
-    set_demand(get_pool(allocator, name), vm, demand)
-    if demand:
+    set_demand(get_pool(allocator, name), vm, demand, usual)
+    if usual:
         holder.demanded.add(name)
     else:
         holder.demanded.discard(name)
@@ -304,8 +315,8 @@
         assumed = -(-usable * len(allocator.missing) // allocator.known)
     if now < allocator.unknown_end:
         pool = allocator.pools[name]
-        left = min((allocator.unknown_end - now) / window, 1.0)
-        unknown = -int(-min(pool.unaccounted, usable) * left // 1)
+        left = find_fraction_left(allocator, allocator.unknown_end - window, now)
+        unknown = math.ceil(min(pool.unaccounted, usable) * left)
     return max(assumed, unknown)
 
 
@@ -322,7 +333,7 @@
     usable = allocator.limits.get(name)
     reserved = holder.reserved.get(name, 0)
     former = find_former(allocator, holder, name, now)
-    is_saturated = False
+    pressure = Pressure.LOW
     if usable is None:
         # The VM has an older configuration, in which the organisation is limited.
         wanted = math.ceil(need.demand * DEMAND_MARGIN)
@@ -334,9 +345,9 @@
         free = usable - pool.reserved - unreported
         target = find_target(pool, vm, name, usable - unreported, now)
         share = min(target.share, reserved - former + max(free, 0))
-        is_saturated = target.is_saturated
+        pressure = target.pressure
     set_reserved(allocator, holder, name, max(reserved, share + former))
-    return QuotaGrant(share, max(usable or 0, share), is_saturated)
+    return QuotaGrant(share, max(usable or 0, share), pressure)
 
 
 def sweep_holders(allocator: QuotaAllocator, now: timedelta) -> None:
@@ -362,7 +373,7 @@
         for name, amount in holder.reserved.items():
             allocator.pools[name].silent += amount
         for name in list(holder.demanded):
-            record_demand(allocator, vm, holder, name, 0)
+            record_demand(allocator, vm, holder, name, 0, 0)
     lapse = GRANT_LEASE + allocator.rules.window
     if silence >= lapse and not holder.is_lapsed:
         holder.is_lapsed = True
--- a/camphorspread/process/quota_codec.py
+++ b/camphorspread/process/quota_codec.py
@@ -4,8 +4,8 @@
 
 from camphorspread.connection.network import Address
 from camphorspread.process.quota_allocator import QuotaRequest
+from camphorspread.process.quota_shares import Pressure, QuotaGrant, QuotaNeed
 from camphorspread.process.vm_record_codec import decode_address, encode_address
-from camphorspread.request.quota import QuotaGrant, QuotaNeed
 
 __all__ = [
     "QUOTA_PATH",
@@ -41,7 +41,8 @@
         "age_ms": request.age // MILLISECOND,
         "revision": revision,
         "needs": {
-            name: [need.demand, need.used, need.held] for name, need in request.needs.items()
+            name: [need.demand, need.usual, need.used, need.held]
+            for name, need in request.needs.items()
         },
         "returning": request.is_returning,
     }
@@ -91,9 +92,9 @@
         ValueError: The value isn't a need.
     """
     match value:
-        case [demand, used, held]:
-            return QuotaNeed(decode_count(demand), decode_count(used), decode_count(held))
-    raise ValueError("a need is [demand, used, held]")
+        case [demand, usual, used, held]:
+            return QuotaNeed(*map(decode_count, (demand, usual, used, held)))
+    raise ValueError("a need is [demand, usual, used, held]")
 
 
 def encode_grants(number: int, grants: dict[str, QuotaGrant]) -> dict[str, object]:
@@ -101,7 +102,7 @@
     return {
         "number": number,
         "grants": {
-            name: [grant.share, grant.usable, int(grant.is_saturated)]
+            name: [grant.share, grant.usable, grant.pressure.value]
             for name, grant in grants.items()
         },
     }
@@ -137,6 +138,7 @@
         ValueError: The value isn't a grant.
     """
     match value:
-        case [share, usable, 0 | 1 as is_saturated]:
-            return QuotaGrant(decode_count(share), decode_count(usable), is_saturated == 1)
-    raise ValueError("a grant is [share, usable, is_saturated]")
+        case [share, usable, pressure]:
+            level = Pressure(decode_count(pressure))
+            return QuotaGrant(decode_count(share), decode_count(usable), level)
+    raise ValueError("a grant is [share, usable, pressure]")
--- a/camphorspread/process/quota_levels.py
+++ b/camphorspread/process/quota_levels.py
@@ -10,16 +10,18 @@
 
 import attrs
 
-from camphorspread.request.quota import MAX_SPARE_FACTOR
+from camphorspread.process.quota_shares import MAX_SPARE_FACTOR, Pressure
 
 __all__ = ["DEMAND_MARGIN", "Pool", "Target", "find_level", "find_target", "set_demand"]
 
 # A share is this multiple of a VM's demand, less if the limit is nearly used up. The margin covers
 # the fluctuation of the demand until the next renewal.
 DEMAND_MARGIN = 1.3
-# While it is a larger multiple, a quarter of the limit stays free for VMs whose demand grows; of a
-# small limit a larger part, since each of them wants a whole request.
-SPARE_DIVISOR = 4
+# While it is a larger multiple, a quarter of the limit stays free for VMs whose demand grows; while
+# VMs have shares for their usual demand, an eighth. Of a small limit more stays free, since each VM
+# needs a whole request.
+SPARE_DIVISOR = 8
+USUAL_SPARE_DIVISOR = 8
 MIN_SPARE = 8
 # Fraction that stays free also if more is wanted, for VMs that have nothing yet.
 RESERVE_DIVISOR = 64
@@ -40,6 +42,8 @@
         silent: Part of it of VMs that don't renew.
         demand: Demand in a window by VM, for VMs that have any.
         demand_sum: Sum of it.
+        usual: Average demand in a window by VM, at least the present demand.
+        usual_sum: Sum of it.
         level: Largest share of a VM, if the demand exceeds the limit.
         level_until: When it is to be computed again.
     """
@@ -49,30 +53,29 @@
     silent: int = 0
     demand: dict[str, int] = attrs.field(factory=dict)
     demand_sum: int = 0
+    usual: dict[str, int] = attrs.field(factory=dict)
+    usual_sum: int = 0
     level: float = 0.0
     level_until: timedelta = timedelta(0)
 
 
 @attrs.frozen
 class Target:
-    """The share that a VM should get.
-
-    Attributes:
-        share: The share.
-        is_saturated: True if the demand exceeds the limit, so that no VM gets more by asking again.
-    """
+    """The share that a VM should get, and how much of the limit is in demand."""
 
     share: int
-    is_saturated: bool = False
+    pressure: Pressure
 
 
-def set_demand(pool: Pool, vm: str, demand: int) -> None:
+def set_demand(pool: Pool, vm: str, demand: int, usual: int) -> None:
     """Change the demand of a VM."""
     pool.demand_sum += demand - pool.demand.get(vm, 0)
-    if demand:
-        pool.demand[vm] = demand
+    pool.usual_sum += usual - pool.usual.get(vm, 0)
+    if usual:
+        pool.demand[vm], pool.usual[vm] = demand, usual
     else:
         pool.demand.pop(vm, None)
+        pool.usual.pop(vm, None)
 
 
 def find_target(pool: Pool, vm: str, name: str, usable: int, now: timedelta) -> Target:
@@ -85,23 +88,28 @@
         usable: Total to divide, without what processes that don't renew may have.
         now: Current instant.
     """
-    demand = pool.demand.get(vm, 0)
+    demand, usual = pool.demand.get(vm, 0), pool.usual.get(vm, 0)
     available = max(usable - pool.silent, 0)
     limit = available - usable // RESERVE_DIVISOR
-    if not demand:
-        return Target(0, pool.demand_sum >= limit)
     fraction = pick_fraction(vm, name, now)
-    if pool.demand_sum <= limit:
-        factor = min(DEMAND_MARGIN, limit / pool.demand_sum)
-        spare = max(available // SPARE_DIVISOR, min(available // 2, MIN_SPARE))
-        factor = max(factor, (available - spare) / pool.demand_sum)
-        return Target(int(demand * min(factor, MAX_SPARE_FACTOR) + fraction))
-    if now >= pool.level_until:
-        wanted = sorted(math.ceil(item * DEMAND_MARGIN) for item in pool.demand.values())
-        pool.level = find_level(wanted, max(limit, 0))
-        pool.level_until = now + max(LEVEL_TIME_STEP * len(pool.demand), MIN_LEVEL_TIME)
-    share = min(math.ceil(demand * DEMAND_MARGIN), int(pool.level + fraction))
-    return Target(share, True)
+    if pool.demand_sum > limit:
+        if now >= pool.level_until:
+            wanted = sorted(math.ceil(item * DEMAND_MARGIN) for item in pool.demand.values())
+            pool.level = find_level(wanted, max(limit, 0))
+            pool.level_until = now + max(LEVEL_TIME_STEP * len(pool.demand), MIN_LEVEL_TIME)
+        share = min(math.ceil(demand * DEMAND_MARGIN), int(pool.level + fraction))
+        return Target(share, Pressure.SATURATED)
+    # The present demand goes first; what is left covers a part of the usual demand.
+    spare = max(available // SPARE_DIVISOR, min(available // 2, MIN_SPARE))
+    rest = available - spare - pool.demand_sum
+    part = min(max(rest / max(pool.usual_sum - pool.demand_sum, 1), 0.0), 1.0)
+    total = pool.demand_sum + part * (pool.usual_sum - pool.demand_sum)
+    # Of what is left, one request for each VM is for those whose demand grows, at most half.
+    growth = min((limit - total) / 2, len(pool.usual))
+    factor = min(DEMAND_MARGIN, (limit - growth) / max(total, 1))
+    factor = min(max(factor, (available - spare) / max(total, 1)), MAX_SPARE_FACTOR)
+    share = int((demand + part * (usual - demand)) * factor + fraction) if usual else 0
+    return Target(share, Pressure.HIGH if part < 1 else Pressure.LOW)
 
 
 def find_level(wanted: list[int], available: int) -> float:
--- a/camphorspread/process/quota_listener.py
+++ b/camphorspread/process/quota_listener.py
@@ -18,9 +18,9 @@
     encode_grants,
     encode_leader,
 )
+from camphorspread.process.quota_shares import GRANT_LEASE
 from camphorspread.process.steering_control import SteeringControl
 from camphorspread.request.errors import ErrorKind, Refusal
-from camphorspread.request.quota import GRANT_LEASE
 from camphorspread.version.routing import RouteTable
 
 __all__ = ["serve_quota"]
--- a/camphorspread/process/quota_renewal.py
+++ b/camphorspread/process/quota_renewal.py
@@ -13,9 +13,9 @@
     decode_quota_response,
     encode_quota_request,
 )
+from camphorspread.process.quota_shares import QuotaNeed
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.quota import (
-    QuotaNeed,
     apply_grants,
     apply_limits,
     count_used,
@@ -123,7 +123,7 @@
     """Send a renewal to a control VM; return True if it was the leader and responded."""
     contact = state.quota_contact
     sent_at = state.clock.monotonic()
-    needs = list_needs(state.quotas, sent_at)
+    needs = list_needs(state.quotas, sent_at, contact.failures == 0)
     request = make_request(state, needs, sent_at)
     try:
         response = await state.link.call(
@@ -177,7 +177,7 @@
         return
     now = state.clock.monotonic()
     needs = {
-        name: QuotaNeed(0, used, 0)
+        name: QuotaNeed(0, 0, used, 0)
         for name, quota in state.quotas.quotas.items()
         if (used := count_used(quota, now))
     }
--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -11,18 +11,24 @@
 
 import attrs
 
+from camphorspread.process.quota_shares import (
+    GRANT_LEASE,
+    KEPT_DIVISOR,
+    KEPT_TIME,
+    MAX_SPARE_FACTOR,
+    Pressure,
+    QuotaGrant,
+    QuotaNeed,
+)
 from camphorspread.request.quota_window import QuotaWindow, count_latest, count_window, record_at
 from camphorspread.version.organisations import OrganisationTable
 from camphorspread.version.quota_total import QuotaRules, compute_usable_total
 
 __all__ = [
-    "MAX_SPARE_FACTOR",
     "Charged",
     "Exceeded",
     "OrganisationQuota",
     "QuotaBook",
-    "QuotaGrant",
-    "QuotaNeed",
     "ShareLoss",
     "Ticket",
     "apply_grants",
@@ -37,13 +43,6 @@
     "settle_ticket",
 ]
 
-# While there is room, a share is this multiple of the demand, for the loss of the control VMs.
-MAX_SPARE_FACTOR = 2.6
-# A grant without renewal outlasts the loss of all control VMs for some seconds, and a longer time
-# of the VM without contact reduces it to a fraction instead of ending all service.
-GRANT_LEASE = timedelta(seconds=30)
-KEPT_DIVISOR = 4
-KEPT_TIME = timedelta(hours=1)
 # Growth is extrapolated from the last half second, less the fluctuation of a random arrival
 # process, so that a few requests don't claim many times their number.
 GROWTH_TIME = timedelta(milliseconds=500)
@@ -51,6 +50,9 @@
 MIN_GROWTH = 1.5
 # A higher demand than this multiple of the limit changes no VM's part of it.
 MAX_DEMAND_FACTOR = 2
+# Time constant of the average demand; averages of less than this are none.
+MEAN_TIME = timedelta(seconds=15)
+MIN_MEAN = 0.05
 # The bucket fills faster than the share needs, since the window is the bound.
 FILL_MARGIN = 1.1
 # Requests of a share that may be sent together: a few, and a fraction of it.
@@ -87,36 +89,6 @@
     retry_after: timedelta
 
 
-@attrs.frozen
-class QuotaNeed:
-    """What an entry VM reports about an organisation.
-
-    Attributes:
-        demand: Requests that it expects to get in a window.
-        used: Requests that it has sent in the last window.
-        held: Its share.
-    """
-
-    demand: int
-    used: int
-    held: int
-
-
-@attrs.frozen
-class QuotaGrant:
-    """A share granted by the leader.
-
-    Attributes:
-        share: Maximum number of requests in any window.
-        usable: Total of all shares under the configuration for which it was granted.
-        is_saturated: True if the demand of all VMs exceeds the limit.
-    """
-
-    share: int
-    usable: int
-    is_saturated: bool = False
-
-
 @attrs.frozen
 class ShareLoss:
     """A share was reduced because its lease has ended."""
@@ -140,7 +112,9 @@
         granted_at: When the request for the share was sent.
         lease_end: When the share is reduced to a part, or ends.
         is_leased: False once it was reduced to that part.
-        is_saturated: True if the demand of all VMs exceeded the limit at that time.
+        pressure: How much of the limit the demand of all VMs took at that time.
+        mean: Moving average of the requests that arrive in a window.
+        mean_at: When it was last updated.
         asked: Demand in the last renewal that was answered; None before one.
         tokens: Requests that may be sent now as far as pacing is concerned.
         filled_at: When `tokens` was last updated.
@@ -157,7 +131,9 @@
     granted_at: timedelta = timedelta(0)
     lease_end: timedelta = timedelta(0)
     is_leased: bool = False
-    is_saturated: bool = False
+    pressure: Pressure = Pressure.LOW
+    mean: float = 0.0
+    mean_at: timedelta = timedelta(0)
     asked: int | None = None
     tokens: float = 0.0
     filled_at: timedelta = timedelta(0)
@@ -242,7 +218,7 @@
     quota = book.quotas[name]
     expire_share(quota, now)
     fill_tokens(quota, book.rules.window, now)
-    is_paced = quota.is_saturated and quota.tokens < 1
+    is_paced = quota.pressure is Pressure.SATURATED and quota.tokens < 1
     if count_used(quota, now) < quota.share and not is_paced:
         quota.tokens = max(quota.tokens - 1, 0)
         book.next_number += 1
@@ -321,7 +297,7 @@
     If the demand of all VMs exceeds the limit, it is asked again by the next periodic renewal only:
     otherwise each refused request would wait and send one.
     """
-    return not quota.is_leased or not quota.is_saturated
+    return not quota.is_leased or quota.pressure is not Pressure.SATURATED
 
 
 def expire_share(quota: OrganisationQuota, now: timedelta) -> int:
@@ -346,17 +322,34 @@
     return losses
 
 
-def list_needs(book: QuotaBook, now: timedelta) -> dict[str, QuotaNeed]:
-    """Return what is reported to the leader: organisations with demand, use or a share."""
+def find_usual(quota: OrganisationQuota, demand: int, now: timedelta) -> int:
+    """Return the requests to be expected in a window later on, from the demand of some windows."""
+    weight = 1 - math.exp(-((now - quota.mean_at) / MEAN_TIME))
+    quota.mean += (count_window(quota.arrivals, now) - quota.mean) * weight
+    quota.mean_at = now
+    return max(demand, math.ceil(quota.mean - MIN_MEAN))
+
+
+def list_needs(book: QuotaBook, now: timedelta, has_contact: bool) -> dict[str, QuotaNeed]:
+    """Return what is reported to the leader: organisations with demand, use or a share.
+
+    Args:
+        book: Quotas of this VM.
+        now: Current instant.
+        has_contact: True if the leader has responded to the last renewal.
+    """
     needs = {}
     for name, quota in book.quotas.items():
         expire_share(quota, now)
         demand = find_demand(quota, now)
-        # A share without demand is given up at once; a reduction by the leader would be in force
-        # only when the next renewal confirms it.
-        quota.share = min(quota.share, math.ceil(demand * MAX_SPARE_FACTOR))
-        need = QuotaNeed(demand, count_used(quota, now), quota.share)
-        if need.demand or need.used or need.held:
+        usual = find_usual(quota, demand, now)
+        if has_contact:
+            # A share that isn't needed is given up at once; a reduction by the leader would be in
+            # force only when the next renewal confirms it.
+            needed = usual if quota.pressure is Pressure.LOW else demand
+            quota.share = min(quota.share, math.ceil(needed * MAX_SPARE_FACTOR))
+        need = QuotaNeed(demand, usual, count_used(quota, now), quota.share)
+        if need.usual or need.used or need.held:
             needs[name] = need
     return needs
 
@@ -383,7 +376,7 @@
         quota.share, quota.usable_at_grant = grant.share, grant.usable
         quota.granted_at, quota.lease_end = sent_at, sent_at + GRANT_LEASE
         quota.is_leased, quota.asked = True, needs[name].demand
-        quota.is_saturated = grant.is_saturated
+        quota.pressure = grant.pressure
         scale_share(quota)
         # A larger share can be used at once; a smaller one has no more tokens than it allows.
         quota.tokens = min(quota.tokens + max(quota.token_limit - limit, 0), quota.token_limit)
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -8,6 +8,7 @@
 
 from camphorspread.process.events import Event
 from camphorspread.process.quota_renewal import update_limits
+from camphorspread.process.quota_shares import Pressure
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.quota import (
     Charged,
@@ -138,7 +139,7 @@
         burst=organisation.burst,
         share=quota.share,
         demand=quota.asked,
-        saturated=quota.is_saturated,
+        saturated=quota.pressure is Pressure.SATURATED,
         age_ms=(now - quota.granted_at) // timedelta(milliseconds=1),
         leased=quota.is_leased,
     )
