--- a/camphorspread/platform/run.py
+++ b/camphorspread/platform/run.py
@@ -98,6 +98,7 @@
 ) -> None:
     """Run a control VM until it is stopped."""
     from camphorspread.platform.control_calls import serve_control, serve_resolve
+    from camphorspread.platform.routing_codec import decode_table
     from camphorspread.process.steering_control_node import start_control_vm
 
     node = await start_control_vm(
@@ -110,6 +111,7 @@
         serve_control,
         serve_resolve,
         started=started,
+        decode_table=decode_table,
     )
     reduce_collections()
     await stopped.wait()
--- a/camphorspread/process/quota_levels.py
+++ b/camphorspread/process/quota_levels.py
@@ -104,8 +104,10 @@
     rest = available - spare - pool.demand_sum
     part = min(max(rest / max(pool.usual_sum - pool.demand_sum, 1), 0.0), 1.0)
     total = pool.demand_sum + part * (pool.usual_sum - pool.demand_sum)
-    # Of what is left, one request for each VM is for those whose demand grows, at most half.
-    growth = min((limit - total) / 2, len(pool.usual))
+    # Of what is left, one request for each VM is for those whose demand grows, at most half; of a
+    # small limit all.
+    rest = limit - total
+    growth = max(min(rest / 2, len(pool.usual)), min(rest, MIN_SPARE))
     factor = min(DEMAND_MARGIN, (limit - growth) / max(total, 1))
     factor = min(max(factor, (available - spare) / max(total, 1)), MAX_SPARE_FACTOR)
     share = int((demand + part * (usual - demand)) * factor + fraction) if usual else 0
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,6 +8,7 @@
 from features.fixtures.data_folder import data_folder
 from features.fixtures.entry_fleet import entry_fleet
 from features.fixtures.platform_fleet import platform_fleet
+from features.fixtures.quota_simulation import quota_simulation
 from features.fixtures.session import session
 from features.fixtures.virtual_time import virtual_loop
 
@@ -18,6 +19,7 @@
     "fixture.audit": start_audit,
     "fixture.session": session,
     "fixture.platform_fleet": platform_fleet,
+    "fixture.quota_simulation": quota_simulation,
     "fixture.settings_folder": settings_folder,
     "fixture.virtual_loop": virtual_loop,
 }
--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -37,6 +37,7 @@
       | message                | receiver                     | count | seed |
       | poll                   | the control VM of "sofia-a"  | 60    | 21   |
       | join request           | the control VM of "sofia-a"  | 60    | 22   |
+      | quota renewal          | the control VM of "sofia-a"  | 60    | 27   |
       | summary                | the entry VM of "sofia-a"    | 60    | 23   |
       | forwarded announcement | the entry VM of "sofia-a"    | 60    | 24   |
       | forwarded departure    | the entry VM of "sofia-a"    | 60    | 25   |
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -22,6 +22,7 @@
 from camphorspread.platform.settings_file import decode_settings
 from camphorspread.process.announcement_codec import decode_leave, decode_report, encode_report
 from camphorspread.process.events import Event
+from camphorspread.process.quota_codec import decode_quota_request, decode_quota_response
 from camphorspread.process.vm_poll import apply_poll_response, encode_poll
 from camphorspread.process.vm_record_codec import decode_vm
 from camphorspread.request.errors import Outcome
@@ -116,6 +117,16 @@
     "group": "g",
     "message": {"type": "Vote", "term": 1, "granted": True},
 }
+QUOTA_RENEWAL = {
+    "vm": "front-x",
+    "incarnation": 5,
+    "number": 7,
+    "age_ms": 8000,
+    "revision": 3,
+    "needs": {"acme": [12, 13, 9, 14], "bergen": [0, 1, 0, 2]},
+    "returning": False,
+}
+QUOTA_RESPONSE = {"number": 7, "grants": {"acme": [14, 535, 0], "bergen": [2, 20, 2]}}
 SETTINGS = "\n".join(
     (
         "self.node=front-sofia-a-1",
@@ -200,6 +211,10 @@
         "entry of the log": lambda: decode_entry(
             mutate_bytes(rng, b'{"format":1,"index":1,"term":1,"command":{"type":"Noop"}}')
         ),
+        "quota renewal": lambda: decode_quota_request(mutate_value(rng, QUOTA_RENEWAL)),
+        "response to a quota renewal": lambda: decode_quota_response(
+            mutate_value(rng, QUOTA_RESPONSE), 7
+        ),
         "log file": lambda: decode_log(rng),
     }
 
@@ -229,6 +244,7 @@
 MESSAGES = {
     "poll": ("/v1/vm/poll", POLL),
     "join request": ("/v1/group/join", JOIN),
+    "quota renewal": ("/v1/vm/quota", QUOTA_RENEWAL),
     "summary": ("/v1/entry/summary", SUMMARY),
     "forwarded announcement": ("/v1/entry/announcement", REPORT),
     "forwarded departure": ("/v1/entry/leave", LEAVE),
