--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -115,6 +115,7 @@
             return None
         was_sent = True
         job.sends += 1
+        job.sent_at = now
         remaining = time_left(job.req.deadline, now)
         return state.dialect.encode_request(job.call, instance.name, remaining)
 
@@ -227,6 +228,7 @@
         now = state.clock.monotonic()
         if now >= job.req.deadline or not is_still_identified(state, job):
             return None
+        job.sent_at = now
         return make_forward_head(state, job, peer, now)
 
     may_have_run = job.may_have_run
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -40,6 +40,14 @@
 )
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused, withdraw_grant
+from camphorspread.request.quota import Ticket
+from camphorspread.request.quota_admission import (
+    Admitted,
+    Over,
+    Undecided,
+    admit_quota,
+    settle_quota,
+)
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
 from camphorspread.request.resend import RestUnread, may_resend
@@ -110,12 +118,17 @@
         return
     match identify_caller(state, call, route):
         case Denied() as denied:
-            await respond_denied(state, exchange, denied)
-            await exchange.discard_body(REFUSED_BODY_LIMIT)
+            await refuse_unread(state, exchange, denied)
         case IdentifiedCall() as caller:
             await steer_on_route(state, exchange, caller, route, arrived)
 
 
+async def refuse_unread(state: SteeringState, exchange: Exchange, denied: Denied) -> None:
+    """Refuse a request before its body has been read."""
+    await respond_denied(state, exchange, denied)
+    await exchange.discard_body(REFUSED_BODY_LIMIT)
+
+
 async def steer_on_route(
     state: SteeringState,
     exchange: Exchange,
@@ -123,7 +136,27 @@
     route: Route,
     arrived: timedelta,
 ) -> None:
-    """Serve one request whose route and organisation have been found."""
+    """Serve one request whose route and organisation are known, within the organisation's quota."""
+    match await admit_quota(state, caller.organisation):
+        case Admitted(ticket=ticket):
+            await steer_admitted(state, exchange, caller, route, arrived, ticket)
+        case Over(retry_after=retry_after):
+            refusal = Refusal(ErrorKind.QUOTA_EXCEEDED, "the organisation's limit is reached")
+            await refuse_unread(state, exchange, Denied(refusal, retry_after))
+        case Undecided(retry_after=retry_after):
+            refusal = Refusal(ErrorKind.NOT_READY, "this VM has no share of the limit yet")
+            await refuse_unread(state, exchange, Denied(refusal, retry_after))
+
+
+async def steer_admitted(
+    state: SteeringState,
+    exchange: Exchange,
+    caller: IdentifiedCall,
+    route: Route,
+    arrived: timedelta,
+    ticket: Ticket | None,
+) -> None:
+    """Serve one request that is charged to a quota, or that has none."""
     call, organisation = caller.call, caller.organisation
     home_regions = combine_home_regions(route, organisation)
     deadline = arrived + route.time_limit
@@ -142,16 +175,21 @@
         organisation=organisation.name if organisation else "",
         organisation_rank=organisation.rank if organisation else 0,
     )
-    body = await read_first_part(state, exchange)
-    job = RoutedRequest(call, route, req, body, arrived, deadline, caller.identity)
-    if home_regions is None:
-        refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
-        result = Denied(refusal, NO_REGION_RETRY_DELAY)
-    elif state.can_end_before_exit(deadline):
-        result = await run_until_disconnect(state, exchange, job)
-    else:
-        refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
-        result = Denied(refusal, PROMPT_RETRY_DELAY)
+    job: RoutedRequest | None = None
+    try:
+        body = await read_first_part(state, exchange)
+        job = RoutedRequest(call, route, req, body, arrived, deadline, caller.identity)
+        if home_regions is None:
+            refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
+            result = Denied(refusal, NO_REGION_RETRY_DELAY)
+        elif state.can_end_before_exit(deadline):
+            result = await run_until_disconnect(state, exchange, job)
+        else:
+            refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
+            result = Denied(refusal, PROMPT_RETRY_DELAY)
+    finally:
+        sent_at = job.sent_at if job is not None and job.may_have_run else None
+        settle_quota(state, ticket, sent_at is not None, sent_at)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
