Use a configuration with keys in the tests of quotas on the whole path

The scenarios put the organisation into the decoded table and the request by a dialect of their own, since keys weren't identified yet. They send a key now, as callers do, and check the same bounds.

--- a/features/platform/quotas.feature
+++ b/features/platform/quotas.feature
@@ -7,7 +7,7 @@
   Scenario Outline: An organisation gets its limit, and a 429 with a retry time beyond it
     Given a fleet whose callers belong to an organisation with a limit of 20 requests a second
     And a fleet with an endpoint of each service in each zone
-    And configuration 1 is in force
+    And a configuration with this limit is in force
     When its callers send 100 requests a second for 16 s, and after 8 s <event>
     Then in no window more of them run than the bound allows, and at least nine tenths of the limit
     And all others get 429 with a retry time, and are counted and logged for the organisation
@@ -22,7 +22,7 @@
   Scenario: A VM that stops returns its shares
     Given a fleet whose callers belong to an organisation with a limit of 20 requests a second
     And a fleet with an endpoint of each service in each zone
-    And configuration 1 is in force
+    And a configuration with this limit is in force
     When its callers send 100 requests a second for 6 s, and after 3 s nothing happens
     And the entry VM of "sofia-a" is stopped
     Then the leader has nothing reserved for it one window later
--- a/features/steps/platform_quota_steps.py
+++ b/features/steps/platform_quota_steps.py
@@ -3,37 +3,27 @@
 import asyncio
 import bisect
 
-import attrs
 from behave import given, then, when
 
-from camphorspread.platform.dialect import PlatformDialect
-from camphorspread.platform.routing_codec import decode_table
 from camphorspread.process.steering_node import stop_gracefully
-from camphorspread.version.organisations import Organisation, OrganisationTable
-from features.fixtures.platform_fleet import ZONES
+from features.fixtures.platform_fleet import ZONES, make_configuration
 
-ACME = "acme"
+ACME, KEY = "acme", "key-acme-1"
+AUTHORIZATION = (b"authorization", b"Token " + KEY.encode())
 WINDOW_S, OVERAGE, TOLERANCE = 5.0, 0.1, 20
 
 
-class AcmeDialect(PlatformDialect):
-    """Takes all callers for callers of one organisation."""
-
-    def decode_request(self, head):
-        call = super().decode_request(head)
-        return call.map(lambda item: attrs.evolve(item, organisation=ACME))
-
-
 @given("a fleet whose callers belong to an organisation with a limit of {rate:d} requests a second")
 def step_limited(context, rate):
     context.rate = rate
-    organisations = OrganisationTable((Organisation(ACME, rate=rate),))
 
-    def decode_limited(data):
-        return decode_table(data).map(lambda item: attrs.evolve(item, organisations=organisations))
 
-    context.fleet.decode_table = decode_limited
-    context.fleet.make_dialect = AcmeDialect
+@given("a configuration with this limit is in force")
+def step_limit_in_force(context):
+    organisation = {"name": ACME, "apiKeys": [KEY], "ratePerS": context.rate}
+    body = make_configuration(1, tenants=[organisation])
+    assert context.fleet.send_operator_call("/-/Config.Put", body)[0] == 200
+    context.fleet.run(2)
 
 
 def find_leader(fleet):
@@ -55,7 +45,10 @@
 
     async def send(number):
         zone = ZONES[number % len(ZONES)]
-        context.answers.append(await fleet.request(zone, "/read/x", key=str(number)))
+        answer = await fleet.request(
+            zone, "/read/x", key=str(number), more_headers=(AUTHORIZATION,)
+        )
+        context.answers.append(answer)
 
     async def send_all(first, last):
         tasks = []
