Spread the times at which refused callers are to return

All callers refused in the same moment got the same retry time, returned together and were refused again. Under scarce capacity, each refusal books the next slot that arriving requests leave unused, within the third of its time that a caller honours; while arriving requests use all slots, returns are put into the last fifth of that time.

Bursts of 2.5 times the capacity for 5 s, callers refused twice before and after: 26 VMs, seeds 1 to 3, and one VM, seeds 1 and 2, in the scenario; fewer in each, and at least as many are served.

--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -8,6 +8,7 @@
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
 from camphorspread.request.queue_counts import Priority, QueueCounts
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
+from camphorspread.request.return_booking import ReturnBooking
 from camphorspread.request.service_fairness import ServiceFairness, is_underserved
 
 __all__ = [
@@ -174,6 +175,7 @@
             scarce capacity is enabled for all services.
         scarce_services: Services for which it is enabled without organisations.
         fairness: Recent decisions by organisation.
+        return_bookings: Times at which refused callers are to return, by service.
         totals: Cached totals over the servers by service.
         rankings: Cached preference order of servers by (service, object key).
         rankings_revision: Revision of the registry for which `rankings` is valid.
@@ -198,6 +200,7 @@
     has_organisations: bool = False
     scarce_services: set[str] = attrs.field(factory=set)
     fairness: ServiceFairness = attrs.field(factory=ServiceFairness)
+    return_bookings: dict[str, ReturnBooking] = attrs.field(factory=dict)
     totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
     rankings: dict[tuple[str, str], tuple[Instance, ...]] = attrs.field(factory=dict)
     rankings_revision: int = -1
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -29,6 +29,7 @@
     has_scarce_capacity,
 )
 from camphorspread.request.queue_counts import Priority, count_queued, remove_queued
+from camphorspread.request.return_booking import ReturnBooking, book_return, record_arrival
 from camphorspread.request.server_limit import MIN_SLOTS
 from camphorspread.request.service_fairness import record_decision, record_failure
 from camphorspread.request.service_totals import find_totals
@@ -133,6 +134,9 @@
         waiter: The request.
         now: Current monotonic time.
     """
+    service = waiter.req.service
+    if has_scarce_capacity(board, service):
+        record_arrival(find_booking(board, service), now)
     decision = decide_placement(board, queue, waiter, now)
     if decision is None:
         queue.by_service.setdefault(waiter.req.service, {})[waiter.ticket] = waiter
@@ -348,12 +352,30 @@
 def suggest_retry_delay(
     board: PlacementBoard, queue: PlacementQueue, req: PlacementRequest, now: timedelta
 ) -> timedelta:
-    """Return the time after which the backlog of a service is expected to have cleared."""
+    """Return the time after which a refused caller is to return.
+
+    It is the time after which the backlog of the service is expected to have cleared. Under scarce
+    capacity, each next caller gets a later time.
+    """
     totals = find_totals(board, req.service, now)
     times = board.run_times.get((req.service, req.route))
     if not totals.slots or times is None:
         return NO_SERVER_RETRY_DELAY
-    backlog = queue.count(req.service) * (1 + count_unseen_vms(board)) + totals.slots / 2
+    vms = 1 + count_unseen_vms(board)
+    backlog = queue.count(req.service) * vms + totals.slots / 2
     usable = max(totals.find_usable_slots(times.warm_s), MIN_SLOTS)
     expected = timedelta(seconds=backlog * times.warm_s / usable)
-    return min(max(expected, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
+    expected = min(max(expected, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
+    if not has_scarce_capacity(board, req.service):
+        return expected
+    interval = timedelta(seconds=times.mean_s * vms / usable)
+    booking = find_booking(board, req.service)
+    return book_return(booking, expected, interval, req.deadline - now, now)
+
+
+def find_booking(board: PlacementBoard, service: str) -> ReturnBooking:
+    """Return the booked returns to a service."""
+    booking = board.return_bookings.get(service)
+    if booking is None:
+        booking = board.return_bookings[service] = ReturnBooking()
+    return booking
--- a/features/request/scarce_capacity.feature
+++ b/features/request/scarce_capacity.feature
@@ -76,3 +76,27 @@
     And an organisation with 8 refused requests is underserved
     And another one with 8 requests whose attempts failed is underserved
     But 11 s later no organisation is
+
+  # Guards against callers that return together, or while the overload lasts, and are refused again.
+  Scenario Outline: Refused callers are told to return when there is room
+    Given a region of <vms> VMs and <servers> servers whose callers return once, seed <seed>
+    When callers ask for 2.5 times the capacity for 5 s
+    Then fewer callers are refused twice than with the time after which the backlog has cleared
+    And at least as many are served
+
+    Examples:
+      | vms | servers | seed |
+      | 26  | 16      | 1    |
+      | 26  | 16      | 2    |
+      | 26  | 16      | 3    |
+      | 1   | 4       | 1    |
+      | 1   | 4       | 2    |
+
+  # Guards against one retry time for all callers that are refused in the same moment, and against
+  # times that callers don't honour.
+  Scenario: Callers refused in the same moment get different times within a third of the time left
+    Given a full server
+    And scarce capacity
+    And as many queued requests of organisation rank 2 as are admitted
+    When 20 more requests of organisation rank 2 are refused
+    Then their retry times are all different and at most a third of the time left
--- a/features/steps/scarce_capacity_steps.py
+++ b/features/steps/scarce_capacity_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from camphorspread.request import placement_board
+from camphorspread.request import placement_board, placement_queue
 from camphorspread.request.displacement import refuse_displaced
 from camphorspread.request.placement_board import find_run_times
 from camphorspread.request.placement_queue import (
@@ -29,14 +29,13 @@
     OrganisationsSimulation,
     SimulatedOrganisation,
 )
-from features.fixtures.placement_simulation import PROMISED_S, make_board, make_request
+from features.fixtures.placement_simulation import DEADLINE_S, PROMISED_S, make_board, make_request
 from features.fixtures.recorded_decisions import digest_region, digest_vm
 
 SEEDS = (11, 12)
-# A region whose servers run 360 requests a second.
+# A region whose servers run 22.5 requests a second each.
+SERVER_RATE = 22.5
 OVERLOADED = {
-    "vms": 26,
-    "servers": 16,
     "objects": 0,
     "cached_objects": 1,
     "cold_s": 0.4,
@@ -200,7 +199,7 @@
 @when("their callers ask 26 VMs for twice the capacity")
 def step_twice_the_capacity(context):
     context.simulation = OrganisationsSimulation(
-        **OVERLOADED, seed=context.seed, organisations=context.organisations
+        26, 16, **OVERLOADED, seed=context.seed, organisations=context.organisations
     )
     context.simulation.run((720, 20))
 
@@ -270,3 +269,51 @@
     record_decision(context.fairness, "org-2", 1, True, timedelta(seconds=seconds))
     assert not is_underserved(context.fairness, "org-1", 1)
     assert list(context.fairness.recent.requests) == [("org-2", 1)]
+
+
+@given("a region of {vms:d} VMs and {servers:d} servers whose callers return once, seed {seed:d}")
+def step_returning_callers(context, vms, servers, seed):
+    context.region = {"vms": vms, "servers": servers, "seed": seed, **OVERLOADED}
+
+
+def run_burst(context, factor: float, seconds: float) -> OrganisationsSimulation:
+    """Return a simulation of a burst between phases of usual load."""
+    capacity = SERVER_RATE * context.region["servers"]
+    simulation = OrganisationsSimulation(**context.region)
+    simulation.run((0.6 * capacity, 2), (factor * capacity, seconds), (0.6 * capacity, 4))
+    return simulation
+
+
+@when("callers ask for {factor:g} times the capacity for {seconds:g} s")
+def step_burst(context, factor, seconds):
+    context.spread = run_burst(context, factor, seconds)
+
+    def book_none(_booking, earliest, *_args):
+        return earliest
+
+    with mock.patch.object(placement_queue, "book_return", book_none):
+        context.together = run_burst(context, factor, seconds)
+
+
+@then("fewer callers are refused twice than with the time after which the backlog has cleared")
+def step_fewer_refused_twice(context):
+    counts = context.spread.refused_twice, context.together.refused_twice
+    assert counts[0] < counts[1], counts
+
+
+@then("at least as many are served")
+def step_as_many_served(context):
+    counts = context.spread.served.total(), context.together.served.total()
+    assert counts[0] >= counts[1], counts
+
+
+@when("{count:d} more requests of organisation rank {rank:d} are refused")
+def step_more_refused(context, count, rank):
+    context.refused = [arrive(context, rank) for _ in range(count)]
+
+
+@then("their retry times are all different and at most a third of the time left")
+def step_spread_times(context):
+    delays = {item.retry_after for item in context.refused}
+    assert len(delays) == len(context.refused), sorted(delays)
+    assert max(delays) <= timedelta(seconds=DEADLINE_S) / 3, max(delays)
