Give no slot to a request that can't end in time, under scarce capacity

A freed slot went to a request whose run would end at its deadline, without time for the response and without regard to a slow or cold server; the bonus of a server without any request so far hid its run time; and a forwarded request's time left didn't include the way back. Where scarce capacity is enabled, these count. Late requests then leave the slot to others that can still use it.

Each scenario shows the previous decision in its row of usual capacity. The features scarce_capacity, placement and steering pass.

--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -37,6 +37,7 @@
     find_counted_priority,
     find_region,
     find_run_times,
+    has_scarce_capacity,
     usable_instances,
 )
 from camphorspread.request.queue_counts import Priority, count_ahead
@@ -58,6 +59,7 @@
 from camphorspread.request.window import count_recent
 
 __all__ = [
+    "RESPONSE_MARGIN",
     "can_start_run",
     "choose_placement",
     "cold_limit",
@@ -80,6 +82,8 @@
 COLD_SLOWDOWN = 2.0
 # A cold server may briefly have two owner VMs, so each uses less than half of the rate limit.
 COLD_RATE_SHARE = 0.45
+# Time reserved before the caller's deadline for returning the response.
+RESPONSE_MARGIN = timedelta(milliseconds=60)
 # Servers considered per object; more of them cost CPU time and gain little.
 MAX_CANDIDATES = 16
 
@@ -193,7 +197,7 @@
             cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
         cost_s += hidden_wait_s
         if may_start and has_free_slot(board, item, now):
-            yield start_at(item, cost_s, is_warm, now)
+            yield start_at(item, cost_s, run_s, is_warm, now)
         else:
             wait_s = estimate_wait_s(board, item, times, totals, priority, now)
             yield QueuedPlacement(item, cost_s + wait_s, run_s)
@@ -229,12 +233,14 @@
     return times.cold_s
 
 
-def start_at(item: Instance, cost_s: float, is_warm: bool, now: timedelta) -> LocalPlacement:
+def start_at(
+    item: Instance, cost_s: float, run_s: float, is_warm: bool, now: timedelta
+) -> LocalPlacement:
     """Return an immediate start at a server with a free slot."""
     if not item.sends and not item.lender:
         cost_s -= UNTRIED_BONUS_S
     cost_s += UTILISATION_COST_S * item.count_busy(now) / item.report.slots
-    return LocalPlacement(item, cost_s, is_warm)
+    return LocalPlacement(item, cost_s, is_warm, run_s)
 
 
 def estimate_wait_s(
@@ -310,8 +316,7 @@
         return None
     times = board.run_times[(req.service, req.route)]
     is_warm = req.object_key in instance.warm_objects
-    run_s = times.warm_s if is_warm else times.cold_s
-    if times.is_measured and now + timedelta(seconds=run_s) > req.deadline:
+    if times.is_measured and now + estimate_use(board, req, instance, is_warm, now) > req.deadline:
         # It would be cut, and would use the slot in vain.
         return None
     if is_warm or not req.object_key or instance.name == awaited_name:
@@ -329,6 +334,24 @@
     return None
 
 
+def estimate_use(
+    board: PlacementBoard, req: PlacementRequest, instance: Instance, is_warm: bool, now: timedelta
+) -> timedelta:
+    """Return how long a request needs a slot of a server until its response has been returned.
+
+    Under scarce capacity, slower servers and the way back count too.
+    """
+    times = board.run_times[(req.service, req.route)]
+    run_s = times.warm_s if is_warm else times.cold_s
+    if not has_scarce_capacity(board, req.service):
+        return timedelta(seconds=run_s)
+    if board.has_organisations and not req.object_key:
+        run_s = times.mean_s
+    if instance.is_cold(now):
+        run_s *= COLD_SLOWDOWN
+    return timedelta(seconds=run_s * instance.slowdown) + RESPONSE_MARGIN
+
+
 def has_free_slot(board: PlacementBoard, instance: Instance, now: timedelta) -> bool:
     """Return True if a slot of the server is free within this VM's share of its slots and rate."""
     slots = instance.report.slots
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -211,11 +211,19 @@
 
 @attrs.frozen
 class LocalPlacement:
-    """The request is sent to a backend server of this VM."""
+    """The request is sent to a backend server of this VM.
+
+    Attributes:
+        instance: The server.
+        cost_s: Expected time until the response, lowered or raised to prefer other servers.
+        is_warm: True if the server has handled the object for this VM.
+        run_s: Expected run time, 0 if it wasn't estimated.
+    """
 
     instance: Instance
     cost_s: float
     is_warm: bool
+    run_s: float = 0.0
 
 
 @attrs.frozen
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -12,7 +12,12 @@
 import attrs
 
 from camphorspread.process.instances import Instance
-from camphorspread.request.placement import can_start_run, choose_placement, match_freed_slot
+from camphorspread.request.placement import (
+    RESPONSE_MARGIN,
+    can_start_run,
+    choose_placement,
+    match_freed_slot,
+)
 from camphorspread.request.placement_board import (
     ForwardPlacement,
     LocalPlacement,
@@ -50,8 +55,6 @@
     "withdraw_grant",
 ]
 
-# Time reserved before the caller's deadline for returning the response.
-RESPONSE_MARGIN = timedelta(milliseconds=60)
 # Fraction of the promised time by which the expected response of an arriving request must be early,
 # so that it isn't queued first and refused later.
 ADMISSION_MARGIN_FRACTION = 0.15
@@ -180,7 +183,7 @@
         case LocalPlacement() if not times.is_measured and has_time_for_run(waiter, times, now):
             # Without measured run times there is no evidence that the request would be late.
             return Granted(waiter.ticket, place)
-        case _ if not place_ends_in_time(waiter, place, now):
+        case _ if not ends_in_time(board, waiter, place, now):
             return Refused(waiter.ticket, suggest_retry_delay(board, queue, req, now))
         case LocalPlacement() | ForwardPlacement():
             return Granted(waiter.ticket, place)
@@ -293,18 +296,23 @@
     """
     waiter = sort_by_priority(board, queue.by_service[service].values(), now)[0]
     place = choose_placement(board, waiter.req, waiter.promised_s, now)
-    if isinstance(place, LocalPlacement) and place_ends_in_time(waiter, place, now):
+    if isinstance(place, LocalPlacement) and ends_in_time(board, waiter, place, now):
         return grant_waiter(board, queue, waiter, place, now)
     return None
 
 
-def place_ends_in_time(waiter: Waiter, place: Placement, now: timedelta) -> bool:
+def ends_in_time(board: PlacementBoard, waiter: Waiter, place: Placement, now: timedelta) -> bool:
     """Return True if the response is expected before the deadline."""
     match place:
         case NoPlacement():
             return False
-        case _:
-            return now + timedelta(seconds=place.cost_s) + RESPONSE_MARGIN <= waiter.req.deadline
+        case LocalPlacement(cost_s=cost_s, run_s=run_s):
+            # The cost of a server without any request so far is far below its run time.
+            is_scarce = has_scarce_capacity(board, waiter.req.service)
+            expected_s = max(cost_s, run_s) if is_scarce else cost_s
+        case ForwardPlacement(cost_s=expected_s) | QueuedPlacement(cost_s=expected_s):
+            pass
+    return now + timedelta(seconds=expected_s) + RESPONSE_MARGIN <= waiter.req.deadline
 
 
 def grant_waiter(
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -35,7 +35,12 @@
     encode_forward,
     strip_own_headers,
 )
-from camphorspread.request.placement_board import ForwardPlacement, LocalPlacement, find_run_times
+from camphorspread.request.placement_board import (
+    ForwardPlacement,
+    LocalPlacement,
+    find_run_times,
+    has_scarce_capacity,
+)
 from camphorspread.request.placement_driver import grant_freed_slots
 from camphorspread.request.routed_request import RoutedRequest
 from camphorspread.request.run_statistics import record_peer_warmth, record_run_end
@@ -280,7 +285,8 @@
 
     def prepare() -> RequestHead | None:
         now = state.clock.monotonic()
-        return None if now >= job.req.deadline else make_forward_head(job, peer, now)
+        is_scarce = has_scarce_capacity(state.board, job.req.service)
+        return None if now >= job.req.deadline else make_forward_head(job, peer, is_scarce, now)
 
     may_have_run = job.may_have_run
     job.may_have_run = True
@@ -293,17 +299,23 @@
     return outcome
 
 
-def make_forward_head(job: RoutedRequest, peer: EntryVm, now: timedelta) -> RequestHead:
-    """Return the head with which a request is forwarded to another entry VM."""
-    one_way = timedelta(seconds=peer.round_trip_s / 2)
-    remaining = time_left(job.req.deadline, now) - one_way
+def make_forward_head(
+    job: RoutedRequest, peer: EntryVm, is_scarce: bool, now: timedelta
+) -> RequestHead:
+    """Return the head with which a request is forwarded to another entry VM.
+
+    The time on the way there is subtracted from the time left and, under scarce capacity, that on
+    the way back too: a run that ends in between would use a slot in vain.
+    """
+    on_the_way = timedelta(seconds=peer.round_trip_s / (1 if is_scarce else 2))
+    remaining = time_left(job.req.deadline, now) - on_the_way
     forward = ForwardMetadata(
         job.req.service,
         job.req.route,
         job.req.object_key,
         job.req.rank,
         job.route.promised,
-        job.req.promised_at - now - one_way,
+        job.req.promised_at - now - on_the_way,
         max(remaining - RETURN_MARGIN, timedelta(milliseconds=1)),
         tuple(job.req.excluded),
         job.req.home_regions,
--- a/features/request/scarce_capacity.feature
+++ b/features/request/scarce_capacity.feature
@@ -100,3 +100,42 @@
     And as many queued requests of organisation rank 2 as are admitted
     When 20 more requests of organisation rank 2 are refused
     Then their retry times are all different and at most a third of the time left
+
+  # Guards against slots that are used in vain by requests whose response would come too late.
+  Scenario Outline: A freed slot goes to a request that can end in time
+    Given a full server that takes <factor> times as long as usual
+    And <kind> capacity
+    And a late queued request of organisation rank 0 with 0.5 s left
+    And a late queued request of organisation rank 1 with 1 s left
+    And a queued request of organisation rank 2 with 2 s left
+    When runs take 0.45 s and a slot is freed 3 times
+    Then the slots go to the organisation ranks "<order>"
+
+    Examples:
+      | kind   | factor | order |
+      | scarce | 1      | 2 1   |
+      | scarce | 2.2    | 2     |
+      | usual  | 1      | 2 0 1 |
+
+  # Guards against a server without any request so far that seems to respond at once.
+  Scenario Outline: A request that can't end in time doesn't start at an untried server
+    Given an untried server
+    And <kind> capacity
+    When a request with 0.3 s left arrives, and runs take 0.45 s
+    Then the late arrival <result>
+
+    Examples:
+      | kind   | result     |
+      | scarce | is refused |
+      | usual  | starts     |
+
+  # Guards against a run at another VM that ends before the deadline but whose response comes after.
+  Scenario Outline: A forwarded request leaves time for the way back
+    Given <kind> capacity, and another VM at a round trip of 0.2 s
+    When a request with 1 s left is forwarded
+    Then the other VM is told that <left> s are left
+
+    Examples:
+      | kind   | left |
+      | scarce | 0.79 |
+      | usual  | 0.89 |
--- a/features/steps/scarce_capacity_steps.py
+++ b/features/steps/scarce_capacity_steps.py
@@ -6,8 +6,13 @@
 
 from behave import given, then, when
 
+from camphorspread.connection.messages import RequestHead
+from camphorspread.connection.network import Address
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.request import placement_board, placement_queue
+from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.displacement import refuse_displaced
+from camphorspread.request.peer_forward_codec import decode_forward
 from camphorspread.request.placement_board import find_run_times
 from camphorspread.request.placement_queue import (
     Granted,
@@ -17,13 +22,17 @@
     grant_slot,
     request_placement,
 )
+from camphorspread.request.route_attempt import make_forward_head
+from camphorspread.request.routed_request import RoutedRequest
 from camphorspread.request.run_statistics import record_run_start
+from camphorspread.request.send import RequestBody
 from camphorspread.request.service_fairness import (
     ServiceFairness,
     is_underserved,
     record_decision,
     record_failure,
 )
+from camphorspread.version.routing import Route
 from features.fixtures.golden import compare_with_golden
 from features.fixtures.organisations_simulation import (
     OrganisationsSimulation,
@@ -80,7 +89,13 @@
     context.board.has_organisations = kind == "scarce"
 
 
-def arrive(context, organisation_rank: int, rank: int = 0, promised_s: float = PROMISED_S):
+def arrive(
+    context,
+    organisation_rank: int,
+    rank: int = 0,
+    promised_s: float = PROMISED_S,
+    left_s: float = DEADLINE_S,
+):
     """Ask for the placement of a request and return the decision."""
     req = make_request(
         0.0,
@@ -88,6 +103,7 @@
         rank,
         organisation_rank=organisation_rank,
         promised_at=timedelta(seconds=promised_s),
+        deadline=timedelta(seconds=left_s),
     )
     waiter = Waiter(len(context.waiters) + 1, req, PROMISED_S)
     context.waiters[waiter.ticket] = waiter
@@ -317,3 +333,82 @@
     delays = {item.retry_after for item in context.refused}
     assert len(delays) == len(context.refused), sorted(delays)
     assert max(delays) <= timedelta(seconds=DEADLINE_S) / 3, max(delays)
+
+
+@given("a full server that takes {factor:g} times as long as usual")
+def step_slow_server(context, factor):
+    step_full_server(context)
+    context.instance.slowdown = factor
+
+
+@given("a late queued request of organisation rank {rank:d} with {left:g} s left")
+def step_late_with_time_left(context, rank, left):
+    assert arrive(context, rank, promised_s=0.05, left_s=left) is None
+
+
+@given("a queued request of organisation rank {rank:d} with {left:g} s left")
+def step_queued_with_time_left(context, rank, left):
+    assert arrive(context, rank, promised_s=left, left_s=left) is None
+
+
+def set_run_times(context, run_s: float) -> None:
+    """Set the measured run times."""
+    times = find_run_times(context.board, "status", "read", PROMISED_S)
+    times.runs, times.warm_s, times.cold_s, times.mean_s = 10, run_s, run_s, run_s
+
+
+@when("runs take {run:g} s and a slot is freed {count:d} times")
+def step_freed(context, run, count):
+    set_run_times(context, run)
+    context.order = []
+    for _ in range(count):
+        context.instance.in_flight = context.instance.report.slots - 1
+        decision = grant_slot(context.board, context.waiting, context.instance, timedelta(0))
+        if decision is not None:
+            context.order.append(context.waiters[decision.ticket].req.organisation_rank)
+
+
+@then('the slots go to the organisation ranks "{order}"')
+def step_ranks_of_slots(context, order):
+    assert " ".join(map(str, context.order)) == order, context.order
+
+
+@given("an untried server")
+def step_untried(context):
+    step_full_server(context)
+    context.instance.in_flight = context.instance.sends = 0
+
+
+@when("a request with {left:g} s left arrives, and runs take {run:g} s")
+def step_arrives_with_time_left(context, left, run):
+    set_run_times(context, run)
+    context.decision = arrive(context, 0, left_s=left)
+
+
+@then("the late arrival {result}")
+def step_late_arrival(context, result):
+    expected = {"starts": Granted, "is refused": Refused}[result]
+    assert isinstance(context.decision, expected), context.decision
+
+
+@given("{kind} capacity, and another VM at a round trip of {round_trip:g} s")
+def step_other_vm(context, kind, round_trip):
+    context.is_scarce = kind == "scarce"
+    far = Address("10.2.0.1", 1)
+    context.peer = EntryVm("far", 1, "varna-a", "varna", far, far)
+    context.peer.round_trip_s = round_trip
+
+
+@when("a request with {left:g} s left is forwarded")
+def step_forward(context, left):
+    req = make_request(0.0, "", deadline=timedelta(seconds=left))
+    route = Route("read", "", "/", False, timedelta(2), timedelta(1), 0, ())
+    call = SteeredCall(RequestHead(b"GET", b"/read/x"), "", "/read/x", "r1", "", None)
+    job = RoutedRequest(call, route, req, RequestBody(()), timedelta(0), req.deadline)
+    head = make_forward_head(job, context.peer, context.is_scarce, timedelta(0))
+    context.forward = decode_forward(head)
+
+
+@then("the other VM is told that {left:g} s are left")
+def step_told_time_left(context, left):
+    assert context.forward.time_left == timedelta(seconds=left), context.forward.time_left
