--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -170,6 +170,7 @@
     """Yield a placement with its cost for each eligible backend server of this VM."""
     hidden_wait_s = estimate_hidden_wait_s(board, times, totals)
     priority = find_counted_priority(board, req)
+    ahead = count_ahead(board.queued_per_service, req.service, priority)
     may_start = has_share_left(board, req.service, now)
     for rank, item in enumerate(list_candidates(board, req, now)):
         is_cold = item.is_cold(now)
@@ -205,7 +206,7 @@
         if may_start and has_free_slot(board, item, now):
             yield start_at(item, cost_s, run_s, is_warm, now)
         else:
-            wait_s = estimate_wait_s(board, item, times, totals, priority, now)
+            wait_s = estimate_wait_s(board, item, times, totals, priority, ahead, now)
             yield QueuedPlacement(item, cost_s + wait_s, run_s)
 
 
@@ -255,24 +256,30 @@
     times: RunTimes,
     totals: ServiceTotals,
     priority: Priority | None,
+    ahead: int,
     now: timedelta,
 ) -> float:
     """Return the expected wait for a server without a free slot, in seconds.
 
-    Only those queued requests count that are served before one of this priority.
+    Args:
+        board: State of servers and VMs.
+        item: The server.
+        times: Mean run times of the route.
+        totals: Totals over the servers of the service.
+        priority: Priority up to which queued requests are served before, None for all.
+        ahead: Number of these requests that wait for any server of the service.
+        now: Current monotonic time.
     """
     queued = count_ahead(board.queued_per_server, item.name, priority)
     wait_here_s = max(
         (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
     )
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
-    service = item.report.service
-    waiting = count_ahead(board.queued_per_service, service, priority)
     # The totals may be older than the server's lease or loan.
     slots = max(
         totals.find_usable_slots(times.mean_s), find_usable_slots(item, times.mean_s), MIN_SLOTS
     )
-    wait_any_s = (waiting + 1) * count_waiting_vms(board) * times.mean_s / slots
+    wait_any_s = (ahead + 1) * count_waiting_vms(board) * times.mean_s / slots
     return max(wait_here_s, wait_any_s)
 
 
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -34,7 +34,7 @@
     has_scarce_capacity,
 )
 from camphorspread.request.queue_counts import Priority, count_queued, remove_queued
-from camphorspread.request.return_booking import ReturnBooking, book_return, record_arrival
+from camphorspread.request.return_booking import ReturnBooking, book_return, count_arrival
 from camphorspread.request.server_limit import MIN_SLOTS
 from camphorspread.request.service_fairness import record_decision, record_failure
 from camphorspread.request.service_totals import find_totals
@@ -139,7 +139,7 @@
     """
     service = waiter.req.service
     if has_scarce_capacity(board, service):
-        record_arrival(find_booking(board, service), now)
+        count_arrival(find_booking(board, service), now)
     decision = decide_placement(board, queue, waiter, now)
     if decision is None:
         queue.by_service.setdefault(waiter.req.service, {})[waiter.ticket] = waiter
--- a/camphorspread/request/return_booking.py
+++ b/camphorspread/request/return_booking.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-__all__ = ["HONOURED_FRACTION", "ReturnBooking", "book_return", "record_arrival"]
+__all__ = ["HONOURED_FRACTION", "ReturnBooking", "book_return", "count_arrival"]
 
 # A caller honours a suggested time up to this fraction of the time that it has left.
 HONOURED_FRACTION = 1 / 3
@@ -41,7 +41,7 @@
     counted_at: timedelta = timedelta(0)
 
 
-def record_arrival(booking: ReturnBooking, now: timedelta) -> None:
+def count_arrival(booking: ReturnBooking, now: timedelta) -> None:
     """Count an arriving request of the service."""
     age_s = (now - booking.counted_at).total_seconds()
     booking.arrivals = booking.arrivals * math.exp(-age_s / ARRIVAL_DECAY_S) + 1.0
--- a/camphorspread/request/slot_share.py
+++ b/camphorspread/request/slot_share.py
@@ -7,6 +7,7 @@
 
 import zlib
 from datetime import timedelta
+from functools import lru_cache
 
 from camphorspread.request.placement_board import PlacementBoard, count_unseen_vms
 from camphorspread.request.service_totals import find_totals
@@ -20,6 +21,7 @@
 # Largest cost by which a VM prefers some servers to others that seem equal; less than that of a
 # server with all slots in use.
 VM_ORDER_COST_S = 0.01
+MAX_ORDER_COSTS = 2048
 
 
 def is_share_limited(board: PlacementBoard) -> bool:
@@ -48,6 +50,10 @@
     While no server has reported its load, all seem equal, and without it all VMs would send to the
     same few servers.
     """
-    if not is_share_limited(board):
-        return 0.0
-    return VM_ORDER_COST_S * zlib.crc32(f"{board.vm}/{server}".encode()) / 2**32
+    return find_order_cost_s(board.vm, server) if is_share_limited(board) else 0.0
+
+
+@lru_cache(maxsize=MAX_ORDER_COSTS)
+def find_order_cost_s(vm: str, server: str) -> float:
+    """Return the cost of a server for a VM; cached, as each decision goes over all servers."""
+    return VM_ORDER_COST_S * zlib.crc32(f"{vm}/{server}".encode()) / 2**32
