--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -13,6 +14,7 @@
 from camphorspread.process.events import EventLog
 from camphorspread.process.instances import InstanceRegistry
 from camphorspread.process.loans import LentList
+from camphorspread.process.quota_contact import QuotaContact
 from camphorspread.process.reported_load import RegionLoads
 from camphorspread.process.steering_metrics import SteeringMetrics
 from camphorspread.process.steering_settings import (
@@ -24,9 +26,11 @@
 from camphorspread.request.fleet_retry_budget import FleetRetryBudget
 from camphorspread.request.placement_board import PlacementBoard
 from camphorspread.request.placement_queue import PlacementQueue
+from camphorspread.request.quota import QuotaBook
 from camphorspread.request.region_shift import RegionShares
 from camphorspread.request.splitting import Splitter
 from camphorspread.request.window import SlidingWindow
+from camphorspread.version.quota_total import QuotaRules
 from camphorspread.version.routing import RouteTable
 
 __all__ = ["RATE_WINDOW", "ControlVm", "SteeringState", "make_steering_state"]
@@ -77,6 +81,8 @@
         peer_pool: Connections to other entry VMs for forwarded requests.
         pool: Connections to backend servers.
         board: State of servers and VMs on which placement depends.
+        quotas: This VM's shares of the limits of organisations.
+        quota_contact: State of the renewals of these shares.
         lent_instances: Backend servers that the other VMs of the region may use.
         region_loads: Load of the servers of the region, as reported to other regions.
         waiting: Requests that wait for a placement.
@@ -91,6 +97,7 @@
         last_report_at: When a control VM last responded to a poll; None before that.
         held_vms: Entry VMs that still count as alive while no control VM responds.
         waiting_futures: Future of each waiting request, by ticket.
+        waiting_checks: Returns whether a waiting request may still run, by ticket.
         has_waiting: Set while a request waits.
         next_ticket: Ticket of the next request.
         arrivals: Callers' requests in the window of the request rate.
@@ -113,6 +120,8 @@
     pool: ConnectionPool
     board: PlacementBoard
     retry_budget: FleetRetryBudget
+    quotas: QuotaBook
+    quota_contact: QuotaContact
     lent_instances: LentList = attrs.field(factory=LentList)
     region_loads: RegionLoads = attrs.field(factory=RegionLoads)
     waiting: PlacementQueue = attrs.field(factory=PlacementQueue)
@@ -126,6 +135,7 @@
     last_report_at: timedelta | None = None
     held_vms: frozenset[str] = frozenset()
     waiting_futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    waiting_checks: dict[int, Callable[[], bool]] = attrs.field(factory=dict)
     has_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
     next_ticket: int = 0
     arrivals: SlidingWindow = attrs.field(
@@ -196,4 +206,6 @@
         make_pool(),
         board,
         FleetRetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
+        QuotaBook(QuotaRules(bounds.quota_window, bounds.quota_overage, bounds.quota_tolerance)),
+        QuotaContact(clock.monotonic()),
     )
--- a/camphorspread/request/displacement.py
+++ b/camphorspread/request/displacement.py
@@ -17,9 +17,9 @@
     may_queue_late,
     remove_waiter,
     sort_by_priority,
-    suggest_retry_delay,
 )
 from camphorspread.request.queue_counts import Priority
+from camphorspread.request.retry_time import suggest_retry_delay
 from camphorspread.request.server_limit import MIN_SLOTS
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.slot_share import count_waiting_vms
@@ -58,7 +58,7 @@
             continue
         remove_waiter(board, queue, waiter)
         count_decision(board, waiter, False, now)
-        delay = suggest_retry_delay(board, queue, waiter.req, now)
+        delay = suggest_retry_delay(board, waiter.req, queue.count(service), now)
         refused.append(Refused(waiter.ticket, delay))
     return refused
 
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -16,11 +16,13 @@
 
 from camphorspread.process.instances import Instance, is_usable
 from camphorspread.process.loans import max_requests_per_vm
+from camphorspread.request.home_share import HomeShare, is_kept, is_update_due, update_share
 from camphorspread.request.object_affinity import rank_instances
 from camphorspread.request.peer_placement import (
     HOME_WARM_FRACTION,
     ZONE_SURCHARGE_S,
     list_peer_placements,
+    sum_slots_by_region,
 )
 from camphorspread.request.placement_board import (
     ForwardPlacement,
@@ -40,7 +42,7 @@
     has_scarce_capacity,
     usable_instances,
 )
-from camphorspread.request.queue_counts import Priority, count_ahead
+from camphorspread.request.queue_counts import count_ahead
 from camphorspread.request.region_shift import (
     HARD_LIMIT_FRACTION,
     SOFT_LIMIT_FRACTION,
@@ -49,17 +51,16 @@
     is_shift_allowed,
 )
 from camphorspread.request.server_limit import (
-    MIN_SLOTS,
     estimate_limit_wait_s,
-    find_usable_slots,
     may_send_within_limit,
 )
+from camphorspread.request.server_pause import find_return_delay, may_send_in_ramp
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.slot_share import (
-    count_waiting_vms,
     estimate_vm_order_cost_s,
     has_share_left,
 )
+from camphorspread.request.wait_estimate import estimate_hidden_wait_s, estimate_wait_s
 from camphorspread.request.window import count_recent
 
 __all__ = [
@@ -105,18 +106,39 @@
     """
     times = find_run_times(board, req.service, req.route, promised_s)
     totals = find_totals(board, req.service, now)
+    is_at_home = is_kept_at_home(board, req, times, totals, now)
     placements: list[LocalPlacement | ForwardPlacement | QueuedPlacement] = list(
-        list_local_placements(board, req, times, totals, now)
+        list_local_placements(board, req, times, totals, is_at_home, now)
     )
     if req.may_forward and board.peers:
-        placements += list_peer_placements(board, req, times, totals, now)
+        placements += list_peer_placements(board, req, times, totals, is_at_home, now)
     if not placements:
-        return NoPlacement()
+        return NoPlacement(find_return_delay(board, req.service, now))
     if not req.may_forward:
         return min(placements, key=get_cost)
     return choose_within_shift_limit(board, req, placements, totals.slots, now)
 
 
+def is_kept_at_home(
+    board: PlacementBoard,
+    req: PlacementRequest,
+    times: RunTimes,
+    totals: ServiceTotals,
+    now: timedelta,
+) -> bool:
+    """Return False if requests about the object should run in another region by preference."""
+    if not (req.object_key and req.may_forward and has_scarce_capacity(board, req.service)):
+        return True
+    share = board.home_shares.get(req.service)
+    if share is None:
+        share = board.home_shares[req.service] = HomeShare()
+    if is_update_due(share, now):
+        slots = totals.find_usable_slots(times.mean_s)
+        others = sum_slots_by_region(board, req.service, now)
+        update_share(share, slots, others, board.sharers, times.warm_s, times.cold_s, now)
+    return is_kept(share, board.region, req.service, req.object_key)
+
+
 def get_cost(place: LocalPlacement | ForwardPlacement | QueuedPlacement) -> float:
     """Return the expected time until the response, in seconds."""
     return place.cost_s
@@ -165,6 +187,7 @@
     req: PlacementRequest,
     times: RunTimes,
     totals: ServiceTotals,
+    is_kept: bool,
     now: timedelta,
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
@@ -181,7 +204,7 @@
         if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank)
+        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank if is_kept else 1)
         if board.has_organisations and not req.object_key:
             # No object tells warm from cold runs, so that both means may be far from the mean.
             run_s = typical_run_s = times.mean_s
@@ -210,18 +233,6 @@
             yield QueuedPlacement(item, cost_s + wait_s, run_s)
 
 
-def estimate_hidden_wait_s(board: PlacementBoard, times: RunTimes, totals: ServiceTotals) -> float:
-    """Return the expected wait in the queue of a server that seems to have a free slot, in seconds.
-
-    The requests of VMs whose load isn't known are assumed to be as many as those of this VM.
-    """
-    unseen = count_unseen_vms(board)
-    if not unseen:
-        return 0.0
-    load = totals.own_requests * (1 + unseen) / max(totals.slots, 1)
-    return max(load - 1.0, 0.0) * times.mean_s
-
-
 def estimate_run_s(req: PlacementRequest, times: RunTimes, is_warm: bool, rank: int) -> float:
     """Return the expected run time in seconds at a server of typical speed.
 
@@ -250,39 +261,6 @@
     return LocalPlacement(item, cost_s, is_warm, run_s)
 
 
-def estimate_wait_s(
-    board: PlacementBoard,
-    item: Instance,
-    times: RunTimes,
-    totals: ServiceTotals,
-    priority: Priority | None,
-    ahead: int,
-    now: timedelta,
-) -> float:
-    """Return the expected wait for a server without a free slot, in seconds.
-
-    Args:
-        board: State of servers and VMs.
-        item: The server.
-        times: Mean run times of the route.
-        totals: Totals over the servers of the service.
-        priority: Priority up to which queued requests are served before, None for all.
-        ahead: Number of these requests that wait for any server of the service.
-        now: Current monotonic time.
-    """
-    queued = count_ahead(board.queued_per_server, item.name, priority)
-    wait_here_s = max(
-        (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
-    )
-    # A freed slot may go to a request that waits for another server, so the whole queue counts.
-    # The totals may be older than the server's lease or loan.
-    slots = max(
-        totals.find_usable_slots(times.mean_s), find_usable_slots(item, times.mean_s), MIN_SLOTS
-    )
-    wait_any_s = (ahead + 1) * count_waiting_vms(board) * times.mean_s / slots
-    return max(wait_here_s, wait_any_s)
-
-
 def list_candidates(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> list[Instance]:
     """Return the candidate servers of a request, in the preference order of its object."""
     if not req.object_key:
@@ -335,7 +313,7 @@
     if is_warm or not req.object_key or instance.name == awaited_name:
         return LocalPlacement(instance, times.warm_s if is_warm else times.cold_s, is_warm)
     awaited = board.registry.instances.get(awaited_name)
-    if awaited is None:
+    if awaited is None or now < awaited.stated.paused_until:
         return LocalPlacement(instance, times.cold_s, False)
     queued = count_ahead(board.queued_per_server, awaited_name, find_counted_priority(board, req))
     wait_there_s = max(
@@ -372,6 +350,7 @@
         instance.count_busy(now) < slots
         and instance.in_flight < max_requests_per_vm(slots, board.sharers)
         and may_send_within_limit(instance, now)
+        and may_send_in_ramp(instance.stated, instance.in_flight, now)
     )
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -6,6 +6,7 @@
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
+from camphorspread.request.home_share import HomeShare
 from camphorspread.request.queue_counts import Priority, QueueCounts
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
 from camphorspread.request.return_booking import ReturnBooking
@@ -173,7 +174,8 @@
         queued_per_service: Number of queued requests that wait for a server, by service.
         has_organisations: True if the configuration has organisations, so that admission under
             scarce capacity is enabled for all services.
-        scarce_services: Services for which it is enabled without organisations.
+        scarce_services: Services for which it is enabled without organisations, since their servers
+            state the speed of their machines.
         fairness: Recent decisions by organisation.
         return_bookings: Times at which refused callers are to return, by service.
         totals: Cached totals over the servers by service.
@@ -182,6 +184,7 @@
         homes: Cached home VMs of objects by service.
         region_shares: Regions to which the requests of this VM's callers were sent.
         capacities: Recent maximum of the region's slots by service.
+        home_shares: Share of the objects that the region keeps, by service that is scarce.
     """
 
     vm: str
@@ -207,6 +210,7 @@
     homes: dict[str, HomeCache] = attrs.field(factory=dict)
     region_shares: RegionShares = attrs.field(factory=RegionShares)
     capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
+    home_shares: dict[str, HomeShare] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -251,7 +255,13 @@
 
 @attrs.frozen
 class NoPlacement:
-    """No backend server is known that may run the request."""
+    """No backend server is known that may run the request.
+
+    Attributes:
+        return_delay: Time until the first server returns if all of them have asked for a pause.
+    """
+
+    return_delay: timedelta | None = None
 
 
 def has_scarce_capacity(board: PlacementBoard, service: str) -> bool:
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -12,6 +12,7 @@
 import attrs
 
 from camphorspread.process.instances import Instance
+from camphorspread.request.home_share import record_arrival
 from camphorspread.request.placement import (
     RESPONSE_MARGIN,
     can_start_run,
@@ -34,8 +35,13 @@
     has_scarce_capacity,
 )
 from camphorspread.request.queue_counts import Priority, count_queued, remove_queued
-from camphorspread.request.return_booking import ReturnBooking, book_return, count_arrival
-from camphorspread.request.server_limit import MIN_SLOTS
+from camphorspread.request.retry_time import (
+    NO_SERVER_RETRY_DELAY,
+    find_booking,
+    suggest_retry_delay,
+)
+from camphorspread.request.return_booking import count_arrival
+from camphorspread.request.server_pause import spread_return_delay
 from camphorspread.request.service_fairness import record_decision, record_failure
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.slot_share import has_share_left, is_share_limited
@@ -51,7 +57,6 @@
     "request_placement",
     "review_waiters",
     "sort_by_priority",
-    "suggest_retry_delay",
     "withdraw_grant",
 ]
 
@@ -63,10 +68,6 @@
 # Number of requests at the head of the queue that each review places anew, which may forward them
 # to other VMs.
 REVIEW_HEAD_COUNT = 6
-MIN_RETRY_DELAY = timedelta(milliseconds=150)
-MAX_RETRY_DELAY = timedelta(seconds=2)
-# A service without servers may get one with the next announcements.
-NO_SERVER_RETRY_DELAY = timedelta(seconds=1)
 
 
 @attrs.define(eq=False)
@@ -140,6 +141,10 @@
     service = waiter.req.service
     if has_scarce_capacity(board, service):
         count_arrival(find_booking(board, service), now)
+    if waiter.req.may_forward and not waiter.req.excluded:
+        share = board.home_shares.get(waiter.req.service)
+        if share is not None:
+            record_arrival(share, now)
     decision = decide_placement(board, queue, waiter, now)
     if decision is None:
         queue.by_service.setdefault(waiter.req.service, {})[waiter.ticket] = waiter
@@ -178,13 +183,17 @@
     place = choose_placement(board, req, waiter.promised_s, now)
     times = find_run_times(board, req.service, req.route, waiter.promised_s)
     match place:
+        case NoPlacement(return_delay=timedelta() as delay):
+            return Refused(waiter.ticket, spread_return_delay(delay, waiter.ticket))
         case NoPlacement():
             return Refused(waiter.ticket, NO_SERVER_RETRY_DELAY, has_server=False)
         case LocalPlacement() if not times.is_measured and has_time_for_run(waiter, times, now):
             # Without measured run times there is no evidence that the request would be late.
             return Granted(waiter.ticket, place)
         case _ if not ends_in_time(board, waiter, place, now):
-            return Refused(waiter.ticket, suggest_retry_delay(board, queue, req, now))
+            return Refused(
+                waiter.ticket, suggest_retry_delay(board, req, queue.count(req.service), now)
+            )
         case LocalPlacement() | ForwardPlacement():
             return Granted(waiter.ticket, place)
         case QueuedPlacement(instance=instance, cost_s=cost_s, run_s=run_s):
@@ -195,7 +204,10 @@
             expected_s = run_s if waiter.has_waited else cost_s + margin
             if now + timedelta(seconds=expected_s) > req.promised_at:
                 if not may_queue_late(board, queue, waiter, now):
-                    return Refused(waiter.ticket, suggest_retry_delay(board, queue, req, now))
+                    return Refused(
+                        waiter.ticket,
+                        suggest_retry_delay(board, req, queue.count(req.service), now),
+                    )
                 waiter.is_late = True
             bind_to_server(board, waiter, instance.name)
             waiter.has_waited = True
@@ -355,35 +367,3 @@
         if isinstance(decision, Granted):
             break
     return decisions
-
-
-def suggest_retry_delay(
-    board: PlacementBoard, queue: PlacementQueue, req: PlacementRequest, now: timedelta
-) -> timedelta:
-    """Return the time after which a refused caller is to return.
-
-    It is the time after which the backlog of the service is expected to have cleared. Under scarce
-    capacity, each next caller gets a later time.
-    """
-    totals = find_totals(board, req.service, now)
-    times = board.run_times.get((req.service, req.route))
-    if not totals.slots or times is None:
-        return NO_SERVER_RETRY_DELAY
-    vms = 1 + count_unseen_vms(board)
-    backlog = queue.count(req.service) * vms + totals.slots / 2
-    usable = max(totals.find_usable_slots(times.warm_s), MIN_SLOTS)
-    expected = timedelta(seconds=backlog * times.warm_s / usable)
-    expected = min(max(expected, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
-    if not has_scarce_capacity(board, req.service):
-        return expected
-    interval = timedelta(seconds=times.mean_s * vms / usable)
-    booking = find_booking(board, req.service)
-    return book_return(booking, expected, interval, req.deadline - now, now)
-
-
-def find_booking(board: PlacementBoard, service: str) -> ReturnBooking:
-    """Return the booked returns to a service."""
-    booking = board.return_bookings.get(service)
-    if booking is None:
-        booking = board.return_bookings[service] = ReturnBooking()
-    return booking
--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -8,7 +8,7 @@
 from camphorspread.connection.network import Address
 from camphorspread.process.entry_vms import EntryVm, ServiceLoad
 from camphorspread.process.reported_load import RegionLoads, measure_loads
-from camphorspread.request import placement, placement_queue, service_totals
+from camphorspread.request import placement, placement_queue, service_totals, wait_estimate
 from camphorspread.request.placement_board import ForwardPlacement, RunTimes
 from camphorspread.request.placement_queue import PlacementQueue
 from features.fixtures.placement_simulation import make_board, make_request
@@ -47,6 +47,7 @@
     with (
         mock.patch.object(placement, "count_unseen_vms", return_value=0),
         mock.patch.object(placement_queue, "count_unseen_vms", return_value=0),
+        mock.patch.object(wait_estimate, "count_unseen_vms", return_value=0),
         mock.patch.object(service_totals, "count_unseen_vms", return_value=0),
     ):
         alone.run(context.load)
--- a/features/steps/scarce_capacity_steps.py
+++ b/features/steps/scarce_capacity_steps.py
@@ -9,7 +9,7 @@
 from camphorspread.connection.messages import RequestHead
 from camphorspread.connection.network import Address
 from camphorspread.process.entry_vms import EntryVm
-from camphorspread.request import placement_board, placement_queue
+from camphorspread.request import placement_board, retry_time
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.displacement import refuse_displaced
 from camphorspread.request.peer_forward_codec import decode_forward
@@ -307,7 +307,7 @@
     def book_none(_booking, earliest, *_args):
         return earliest
 
-    with mock.patch.object(placement_queue, "book_return", book_none):
+    with mock.patch.object(retry_time, "book_return", book_none):
         context.together = run_burst(context, factor, seconds)
 
 
@@ -393,7 +393,8 @@
 
 @given("{kind} capacity, and another VM at a round trip of {round_trip:g} s")
 def step_other_vm(context, kind, round_trip):
-    context.is_scarce = kind == "scarce"
+    context.board = make_board(1)
+    context.board.has_organisations = kind == "scarce"
     far = Address("10.2.0.1", 1)
     context.peer = EntryVm("far", 1, "varna-a", "varna", far, far)
     context.peer.round_trip_s = round_trip
@@ -405,7 +406,8 @@
     route = Route("read", "", "/", False, timedelta(2), timedelta(1), 0, ())
     call = SteeredCall(RequestHead(b"GET", b"/read/x"), "", "/read/x", "r1", "", None)
     job = RoutedRequest(call, route, req, RequestBody(()), timedelta(0), req.deadline)
-    head = make_forward_head(job, context.peer, context.is_scarce, timedelta(0))
+    state = mock.Mock(board=context.board, table=None)
+    head = make_forward_head(state, job, context.peer, timedelta(0))
     context.forward = decode_forward(head)
 
 
