--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -92,3 +92,8 @@
     Given an entry VM with a share of 1 of a usable total of 20, which is saturated
     Then one request every 5.2 s is admitted for 60 s
     And a request whose predecessor didn't run is admitted at once
+
+  # Guards against metrics that grow with the number of organisations.
+  Scenario: Only the organisations with the most requests have labels of their own
+    Given 150 organisations, each with one request more than the one before
+    Then the metrics have labels for the last 100 of them, and the sum of the others
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -12,6 +12,7 @@
     renew_quotas,
 )
 from camphorspread.process.quota_shares import Pressure, QuotaGrant, QuotaNeed
+from camphorspread.process.steering_metrics import SteeringMetrics, format_steering_metrics
 from camphorspread.request.quota import (
     Charged,
     QuotaBook,
@@ -192,3 +193,20 @@
         result = charge_request(context.book, ACME, context.now)
         assert isinstance(result, Charged), result
         settle_ticket(context.book, result.ticket, None)
+
+
+@given("{count:d} organisations, each with one request more than the one before")
+def step_organisations(context, count):
+    context.metrics = SteeringMetrics()
+    for number in range(1, count + 1):
+        context.metrics.quota_requests[(f"o-{number}", "admitted")] = number
+
+
+@then("the metrics have labels for the last {count:d} of them, and the sum of the others")
+def step_labels(context, count):
+    text = format_steering_metrics(context.metrics, {})
+    lines = [line for line in text.splitlines() if line.startswith("camphorspread_quota_requests")]
+    assert len(lines) == count + 1, len(lines)
+    others = sum(range(1, 51))
+    labels = 'organisation="(others)",result="admitted"'
+    assert f"camphorspread_quota_requests_total{{{labels}}} {others}" in lines, lines[:3]
