Use more of a limit that is divided among many VMs

Each VM has a share of about 12 requests a window, which followed its fluctuating demand; what a share loses is in use until the window has passed, and random arrivals leave a part of each share unused.

Under saturation, shares are in proportion to the demand instead of max-min fair, and move by 0.3 of the difference. A request waits up to 0.4 s for an earlier send that leaves the window. 0.8 of overage and tolerance are granted instead of half, since a request counts where both its send and its arrival are in the window, so that differences of the two don't add to it; second sends are counted now.

Scenarios 80 and 83 of quotas.feature failed with the slower change of shares until a lowered limit was excepted from it.

--- a/camphorspread/process/quota_allocator.py
+++ b/camphorspread/process/quota_allocator.py
@@ -343,7 +343,9 @@
     else:
         unreported = find_unreported(allocator, name, now)
         free = usable - pool.reserved - unreported
-        target = find_target(pool, vm, name, usable - unreported, now)
+        # After a limit was lowered, shares are reduced at once.
+        held = need.held if pool.reserved <= usable else 0
+        target = find_target(pool, vm, name, usable - unreported, held, now)
         share = min(target.share, reserved - former + max(free, 0))
         pressure = target.pressure
     set_reserved(allocator, holder, name, max(reserved, share + former))
--- a/camphorspread/process/quota_levels.py
+++ b/camphorspread/process/quota_levels.py
@@ -1,10 +1,8 @@
-"""How a limit should be divided among the entry VMs, by max-min fairness of their demand.
+"""How a limit should be divided among the entry VMs, in proportion to their demand.
 
-The result is a target. It may be out of date, since grants are bounded by the reservations; so the
-level is computed again only after a time that grows with the number of VMs.
+The result is a target. It may be out of date, since grants are bounded by the reservations.
 """
 
-import math
 import zlib
 from datetime import timedelta
 
@@ -12,7 +10,7 @@
 
 from camphorspread.process.quota_shares import MAX_SPARE_FACTOR, Pressure
 
-__all__ = ["DEMAND_MARGIN", "Pool", "Target", "find_level", "find_target", "set_demand"]
+__all__ = ["DEMAND_MARGIN", "Pool", "Target", "find_target", "set_demand"]
 
 # A share is this multiple of a VM's demand, less if the limit is nearly used up. The margin covers
 # the fluctuation of the demand until the next renewal.
@@ -25,9 +23,10 @@
 MIN_SPARE = 8
 # Fraction that stays free also if more is wanted, for VMs that have nothing yet.
 RESERVE_DIVISOR = 64
-# How long a level is used, for each VM that wants a share.
-LEVEL_TIME_STEP = timedelta(milliseconds=2)
-MIN_LEVEL_TIME = timedelta(milliseconds=100)
+# Fraction of the way to its target that a share moves in one renewal while the limit is used up.
+# The demand of a VM fluctuates: what a share loses is in use until the window has passed, and what
+# it gains isn't free before.
+TARGET_WEIGHT = 0.3
 # The fractional part of a level is given to changing VMs, each for this time.
 ROTATION_TIME = timedelta(seconds=10)
 
@@ -44,8 +43,6 @@
         demand_sum: Sum of it.
         usual: Average demand in a window by VM, at least the present demand.
         usual_sum: Sum of it.
-        level: Largest share of a VM, if the demand exceeds the limit.
-        level_until: When it is to be computed again.
     """
 
     unaccounted: int = 0
@@ -55,8 +52,6 @@
     demand_sum: int = 0
     usual: dict[str, int] = attrs.field(factory=dict)
     usual_sum: int = 0
-    level: float = 0.0
-    level_until: timedelta = timedelta(0)
 
 
 @attrs.frozen
@@ -78,7 +73,7 @@
         pool.usual.pop(vm, None)
 
 
-def find_target(pool: Pool, vm: str, name: str, usable: int, now: timedelta) -> Target:
+def find_target(pool: Pool, vm: str, name: str, usable: int, held: int, now: timedelta) -> Target:
     """Return the share that a VM should get, whatever is free.
 
     Args:
@@ -86,6 +81,7 @@
         vm: Name of the VM.
         name: Name of the organisation.
         usable: Total to divide, without what processes that don't renew may have.
+        held: Share that the VM has and should change slowly, 0 if it may change at once.
         now: Current instant.
     """
     demand, usual = pool.demand.get(vm, 0), pool.usual.get(vm, 0)
@@ -93,11 +89,12 @@
     limit = available - usable // RESERVE_DIVISOR
     fraction = pick_fraction(vm, name, now)
     if pool.demand_sum > limit:
-        if now >= pool.level_until:
-            wanted = sorted(math.ceil(item * DEMAND_MARGIN) for item in pool.demand.values())
-            pool.level = find_level(wanted, max(limit, 0))
-            pool.level_until = now + max(LEVEL_TIME_STEP * len(pool.demand), MIN_LEVEL_TIME)
-        share = min(math.ceil(demand * DEMAND_MARGIN), int(pool.level + fraction))
+        # Each VM's callers are served with the same probability. With one level for all VMs
+        # instead, those below it keep room for growth that others could use.
+        share = demand * max(limit, 0) / pool.demand_sum
+        if held:
+            share = held + (share - held) * TARGET_WEIGHT
+        share = int(share + fraction)
         return Target(share, Pressure.SATURATED)
     # The present demand goes first; what is left covers a part of the usual demand.
     spare = max(available // SPARE_DIVISOR, min(available // 2, MIN_SPARE))
@@ -114,26 +111,6 @@
     return Target(share, Pressure.HIGH if part < 1 else Pressure.LOW)
 
 
-def find_level(wanted: list[int], available: int) -> float:
-    """Return the largest share for which all shares together are what is available.
-
-    Args:
-        wanted: What each VM wants, in ascending order.
-        available: Less than their sum.
-
-    Examples:
-        >>> find_level([2, 9, 9], 10)
-        4.0
-    """
-    left = available
-    for position, amount in enumerate(wanted):
-        part = left / (len(wanted) - position)
-        if amount >= part:
-            return part
-        left -= amount
-    return float(max(wanted, default=0))
-
-
 def pick_fraction(vm: str, name: str, now: timedelta) -> float:
     """Return a number from 0 to 1 for a VM, by which fractions are rounded up or down."""
     turn = now // ROTATION_TIME
--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -37,6 +37,7 @@
     "count_used",
     "expire_shares",
     "find_demand",
+    "find_free_time",
     "is_renewal_useful",
     "list_needs",
     "record_arrival",
@@ -120,6 +121,7 @@
         filled_at: When `tokens` was last updated.
         charges: When the requests that haven't ended yet were charged, by number of the ticket.
         retry_at: Time given to the caller that was refused last.
+        waiting: Requests that wait for their turn in the window.
     """
 
     usable: int | None
@@ -139,6 +141,7 @@
     filled_at: timedelta = timedelta(0)
     charges: dict[int, timedelta] = attrs.field(factory=dict)
     retry_at: timedelta = timedelta(0)
+    waiting: int = 0
 
     @property
     def token_limit(self) -> float:
@@ -227,20 +230,24 @@
     return Exceeded(find_retry_delay(quota, book.rules.window, now))
 
 
-def settle_ticket(book: QuotaBook, ticket: Ticket, sent_at: timedelta | None) -> None:
+def settle_ticket(
+    book: QuotaBook, ticket: Ticket, sent_at: timedelta | None, sends: int = 1
+) -> None:
     """End a charge.
 
     Args:
         book: Quotas of this VM.
         ticket: The charge.
         sent_at: When the request was first sent; None if it hasn't run, so that it is refunded.
+        sends: Number of backend servers that it was sent to.
     """
     quota = book.quotas.get(ticket.organisation)
     if quota is None:
         return
     quota.charges.pop(ticket.number, None)
     if sent_at is not None:
-        record_at(quota.sends, sent_at)
+        for _ in range(max(sends, 1)):
+            record_at(quota.sends, sent_at)
     else:
         quota.tokens = min(quota.tokens + 1, max(quota.token_limit, 1))
 
@@ -279,6 +286,19 @@
     return quota.retry_at - now
 
 
+def find_free_time(quota: OrganisationQuota, now: timedelta) -> timedelta | None:
+    """Return when this VM's share allows the next request that waits for it; None if unknown.
+
+    It is when enough earlier sends have left the window, also for those that wait already.
+    """
+    needed = count_used(quota, now) - quota.share + 1 + quota.waiting
+    for number in sorted(quota.sends.counts):
+        needed -= quota.sends.counts[number]
+        if needed <= 0:
+            return quota.sends.width * (number + 1) + quota.sends.window
+    return None
+
+
 def find_demand(quota: OrganisationQuota, now: timedelta) -> int:
     """Return the requests to be expected in a window, 0 without any in the last one."""
     window = quota.arrivals.window
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -13,8 +13,10 @@
 from camphorspread.request.quota import (
     Charged,
     Exceeded,
+    OrganisationQuota,
     Ticket,
     charge_request,
+    find_free_time,
     is_renewal_useful,
     record_arrival,
     settle_ticket,
@@ -26,6 +28,9 @@
 # Longest time for which a request waits for the leader: a round trip between regions, and the
 # retransmission of a lost packet.
 WAIT_LIMIT = timedelta(milliseconds=300)
+# Longest time for which a request waits until an earlier send has left the window. A VM with a
+# share of 12 requests in 5 s may send one every 0.4 s.
+TURN_LIMIT = timedelta(milliseconds=400)
 # After this number of renewals without a response a request doesn't wait for the next one.
 MAX_FAILURES = 2
 UNDECIDED_RETRY_DELAY = timedelta(seconds=1)
@@ -79,11 +84,16 @@
 
 
 async def charge_limited(state: SteeringState, name: str) -> Admitted | Over | Undecided:
-    """Charge a request; wait for a renewal if it may grant the share that this needs."""
+    """Charge a request; wait for a renewal that may grant what it needs, or for its turn.
+
+    A VM has a small part of the limit. Without a short wait for the next send to leave the window,
+    random arrivals leave about an eighth of each part unused.
+    """
     contact = state.quota_contact
     quota = state.quotas.quotas[name]
-    until = state.clock.monotonic() + WAIT_LIMIT
-    record_arrival(quota, state.clock.monotonic())
+    arrived = state.clock.monotonic()
+    until = arrived + WAIT_LIMIT
+    record_arrival(quota, arrived)
     while True:
         now = state.clock.monotonic()
         match charge_request(state.quotas, name, now):
@@ -92,7 +102,11 @@
             case Exceeded(retry_after=retry_after):
                 pass
         if not is_renewal_useful(quota):
-            return Over(retry_after)
+            free_at = find_free_time(quota, now)
+            if free_at is None or free_at > arrived + TURN_LIMIT:
+                return Over(retry_after)
+            await wait_for_turn(quota, free_at - now)
+            continue
         if now >= until or contact.failures >= MAX_FAILURES or not state.controls:
             contact.is_urgent.set()
             # Without a grant, nobody has said that the limit is reached.
@@ -106,8 +120,21 @@
             return Admitted()
 
 
+async def wait_for_turn(quota: OrganisationQuota, time: timedelta) -> None:
+    """Wait until an earlier send has left the window."""
+    quota.waiting += 1
+    try:
+        await asyncio.sleep(time.total_seconds())
+    finally:
+        quota.waiting -= 1
+
+
 def settle_quota(
-    state: SteeringState, ticket: Ticket | None, has_run: bool, sent_at: timedelta | None = None
+    state: SteeringState,
+    ticket: Ticket | None,
+    has_run: bool,
+    sent_at: timedelta | None = None,
+    sends: int = 1,
 ) -> None:
     """End the charge of a request.
 
@@ -116,6 +143,7 @@
         ticket: The charge; None without one.
         has_run: False if no backend server can have run the request, so that it is refunded.
         sent_at: When it was first sent; now if None.
+        sends: Number of backend servers that it was sent to.
     """
     if ticket is None:
         return
@@ -123,7 +151,7 @@
         state.metrics.quota_requests[(ticket.organisation, "refunded")] += 1
         settle_ticket(state.quotas, ticket, None)
         return
-    settle_ticket(state.quotas, ticket, sent_at or state.clock.monotonic())
+    settle_ticket(state.quotas, ticket, sent_at or state.clock.monotonic(), sends)
 
 
 def log_over(state: SteeringState, organisation: Organisation) -> None:
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -189,7 +189,8 @@
             result = Denied(refusal, PROMPT_RETRY_DELAY)
     finally:
         sent_at = job.sent_at if job is not None and job.may_have_run else None
-        settle_quota(state, ticket, sent_at is not None, sent_at)
+        sends = job.sends if job is not None else 1
+        settle_quota(state, ticket, sent_at is not None, sent_at, sends)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
--- a/camphorspread/version/quota_total.py
+++ b/camphorspread/version/quota_total.py
@@ -8,9 +8,9 @@
 
 __all__ = ["QuotaRules", "compute_usable_total"]
 
-# Fraction of the overage and of the tolerance that is granted. The rest covers differences between
-# the times at which a VM and a backend server count a request.
-GRANTED_FRACTION = 0.5
+# Fraction of the overage and of the tolerance that is granted. The rest covers requests that are
+# sent to a second backend server, which are counted only at their end.
+GRANTED_FRACTION = 0.8
 
 
 @attrs.frozen
--- a/features/process/quotas.feature
+++ b/features/process/quotas.feature
@@ -59,6 +59,15 @@
       | 26  | 100  | 0     | 600    | all VMs | all VMs restart                    | 9      | 7     |
       | 26  | 100  | 0     | 600    | all VMs | a region is cut off                | 6      | 0     |
 
+  # Guards against small parts of a limit that random arrivals leave unused at each VM, so that
+  # callers are refused although the demand is below the limit with its burst.
+  @fixture.quota_simulation
+  Scenario: A demand above the rate and below the limit with its burst is served
+    Given 26 entry VMs with a limit of 46 requests a second and a burst of 46, from seed 1
+    When 54 requests a second arrive at all VMs for 50 s, and after 25 s nothing happens
+    Then in no window more requests are sent, or arrive, than the bound allows
+    And at least 98 in 100 requests are admitted from 3 s on, except for 0 s after the event
+
   # Guards against a VM that sends without a grant because nobody tells it that it may not.
   @fixture.quota_simulation
   Scenario: A VM that knows no other process doesn't send
