--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -7,6 +7,7 @@
 import attrs
 
 from camphorspread.connection.network import Address
+from camphorspread.process.run import Run
 from camphorspread.process.server_statements import (
     ServerStatements,
     expire_statements,
@@ -110,6 +111,7 @@
         lender: VM that owns it and lends it to this one; empty if it announces itself here.
         suspended_until: Until when it gets no requests, after a refused connection.
         in_flight: Requests of this VM in flight to it.
+        runs: When each of them was started, by its placement; some may be missing.
         others_in_flight: Requests of other VMs at it, according to its newest load report.
         others_reported_at: When that report arrived.
         warm_objects: Objects that it handled for requests of this VM, most recent last.
@@ -131,6 +133,7 @@
     lender: str = ""
     suspended_until: timedelta = timedelta(0)
     in_flight: int = 0
+    runs: dict[Run, timedelta] = attrs.field(factory=dict)
     others_in_flight: int = 0
     others_reported_at: timedelta = timedelta(0)
     warm_objects: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
--- a/camphorspread/process/server_statements.py
+++ b/camphorspread/process/server_statements.py
@@ -29,6 +29,8 @@
         paused_until: Until when it gets no requests of this VM, as it asked for a pause.
         ramp_until: Until when its requests are limited after that pause.
         ramp_sends: Requests of this VM since the end of that pause.
+        slow_factor: How much longer than usual work takes there, as it last reported; at least 1.
+        speed_at: When that report arrived.
         kept_until: Until when the statements are kept after the server has left the registry; None
             before the first check.
     """
@@ -41,6 +43,8 @@
     paused_until: timedelta = timedelta(0)
     ramp_until: timedelta = timedelta(0)
     ramp_sends: int = 0
+    slow_factor: float = 1.0
+    speed_at: timedelta = timedelta(0)
     kept_until: timedelta | None = None
 
 
--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -45,6 +45,7 @@
     has_lost_capacity,
     is_shift_allowed,
 )
+from camphorspread.request.remaining_work import estimate_slot_wait_s, measure_work
 from camphorspread.request.server_limit import (
     MIN_SLOTS,
     estimate_limit_wait_s,
@@ -52,6 +53,7 @@
     may_send_within_limit,
 )
 from camphorspread.request.server_pause import find_return_delay, may_send_in_ramp
+from camphorspread.request.server_speed import find_slow_factor
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.window import count_recent
 
@@ -159,6 +161,7 @@
 ) -> Iterator[LocalPlacement | QueuedPlacement]:
     """Yield a placement with its cost for each eligible backend server of this VM."""
     hidden_wait_s = estimate_hidden_wait_s(board, times, totals)
+    work = board.work.get(req.service)
     for rank, item in enumerate(list_candidates(board, req, now)):
         is_cold = item.is_cold(now)
         if is_cold and count_recent(item.cold_sends, now) >= cold_limit(board, req.service):
@@ -174,6 +177,8 @@
             run_s *= item.slowdown * (1.0 + 2.0 * excess_failures)
         if is_cold:
             run_s *= COLD_SLOWDOWN
+        if work is not None:
+            run_s *= find_slow_factor(item.stated, now)
         cost_s = run_s
         if item.report.availability_zone != board.availability_zone:
             cost_s += ZONE_SURCHARGE_S
@@ -184,7 +189,8 @@
                 # A small region knows its load and, if short of servers, sends requests away early.
                 cold_excess_s = times.cold_s - times.warm_s
             cost_s += estimate_cold_surcharge_s(cold_excess_s, totals.busy_fraction)
-        yield start_or_wait(board, item, times, totals, cost_s + hidden_wait_s, run_s, is_warm, now)
+        cost_s += hidden_wait_s
+        yield start_or_wait(board, req, item, times, totals, cost_s, run_s, is_warm, now)
 
 
 def estimate_hidden_wait_s(board: PlacementBoard, times: RunTimes, totals: ServiceTotals) -> float:
@@ -219,6 +225,7 @@
 
 def start_or_wait(
     board: PlacementBoard,
+    req: PlacementRequest,
     item: Instance,
     times: RunTimes,
     totals: ServiceTotals,
@@ -228,17 +235,23 @@
     now: timedelta,
 ) -> LocalPlacement | QueuedPlacement:
     """Return an immediate start at a server, or a wait for it if it has no free slot."""
-    in_use = item.count_busy(now)
+    work = board.work.get(req.service)
     if has_free_slot(board, item, now):
         if not item.sends and not item.lender:
             cost_s -= UNTRIED_BONUS_S
-        return LocalPlacement(
-            item, cost_s + UTILISATION_COST_S * in_use / item.report.slots, is_warm
-        )
+        if work is None:
+            in_use = item.count_busy(now)
+        else:
+            in_use = measure_work(work, item, times.mean_s, now)
+        cost_s += UTILISATION_COST_S * in_use / item.report.slots
+        return LocalPlacement(item, cost_s, is_warm, req.route)
     queued = board.queued_per_server.get(item.name, 0)
-    wait_here_s = max(
-        (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
-    )
+    if work is None:
+        wait_here_s = (queued + 1) * times.mean_s / item.report.slots
+    else:
+        most = max_requests_per_vm(item.report.slots, board.sharers)
+        wait_here_s = estimate_slot_wait_s(work, item, times.mean_s, most, queued, now)
+    wait_here_s = max(wait_here_s, estimate_limit_wait_s(item, queued, now))
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
     waiting = board.queued_per_service.get(item.report.service, 0)
     # The totals may be older than the server's lease or loan.
@@ -300,17 +313,21 @@
         # It would be cut, and would use the slot in vain.
         return None
     if is_warm or not req.object_key or instance.name == awaited_name:
-        return LocalPlacement(instance, times.warm_s if is_warm else times.cold_s, is_warm)
+        return LocalPlacement(instance, run_s, is_warm, req.route)
     awaited = board.registry.instances.get(awaited_name)
     if awaited is None or now < awaited.stated.paused_until:
-        return LocalPlacement(instance, times.cold_s, False)
+        return LocalPlacement(instance, times.cold_s, False, req.route)
     queued = board.queued_per_server.get(awaited_name, 0)
-    wait_there_s = max(
-        queued * times.mean_s * awaited.slowdown / awaited.report.slots,
-        estimate_limit_wait_s(awaited, max(queued - 1, 0), now),
-    )
+    ahead = max(queued - 1, 0)
+    work = board.work.get(req.service)
+    if work is None:
+        wait_there_s = queued * times.mean_s * awaited.slowdown / awaited.report.slots
+    else:
+        most = max_requests_per_vm(awaited.report.slots, board.sharers)
+        wait_there_s = estimate_slot_wait_s(work, awaited, times.mean_s, most, ahead, now)
+    wait_there_s = max(wait_there_s, estimate_limit_wait_s(awaited, ahead, now))
     if wait_there_s + times.warm_s > times.cold_s * instance.slowdown:
-        return LocalPlacement(instance, times.cold_s, False)
+        return LocalPlacement(instance, times.cold_s, False, req.route)
     return None
 
 
@@ -321,7 +338,7 @@
         instance.count_busy(now) < slots
         and instance.in_flight < max_requests_per_vm(slots, board.sharers)
         and may_send_within_limit(instance, now)
-        and may_send_in_ramp(instance.stated, instance.in_flight, now)
+        and (now >= instance.stated.ramp_until or may_send_in_ramp(instance, now))
     )
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -1,6 +1,6 @@
 """State on which placement decisions are based, and their results."""
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from datetime import timedelta
 
 import attrs
@@ -8,6 +8,7 @@
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance, InstanceRegistry, is_usable
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
+from camphorspread.request.run_distribution import RunDistribution
 
 __all__ = [
     "ForwardPlacement",
@@ -19,6 +20,7 @@
     "QueuedPlacement",
     "RunTimes",
     "ServiceTotals",
+    "ServiceWork",
     "count_unseen_vms",
     "estimate_cold_surcharge_s",
     "find_region",
@@ -148,6 +150,23 @@
         return self.slots - self.limited_slots + min(self.limited_slots, self.limited_rate * run_s)
 
 
+@attrs.define(eq=False)
+class ServiceWork:
+    """What is known about the runs of a service whose servers report the speed of their machines.
+
+    Attributes:
+        typical_speed: Median of the reported speeds, at least 1.
+        speed_reports: Number of reports.
+        speed_reported_at: When the newest one arrived.
+        runs: Distributions of run times by (route, True for warm runs), least recent first.
+    """
+
+    typical_speed: float = 1.0
+    speed_reports: int = 0
+    speed_reported_at: timedelta = timedelta(0)
+    runs: OrderedDict[tuple[str, bool], RunDistribution] = attrs.field(factory=OrderedDict)
+
+
 @attrs.define(eq=False)
 class PlacementBoard:
     """State of servers and VMs on which placement decisions are based.
@@ -164,6 +183,7 @@
         cold_rate_limits: Requests per second of all VMs that a cold server tolerates, by service.
         peers: Other entry VMs by name.
         run_times: Mean run times by (service, route).
+        work: What is known about runs, by service; only for services whose servers report a speed.
         queued_per_server: Number of queued requests by the server that they wait for.
         queued_per_service: Number of queued requests that wait for a server, by service.
         totals: Cached totals over the servers by service.
@@ -185,6 +205,7 @@
     cold_rate_limits: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
     run_times: dict[tuple[str, str], RunTimes] = attrs.field(factory=dict)
+    work: dict[str, ServiceWork] = attrs.field(factory=dict)
     queued_per_server: Counter[str] = attrs.field(factory=Counter)
     queued_per_service: Counter[str] = attrs.field(factory=Counter)
     totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
@@ -195,13 +216,21 @@
     capacities: dict[str, CapacityHistory] = attrs.field(factory=dict)
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class LocalPlacement:
-    """The request is sent to a backend server of this VM."""
+    """The request is sent to a backend server of this VM.
+
+    Attributes:
+        instance: The server.
+        cost_s: Expected time until the response.
+        is_warm: True if the server has handled the object for this VM.
+        route: Name of the route.
+    """
 
     instance: Instance
     cost_s: float
     is_warm: bool
+    route: str = ""
 
 
 @attrs.frozen
--- a/camphorspread/request/placement_driver.py
+++ b/camphorspread/request/placement_driver.py
@@ -64,8 +64,8 @@
 def reserve_capacity(state: SteeringState, decision: Granted | Refused, service: str) -> None:
     """Reserve the capacity of a granted placement."""
     match decision:
-        case Granted(place=LocalPlacement(instance=instance)):
-            record_run_start(instance, state.clock.monotonic())
+        case Granted(place=LocalPlacement(instance=instance) as place):
+            record_run_start(instance, state.clock.monotonic(), place)
         case Granted(place=ForwardPlacement(peer=peer)):
             peer.loads[service].free -= 1
 
@@ -73,8 +73,9 @@
 def release_unused(state: SteeringState, decision: Granted | Refused) -> None:
     """Release an unused slot and grant it to the next queued request."""
     match decision:
-        case Granted(place=LocalPlacement(instance=instance)):
+        case Granted(place=LocalPlacement(instance=instance) as place):
             instance.in_flight -= 1
+            instance.runs.pop(place, None)
             grant_freed_slots(state, instance)
 
 
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -160,8 +160,8 @@
             requests = count_stated_requests(facts.load)
             is_success = is_success or is_long_pause(facts.pause)
             if not facts.is_misdirected:
-                note_statements(state, job, instance, facts)
-        record_run_end(state.board, instance, job.req, is_success, counted_s, now, requests)
+                note_statements(state, job, instance, facts, now)
+        record_run_end(state.board, instance, job.req, is_success, counted_s, now, requests, place)
         grant_freed_slots(state, instance)
 
 
--- a/camphorspread/request/run_statistics.py
+++ b/camphorspread/request/run_statistics.py
@@ -4,9 +4,12 @@
 
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import Instance
+from camphorspread.process.run import Run
 from camphorspread.request.placement_board import PlacementBoard, PlacementRequest, RunTimes
+from camphorspread.request.remaining_work import learn_run
 from camphorspread.request.server_limit import record_limited_send
 from camphorspread.request.server_pause import record_ramp_send
+from camphorspread.request.server_speed import is_slow_now
 from camphorspread.request.window import record_event
 
 __all__ = [
@@ -23,12 +26,22 @@
 MAX_REMEMBERED = 4096
 # Runs of a server that is slower by this factor are left out of the mean run times.
 SLOW_SERVER_FACTOR = 1.7
+# Starts of runs that are kept for a server; further ones count with the mean run time.
+MAX_KEPT_RUNS = 64
 PROBE_INTERVAL = timedelta(seconds=1)
 
 
-def record_run_start(instance: Instance, now: timedelta) -> None:
-    """Record that a request is about to be sent to a backend server."""
+def record_run_start(instance: Instance, now: timedelta, run: Run | None = None) -> None:
+    """Record that a request is about to be sent to a backend server.
+
+    Args:
+        instance: The server.
+        now: Current monotonic time.
+        run: Its placement, by which the start of the run is kept; None to keep none.
+    """
     instance.in_flight += 1
+    if run is not None and len(instance.runs) < MAX_KEPT_RUNS:
+        instance.runs[run] = now
     if instance.is_cold(now):
         record_event(instance.cold_sends, now)
     record_limited_send(instance, now)
@@ -45,6 +58,7 @@
     run_s: float | None,
     now: timedelta,
     requests: int | None = None,
+    run: Run | None = None,
 ) -> None:
     """Update the statistics from a request that has ended.
 
@@ -56,8 +70,10 @@
         run_s: Time from sending to the response in seconds, None if there was none.
         now: Current monotonic time.
         requests: Running and queued requests reported by the server, None if not stated.
+        run: Its placement, as at its start.
     """
     record_reported_load(instance, requests, now)
+    instance.runs.pop(run, None)
     instance.in_flight -= 1
     target = 0.0 if is_good else 1.0
     instance.failure_rate += (target - instance.failure_rate) * FAILURE_WEIGHT
@@ -68,7 +84,14 @@
         return
     if requests is None or requests <= instance.report.slots:
         # With a queue at the server, the time would include the wait there.
-        update_from_run(instance, times, req, run_s)
+        work = board.work.get(req.service)
+        if work is None:
+            update_from_run(instance, times, req, run_s)
+        elif not is_slow_now(instance.stated, now):
+            # Leaving these runs out of the mean times gave about as many requests on time as
+            # dividing them by the factor, and a wrong report can't make the means too low.
+            learn_run(work, req.route, req.object_key in instance.warm_objects, run_s)
+            update_from_run(instance, times, req, run_s)
     if req.object_key:
         instance.warm_objects[req.object_key] = None
         instance.warm_objects.move_to_end(req.object_key)
--- a/camphorspread/request/server_pause.py
+++ b/camphorspread/request/server_pause.py
@@ -70,7 +70,7 @@
     return pause is not None and pause >= MIN_LONG_PAUSE
 
 
-def may_send_in_ramp(stated: ServerStatements, in_flight: int, now: timedelta) -> bool:
+def may_send_in_ramp(instance: Instance, now: timedelta) -> bool:
     """Return True if the ramp-up after a pause allows one more request.
 
     Both the requests in flight and their number since the end of the pause are limited: of many
@@ -78,14 +78,12 @@
     closely.
 
     Args:
-        stated: What the server states.
-        in_flight: Requests of this VM in flight to it.
+        instance: The server, before the end of its ramp-up.
         now: Current monotonic time.
     """
-    if now >= stated.ramp_until:
-        return True
+    stated = instance.stated
     step = max((now - stated.paused_until) // RAMP_STEP, 0)
-    return in_flight < 2**step and stated.ramp_sends < 2 ** (step + 1) - 1
+    return instance.in_flight < 2**step and stated.ramp_sends < 2 ** (step + 1) - 1
 
 
 def record_ramp_send(stated: ServerStatements, now: timedelta) -> None:
--- a/camphorspread/request/stated_facts.py
+++ b/camphorspread/request/stated_facts.py
@@ -20,6 +20,7 @@
 from camphorspread.request.routed_request import RoutedRequest
 from camphorspread.request.server_limit import apply_statement
 from camphorspread.request.server_pause import apply_pause
+from camphorspread.request.server_speed import record_speed
 
 __all__ = [
     "count_stated_requests",
@@ -39,19 +40,25 @@
 
 
 def note_statements(
-    state: SteeringState, job: RoutedRequest, instance: Instance, facts: ReplyFacts
+    state: SteeringState, job: RoutedRequest, instance: Instance, facts: ReplyFacts, now: timedelta
 ) -> None:
     """Apply what a server states about itself in a response."""
-    note_load(state, job, instance, facts.load)
+    note_load(state, job, instance, facts.load, now)
     note_rate_limit(state, job, instance, facts.rate_limit)
     note_departure(state, job, instance, facts.departure)
 
 
 def note_load(
-    state: SteeringState, job: RoutedRequest, instance: Instance, statement: LoadStatement
+    state: SteeringState,
+    job: RoutedRequest,
+    instance: Instance,
+    statement: LoadStatement,
+    now: timedelta,
 ) -> None:
-    """Log and count a load that can't be read; `record_run_end` applies any other one."""
+    """Apply the speed of a stated load; `record_run_end` applies the requests in it."""
     match statement:
+        case LoadStated(speed=speed):
+            record_speed(state.board, instance, speed, now)
         case Unreadable(text=text):
             state.metrics.unreadable_loads[(instance.report.service,)] += 1
             fields = {"instance": instance.name, "request": job.call.request_id}
