--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -20,6 +20,7 @@
 )
 from camphorspread.process.events import Event
 from camphorspread.process.instances import expire_instances, list_owned_instances
+from camphorspread.process.learned_metrics import format_learned_runs
 from camphorspread.process.metrics import METRICS_TYPE
 from camphorspread.process.steering_metrics import format_steering_metrics
 from camphorspread.process.steering_state import SteeringState
@@ -190,6 +191,7 @@
         "in_flight": ("Requests in flight.", state.in_flight),
     }
     text = format_steering_metrics(state.metrics, gauges)
+    text += format_learned_runs(state.board.work, now)
     await exchange.respond(ResponseHead(200, ((b"content-type", METRICS_TYPE),)), text.encode())
 
 
