--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -50,11 +50,13 @@
     has_lost_capacity,
     is_shift_allowed,
 )
+from camphorspread.request.remaining_work import estimate_slot_wait_s, measure_work
 from camphorspread.request.server_limit import (
     estimate_limit_wait_s,
     may_send_within_limit,
 )
 from camphorspread.request.server_pause import find_return_delay, may_send_in_ramp
+from camphorspread.request.server_speed import find_slow_factor
 from camphorspread.request.service_totals import find_totals
 from camphorspread.request.slot_share import (
     estimate_vm_order_cost_s,
@@ -204,15 +206,13 @@
         if is_probed and (item.in_flight or now < item.probe_due):
             continue
         is_warm = req.object_key in item.warm_objects if req.object_key else False
-        run_s = typical_run_s = estimate_run_s(req, times, is_warm, rank if is_kept else 1)
+        typical_run_s = estimate_run_s(req, times, is_warm, rank if is_kept else 1)
         if board.has_organisations and not req.object_key:
             # No object tells warm from cold runs, so that both means may be far from the mean.
-            run_s = typical_run_s = times.mean_s
-        if not is_probed:
-            # For a probe, the server is assumed to have recovered.
-            run_s *= item.slowdown * (1.0 + 2.0 * excess_failures)
-        if is_cold:
-            run_s *= COLD_SLOWDOWN
+            typical_run_s = times.mean_s
+        # For a probe, the server is assumed to have recovered.
+        slowdown = 1.0 if is_probed else item.slowdown * (1.0 + 2.0 * excess_failures)
+        run_s = typical_run_s * slowdown * find_state_factor(board, item, now)
         cost_s = run_s
         if item.report.availability_zone != board.availability_zone:
             cost_s += ZONE_SURCHARGE_S
@@ -227,7 +227,8 @@
             cost_s += estimate_vm_order_cost_s(board, item.name)
         cost_s += hidden_wait_s
         if may_start and has_free_slot(board, item, now):
-            yield start_at(item, cost_s, run_s, is_warm, now)
+            cost_s += estimate_start_cost_s(board, item, times, now)
+            yield LocalPlacement(item, cost_s, is_warm, run_s, req.route)
         else:
             wait_s = estimate_wait_s(board, item, times, totals, priority, ahead, now)
             yield QueuedPlacement(item, cost_s + wait_s, run_s)
@@ -251,14 +252,23 @@
     return times.cold_s
 
 
-def start_at(
-    item: Instance, cost_s: float, run_s: float, is_warm: bool, now: timedelta
-) -> LocalPlacement:
-    """Return an immediate start at a server with a free slot."""
-    if not item.sends and not item.lender:
-        cost_s -= UNTRIED_BONUS_S
-    cost_s += UTILISATION_COST_S * item.count_busy(now) / item.report.slots
-    return LocalPlacement(item, cost_s, is_warm, run_s)
+def find_state_factor(board: PlacementBoard, item: Instance, now: timedelta) -> float:
+    """Return the factor by which runs take longer at a server that is cold or reports so."""
+    factor = COLD_SLOWDOWN if item.is_cold(now) else 1.0
+    if item.report.service in board.work:
+        factor *= find_slow_factor(item.stated, now)
+    return factor
+
+
+def estimate_start_cost_s(
+    board: PlacementBoard, item: Instance, times: RunTimes, now: timedelta
+) -> float:
+    """Return the cost of a start at a server with a free slot, in addition to the run."""
+    work = board.work.get(item.report.service)
+    in_use = item.count_busy(now) if work is None else measure_work(work, item, times.mean_s, now)
+    cost_s = UTILISATION_COST_S * in_use / item.report.slots
+    is_untried = not item.sends and not item.lender
+    return cost_s - UNTRIED_BONUS_S if is_untried else cost_s
 
 
 def list_candidates(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> list[Instance]:
@@ -307,21 +317,26 @@
         return None
     times = board.run_times[(req.service, req.route)]
     is_warm = req.object_key in instance.warm_objects
+    run_s = times.warm_s if is_warm else times.cold_s
     if times.is_measured and now + estimate_use(board, req, instance, is_warm, now) > req.deadline:
         # It would be cut, and would use the slot in vain.
         return None
     if is_warm or not req.object_key or instance.name == awaited_name:
-        return LocalPlacement(instance, times.warm_s if is_warm else times.cold_s, is_warm)
+        return LocalPlacement(instance, run_s, is_warm, route=req.route)
     awaited = board.registry.instances.get(awaited_name)
     if awaited is None or now < awaited.stated.paused_until:
-        return LocalPlacement(instance, times.cold_s, False)
+        return LocalPlacement(instance, times.cold_s, False, route=req.route)
     queued = count_ahead(board.queued_per_server, awaited_name, find_counted_priority(board, req))
-    wait_there_s = max(
-        queued * times.mean_s * awaited.slowdown / awaited.report.slots,
-        estimate_limit_wait_s(awaited, max(queued - 1, 0), now),
-    )
+    ahead = max(queued - 1, 0)
+    work = board.work.get(req.service)
+    if work is None:
+        wait_there_s = queued * times.mean_s * awaited.slowdown / awaited.report.slots
+    else:
+        most = max_requests_per_vm(awaited.report.slots, board.sharers)
+        wait_there_s = estimate_slot_wait_s(work, awaited, times.mean_s, most, ahead, now)
+    wait_there_s = max(wait_there_s, estimate_limit_wait_s(awaited, ahead, now))
     if wait_there_s + times.warm_s > times.cold_s * instance.slowdown:
-        return LocalPlacement(instance, times.cold_s, False)
+        return LocalPlacement(instance, times.cold_s, False, route=req.route)
     return None
 
 
@@ -350,7 +365,7 @@
         instance.count_busy(now) < slots
         and instance.in_flight < max_requests_per_vm(slots, board.sharers)
         and may_send_within_limit(instance, now)
-        and may_send_in_ramp(instance.stated, instance.in_flight, now)
+        and (now >= instance.stated.ramp_until or may_send_in_ramp(instance, now))
     )
 
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -1,5 +1,6 @@
 """State on which placement decisions are based, and their results."""
 
+from collections import OrderedDict
 from datetime import timedelta
 
 import attrs
@@ -10,6 +11,7 @@
 from camphorspread.request.queue_counts import Priority, QueueCounts
 from camphorspread.request.region_shift import CapacityHistory, RegionShares
 from camphorspread.request.return_booking import ReturnBooking
+from camphorspread.request.run_distribution import RunDistribution
 from camphorspread.request.service_fairness import ServiceFairness, is_underserved
 
 __all__ = [
@@ -22,6 +24,7 @@
     "QueuedPlacement",
     "RunTimes",
     "ServiceTotals",
+    "ServiceWork",
     "count_unseen_vms",
     "estimate_cold_surcharge_s",
     "find_counted_priority",
@@ -154,6 +157,23 @@
         return self.slots - self.limited_slots + min(self.limited_slots, self.limited_rate * run_s)
 
 
+@attrs.define(eq=False)
+class ServiceWork:
+    """What is known about the runs of a service whose servers report the speed of their machines.
+
+    Attributes:
+        typical_speed: Median of the reported speeds, at least 1.
+        speed_reports: Number of reports.
+        speed_reported_at: When the newest one arrived.
+        runs: Distributions of run times by (route, True for warm runs), least recent first.
+    """
+
+    typical_speed: float = 1.0
+    speed_reports: int = 0
+    speed_reported_at: timedelta = timedelta(0)
+    runs: OrderedDict[tuple[str, bool], RunDistribution] = attrs.field(factory=OrderedDict)
+
+
 @attrs.define(eq=False)
 class PlacementBoard:
     """State of servers and VMs on which placement decisions are based.
@@ -170,6 +190,7 @@
         cold_rate_limits: Requests per second of all VMs that a cold server tolerates, by service.
         peers: Other entry VMs by name.
         run_times: Mean run times by (service, route).
+        work: What is known about runs, by service; only for services whose servers report a speed.
         queued_per_server: Number of queued requests by the server that they wait for.
         queued_per_service: Number of queued requests that wait for a server, by service.
         has_organisations: True if the configuration has organisations, so that admission under
@@ -198,6 +219,7 @@
     cold_rate_limits: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, EntryVm] = attrs.field(factory=dict)
     run_times: dict[tuple[str, str], RunTimes] = attrs.field(factory=dict)
+    work: dict[str, ServiceWork] = attrs.field(factory=dict)
     queued_per_server: QueueCounts = attrs.field(factory=dict)
     queued_per_service: QueueCounts = attrs.field(factory=dict)
     has_organisations: bool = False
@@ -213,7 +235,7 @@
     home_shares: dict[str, HomeShare] = attrs.field(factory=dict)
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class LocalPlacement:
     """The request is sent to a backend server of this VM.
 
@@ -222,12 +244,14 @@
         cost_s: Expected time until the response, lowered or raised to prefer other servers.
         is_warm: True if the server has handled the object for this VM.
         run_s: Expected run time, 0 if it wasn't estimated.
+        route: Name of the route.
     """
 
     instance: Instance
     cost_s: float
     is_warm: bool
     run_s: float = 0.0
+    route: str = ""
 
 
 @attrs.frozen
--- a/camphorspread/request/wait_estimate.py
+++ b/camphorspread/request/wait_estimate.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from camphorspread.process.instances import Instance
+from camphorspread.process.loans import max_requests_per_vm
 from camphorspread.request.placement_board import (
     PlacementBoard,
     RunTimes,
@@ -10,6 +11,7 @@
     count_unseen_vms,
 )
 from camphorspread.request.queue_counts import Priority, count_ahead
+from camphorspread.request.remaining_work import estimate_slot_wait_s
 from camphorspread.request.server_limit import (
     MIN_SLOTS,
     estimate_limit_wait_s,
@@ -53,9 +55,13 @@
         now: Current monotonic time.
     """
     queued = count_ahead(board.queued_per_server, item.name, priority)
-    wait_here_s = max(
-        (queued + 1) * times.mean_s / item.report.slots, estimate_limit_wait_s(item, queued, now)
-    )
+    work = board.work.get(item.report.service)
+    if work is None:
+        wait_here_s = (queued + 1) * times.mean_s / item.report.slots
+    else:
+        most = max_requests_per_vm(item.report.slots, board.sharers)
+        wait_here_s = estimate_slot_wait_s(work, item, times.mean_s, most, queued, now)
+    wait_here_s = max(wait_here_s, estimate_limit_wait_s(item, queued, now))
     # A freed slot may go to a request that waits for another server, so the whole queue counts.
     # The totals may be older than the server's lease or loan.
     slots = max(
