Test changed speeds and pauses in responses, and correct an example

The random changes of a response covered three values of the load and no pause. The example of expect_remaining_s recorded the long runs last, which the sums over the buckets hold only after some more runs.

features/platform/malformed.feature and whole_path.feature pass, and so does the doctest of run_distribution.

--- a/camphorspread/request/run_distribution.py
+++ b/camphorspread/request/run_distribution.py
@@ -100,7 +100,7 @@
 
     Examples:
         >>> distribution = RunDistribution()
-        >>> for run_s in (0.1,) * 97 + (0.7,) * 3: record_run(distribution, run_s)
+        >>> for run_s in (0.7,) * 3 + (0.1,) * 97: record_run(distribution, run_s)
         >>> round(expect_remaining_s(distribution, 0.0), 1)
         0.1
         >>> round(expect_remaining_s(distribution, 0.3), 1)
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -140,7 +140,8 @@
 )
 RESPONSE_HEADERS = (
     (b"request-id", b"q1"),
-    (b"server-load", b"3,0,8"),
+    (b"server-load", b"3,0,8,250"),
+    (b"retry-after", b"1.5"),
     (b"not-executed", b"1"),
 )
 
@@ -185,7 +186,7 @@
             RequestHead(b"GET", b"/read/x", mutate_headers(rng, REQUEST_HEADERS))
         ),
         "endpoint's response": lambda: dialect.decode_response(
-            ResponseHead(200, mutate_headers(rng, RESPONSE_HEADERS))
+            ResponseHead(503, mutate_headers(rng, RESPONSE_HEADERS))
         ),
         "forwarded announcement": lambda: decode_report(mutate_value(rng, REPORT)),
         "forwarded departure": lambda: decode_leave(mutate_value(rng, LEAVE)),
