Don't reduce a grant that was made under a newer configuration

A VM with the older, lower limit scaled the share down by the ratio of the limits until its own configuration arrived. The response now has the revision whose limits were divided.

--- a/benchmarks/quota_allocation.py
+++ b/benchmarks/quota_allocation.py
@@ -60,7 +60,7 @@
             text = json.dumps(encode_quota_request(request, 1), separators=(",", ":"))
             started = time.process_time()
             grants = renew_quotas(allocator, decode_quota_request(json.loads(text)), now)
-            answer = json.dumps(encode_grants(turn, grants), separators=(",", ":"))
+            answer = json.dumps(encode_grants(turn, 1, grants), separators=(",", ":"))
             if turn == ROUNDS:
                 spent += time.process_time() - started
                 request_bytes += len(text)
--- a/camphorspread/process/quota_allocator.py
+++ b/camphorspread/process/quota_allocator.py
@@ -106,7 +106,6 @@
         holders: Entry VMs by name.
         pools: State of the division by organisation.
         swept_at: When silent VMs were last looked for.
-        stale: Number of renewals that came too late to be served.
     """
 
     rules: QuotaRules
@@ -122,7 +121,6 @@
     holders: dict[str, Holder] = attrs.field(factory=dict)
     pools: dict[str, Pool] = attrs.field(factory=dict)
     swept_at: timedelta = timedelta(0)
-    stale: int = 0
 
 
 def observe_limits(allocator: QuotaAllocator, table: OrganisationTable, revision: int) -> None:
@@ -140,7 +138,7 @@
 
 
 def begin_term(allocator: QuotaAllocator, term: int, vms: Collection[str], now: timedelta) -> None:
-    """Forget what is known when this control VM becomes the leader, unless it already is.
+    """Forget what is known when this control VM has become the leader.
 
     Args:
         allocator: State of the division.
@@ -148,8 +146,6 @@
         vms: Entry VMs that poll it, or did so within a lease.
         now: Current instant.
     """
-    if allocator.term == term:
-        return
     allocator.term, allocator.began_at, allocator.ready_at = term, now, None
     allocator.missing, allocator.known = set(vms), max(len(vms), 1)
     allocator.unknown_end = timedelta(0)
@@ -169,7 +165,6 @@
     sweep_holders(allocator, now)
     holder = find_holder(allocator, request, now)
     if holder is None:
-        allocator.stale += 1
         return None
     holder.number, holder.heard_at, holder.is_lapsed = request.number, now, False
     mark_heard(allocator, holder)
--- a/camphorspread/process/quota_codec.py
+++ b/camphorspread/process/quota_codec.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import attrs
+
 from camphorspread.connection.network import Address
 from camphorspread.process.quota_allocator import QuotaRequest
 from camphorspread.process.quota_shares import Pressure, QuotaGrant, QuotaNeed
@@ -9,6 +11,7 @@
 
 __all__ = [
     "QUOTA_PATH",
+    "Granted",
     "QuotaResponse",
     "decode_quota_request",
     "decode_quota_response",
@@ -23,8 +26,21 @@
 MAX_NUMBER = 2**53
 
 
+@attrs.frozen
+class Granted:
+    """The leader's response to a renewal.
+
+    Attributes:
+        revision: Revision of the routes whose limits were divided.
+        grants: New shares by organisation.
+    """
+
+    revision: int
+    grants: dict[str, QuotaGrant]
+
+
 # What a control VM responds: grants of the leader, the address of the leader, or neither.
-QuotaResponse = dict[str, QuotaGrant] | Address | None
+QuotaResponse = Granted | Address | None
 
 
 def encode_quota_request(request: QuotaRequest, revision: int) -> dict[str, object]:
@@ -97,10 +113,11 @@
     raise ValueError("a need is [demand, usual, used, held]")
 
 
-def encode_grants(number: int, grants: dict[str, QuotaGrant]) -> dict[str, object]:
+def encode_grants(number: int, revision: int, grants: dict[str, QuotaGrant]) -> dict[str, object]:
     """Return the JSON form of the leader's response to a renewal."""
     return {
         "number": number,
+        "revision": revision,
         "grants": {
             name: [grant.share, grant.usable, grant.pressure.value]
             for name, grant in grants.items()
@@ -121,9 +138,12 @@
         number: Number of the renewal.
     """
     match value:
-        case {"number": int(answered), "grants": dict(grants)} if answered == number:
+        case {"number": answered, "revision": revision, "grants": dict(grants)} if (
+            answered == number
+        ):
             try:
-                return {str(name): decode_grant(item) for name, item in grants.items()}
+                decoded = {str(name): decode_grant(item) for name, item in grants.items()}
+                return Granted(decode_count(revision), decoded)
             except ValueError:
                 return None
         case {"leader": [_, _] as leader}:
--- a/camphorspread/process/quota_listener.py
+++ b/camphorspread/process/quota_listener.py
@@ -53,10 +53,13 @@
         await exchange.respond_json(200, encode_leader(find_leader(steering)))
         return
     read_limits(steering, decode_table)
-    begin_term(steering.quotas, view.term, list_possible_holders(steering, now), now)
+    if steering.quotas.term != view.term:
+        begin_term(steering.quotas, view.term, list_possible_holders(steering, now), now)
     grants = renew_quotas(steering.quotas, request, now)
     metrics.quota_renewals[("stale" if grants is None else "granted",)] += 1
-    value = {} if grants is None else encode_grants(request.number, grants)
+    value = (
+        {} if grants is None else encode_grants(request.number, steering.quotas.revision, grants)
+    )
     await exchange.respond_json(200, value)
 
 
--- a/camphorspread/process/quota_renewal.py
+++ b/camphorspread/process/quota_renewal.py
@@ -10,6 +10,7 @@
 from camphorspread.process.quota_allocator import QuotaRequest
 from camphorspread.process.quota_codec import (
     QUOTA_PATH,
+    Granted,
     decode_quota_response,
     encode_quota_request,
 )
@@ -139,9 +140,9 @@
             state.log.write(Event.QUOTA_RENEWAL_FAILED, control=str(address), cause=str(exc))
         return False
     match decode_quota_response(response.value, request.number):
-        case dict() as grants:
+        case Granted(revision=revision, grants=grants):
             contact.leader = address
-            apply_grants(state.quotas, needs, grants, sent_at)
+            apply_grants(state.quotas, needs, grants, revision, sent_at)
             return True
         case leader:
             contact.leader = None if leader == address else leader
--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -112,6 +112,7 @@
         granted_at: When the request for the share was sent.
         lease_end: When the share is reduced to a part, or ends.
         is_leased: False once it was reduced to that part.
+        reduced_from: Share before a reduction that hasn't been reported yet; 0 for none.
         pressure: How much of the limit the demand of all VMs took at that time.
         mean: Moving average of the requests that arrive in a window.
         mean_at: When it was last updated.
@@ -131,6 +132,7 @@
     granted_at: timedelta = timedelta(0)
     lease_end: timedelta = timedelta(0)
     is_leased: bool = False
+    reduced_from: int = 0
     pressure: Pressure = Pressure.LOW
     mean: float = 0.0
     mean_at: timedelta = timedelta(0)
@@ -300,8 +302,8 @@
     return not quota.is_leased or quota.pressure is not Pressure.SATURATED
 
 
-def expire_share(quota: OrganisationQuota, now: timedelta) -> int:
-    """Reduce a share whose lease has ended; return by how much."""
+def expire_share(quota: OrganisationQuota, now: timedelta) -> None:
+    """Reduce a share whose lease has ended."""
     before = quota.share
     if quota.is_leased and now >= quota.lease_end:
         quota.is_leased = False
@@ -309,16 +311,18 @@
         quota.lease_end += KEPT_TIME
     if not quota.is_leased and now >= quota.lease_end:
         quota.share = 0
-    return before - quota.share
+    if quota.share < before:
+        quota.reduced_from = quota.reduced_from or before
 
 
 def expire_shares(book: QuotaBook, now: timedelta) -> list[ShareLoss]:
-    """Reduce the shares whose lease has ended."""
+    """Reduce the shares whose lease has ended; return each reduction once."""
     losses = []
     for name, quota in book.quotas.items():
-        lost = expire_share(quota, now)
-        if lost:
-            losses.append(ShareLoss(name, quota.share + lost, quota.share))
+        expire_share(quota, now)
+        if quota.reduced_from:
+            losses.append(ShareLoss(name, quota.reduced_from, quota.share))
+            quota.reduced_from = 0
     return losses
 
 
@@ -358,6 +362,7 @@
     book: QuotaBook,
     needs: Mapping[str, QuotaNeed],
     grants: Mapping[str, QuotaGrant],
+    revision: int,
     sent_at: timedelta,
 ) -> None:
     """Apply the response to a renewal.
@@ -366,6 +371,7 @@
         book: Quotas of this VM.
         needs: What the renewal reported.
         grants: Shares in the response.
+        revision: Revision of the routes whose limits were divided.
         sent_at: When the renewal was sent, at which the lease begins.
     """
     for name, grant in grants.items():
@@ -377,6 +383,7 @@
         quota.granted_at, quota.lease_end = sent_at, sent_at + GRANT_LEASE
         quota.is_leased, quota.asked = True, needs[name].demand
         quota.pressure = grant.pressure
-        scale_share(quota)
+        if revision < book.revision:
+            scale_share(quota)
         # A larger share can be used at once; a smaller one has no more tokens than it allows.
         quota.tokens = min(quota.tokens + max(quota.token_limit - limit, 0), quota.token_limit)
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -95,8 +95,9 @@
             return Over(retry_after)
         if now >= until or contact.failures >= MAX_FAILURES or not state.controls:
             contact.is_urgent.set()
-            # Without a grant, nobody has said that the limit is reached.
-            return Over(retry_after) if quota.is_leased else Undecided(UNDECIDED_RETRY_DELAY)
+            # Without a share, nobody has said that the limit is reached.
+            has_share = quota.is_leased and quota.share
+            return Over(retry_after) if has_share else Undecided(UNDECIDED_RETRY_DELAY)
         contact.is_urgent.set()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout((until - now).total_seconds()):
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -87,6 +87,12 @@
     When the limit of 20 requests a second becomes 10, 20 and 1
     Then it may send 40, 21, 21 and 5 requests in a window
 
+  # Guards against a raised limit that reduces shares until the VM has the new configuration.
+  Scenario: A grant under a newer configuration isn't reduced to the limit of an older one
+    Given an entry VM with a share of 40 of a usable total of 115
+    When it gets a share of 60 of a usable total of 325 under a newer configuration
+    Then it may send 60 requests in a window after 1 s
+
   # Guards against an organisation whose part at a VM is one request, and that gets none.
   Scenario: With a share of one a request is possible once a window, and a refund at once
     Given an entry VM with a share of 1 of a usable total of 20, which is saturated
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -126,7 +126,11 @@
     "needs": {"acme": [12, 13, 9, 14], "bergen": [0, 1, 0, 2]},
     "returning": False,
 }
-QUOTA_RESPONSE = {"number": 7, "grants": {"acme": [14, 535, 0], "bergen": [2, 20, 2]}}
+QUOTA_RESPONSE = {
+    "number": 7,
+    "revision": 3,
+    "grants": {"acme": [14, 535, 0], "bergen": [2, 20, 2]},
+}
 SETTINGS = "\n".join(
     (
         "self.node=front-sofia-a-1",
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -139,7 +139,7 @@
     apply_limits(context.book, make_table((usable - 10) / 5 / 1.05 + 1e-6), 1)
     grant = QuotaGrant(share, usable, Pressure[pressure.upper()])
     need = QuotaNeed(share, share, 0, 0)
-    apply_grants(context.book, {ACME: need}, {ACME: grant}, START)
+    apply_grants(context.book, {ACME: need}, {ACME: grant}, 1, START)
 
 
 def count_sends(context, now):
@@ -172,6 +172,12 @@
     assert context.counts == [first, second, third, fourth], context.counts
 
 
+@when("it gets a share of {share:d} of a usable total of {usable:d} under a newer configuration")
+def step_newer(context, share, usable):
+    need = QuotaNeed(share, share, 0, 40)
+    apply_grants(context.book, {ACME: need}, {ACME: QuotaGrant(share, usable)}, 2, START)
+
+
 @then("one request every {period:g} s is admitted for {seconds:d} s")
 def step_once(context, period, seconds):
     context.now = START
