Count each send of a repeated request for its quota

A request that was sent again after a failure may have run twice, but was charged once; with the fleet's retry budget an organisation could get a fifth more than its limit.

--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 import attrs
@@ -229,21 +229,22 @@
     return Exceeded(find_retry_delay(quota, book.rules.window, now))
 
 
-def settle_ticket(book: QuotaBook, ticket: Ticket, sent_at: timedelta | None) -> None:
-    """End a charge.
+def settle_ticket(book: QuotaBook, ticket: Ticket, sent: Sequence[timedelta]) -> None:
+    """End a charge; a request that was sent again counts for each send.
 
     Args:
         book: Quotas of this VM.
         ticket: The charge.
-        sent_at: When the request was first sent; None if it hasn't run, so that it is refunded.
+        sent: When the request was sent, for each send that may have run; it is refunded without
+            any.
     """
     quota = book.quotas.get(ticket.organisation)
     if quota is None:
         return
     quota.charges.pop(ticket.number, None)
-    if sent_at is not None:
+    for sent_at in sent:
         record_at(quota.sends, sent_at)
-    else:
+    if not sent:
         quota.tokens = min(quota.tokens + 1, max(quota.token_limit, 1))
 
 
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Sequence
 from datetime import timedelta
 
 import attrs
@@ -107,24 +108,19 @@
             return Admitted()
 
 
-def settle_quota(
-    state: SteeringState, ticket: Ticket | None, has_run: bool, sent_at: timedelta | None = None
-) -> None:
+def settle_quota(state: SteeringState, ticket: Ticket | None, sent: Sequence[timedelta]) -> None:
     """End the charge of a request.
 
     Args:
         state: State of the entry VM that charged it.
         ticket: The charge; None without one.
-        has_run: False if no backend server can have run the request, so that it is refunded.
-        sent_at: When it was first sent; now if None.
+        sent: When it was sent, for each send that may have run; it is refunded without any.
     """
     if ticket is None:
         return
-    if not has_run:
+    if not sent:
         state.metrics.quota_requests[(ticket.organisation, "refunded")] += 1
-        settle_ticket(state.quotas, ticket, None)
-        return
-    settle_ticket(state.quotas, ticket, sent_at or state.clock.monotonic())
+    settle_ticket(state.quotas, ticket, sent)
 
 
 def log_over(state: SteeringState, organisation: Organisation) -> None:
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -118,7 +118,7 @@
             return None
         was_sent = True
         job.sends += 1
-        job.sent_at = now
+        job.sent[before:] = [now]
         remaining = time_left(job.req.deadline, now)
         return state.dialect.encode_request(job.call, instance.name, remaining)
 
@@ -128,7 +128,7 @@
         return state.dialect.decode_response(response).request_id == job.call.request_id
 
     result: SendResult | None = None
-    may_have_run = job.may_have_run
+    may_have_run, before = job.may_have_run, len(job.sent)
     job.may_have_run = True
     try:
         result = await send_request(
@@ -142,6 +142,7 @@
         outcome = classify_send(state, job, place, result, was_sent)
         if isinstance(outcome, Rejected):
             job.may_have_run = may_have_run
+            del job.sent[before:]
         return outcome
     finally:
         now = state.clock.monotonic()
@@ -283,10 +284,10 @@
         now = state.clock.monotonic()
         if now >= job.req.deadline:
             return None
-        job.sent_at = now
+        job.sent[before:] = [now]
         return make_forward_head(job, peer, now)
 
-    may_have_run = job.may_have_run
+    may_have_run, before = job.may_have_run, len(job.sent)
     job.may_have_run = True
     result = await send_request(
         state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
@@ -294,6 +295,7 @@
     outcome = classify_forward(state, job, peer, result)
     if isinstance(outcome, Rejected):
         job.may_have_run = may_have_run
+        del job.sent[before:]
     return outcome
 
 
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -163,8 +163,7 @@
             refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
             result = Denied(refusal, PROMPT_RETRY_DELAY)
     finally:
-        sent_at = job.sent_at if job is not None and job.may_have_run else None
-        settle_quota(state, ticket, sent_at is not None, sent_at)
+        settle_quota(state, ticket, job.sent if job is not None else [])
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
--- a/camphorspread/request/routed_request.py
+++ b/camphorspread/request/routed_request.py
@@ -25,11 +25,11 @@
         arrived: Time at which the head arrived.
         deadline: Time by which the final response must be sent.
         sends: Number of sends to backend servers.
-        sent_at: When it was last sent to a backend server or VM; None before the first time.
         forwards: Number of forwards to other entry VMs.
         may_have_run: True once a backend server may have begun to run it.
         waited: Time from arrival until the first placement or the refusal.
         use: Use of the slots at that time, None before it.
+        sent: When it was sent to a backend server or VM, for sends that may have run.
         trail: Attempts and their results, for the log.
     """
 
@@ -40,9 +40,9 @@
     arrived: timedelta
     deadline: timedelta
     sends: int = 0
-    sent_at: timedelta | None = None
     forwards: int = 0
     may_have_run: bool = False
     waited: timedelta | None = None
     use: SlotUse | None = None
+    sent: list[timedelta] = attrs.field(factory=list)
     trail: list[str] = attrs.field(factory=list)
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -99,6 +99,11 @@
     Then one request every 5.2 s is admitted for 60 s
     And a request whose predecessor didn't run is admitted at once
 
+  # Guards against repeated sends that come on top of the limit.
+  Scenario: A request that was sent twice counts twice
+    Given an entry VM with a share of 40 of a usable total of 115
+    Then 15 requests that were sent twice leave room for 10 more
+
   # Guards against metrics that grow with the number of organisations.
   Scenario: Only the organisations with the most requests have labels of their own
     Given 150 organisations, each with one request more than the one before
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -150,7 +150,7 @@
         tickets.append(result.ticket)
         count += 1
     for ticket in tickets:
-        settle_ticket(context.book, ticket, None)
+        settle_ticket(context.book, ticket, [])
     return count
 
 
@@ -188,17 +188,25 @@
         result = charge_request(context.book, ACME, context.now)
         assert isinstance(result, Charged), result
         context.now += timedelta(seconds=0.2)
-        settle_ticket(context.book, result.ticket, context.now)
+        settle_ticket(context.book, result.ticket, [context.now])
         assert not isinstance(charge_request(context.book, ACME, context.now), Charged)
         context.now += timedelta(seconds=period)
 
 
+@then("{count:d} requests that were sent twice leave room for {rest:d} more")
+def step_twice(context, count, rest):
+    for _ in range(count):
+        ticket = charge_request(context.book, ACME, START).ticket
+        settle_ticket(context.book, ticket, [START, START])
+    assert count_sends(context, START) == rest
+
+
 @then("a request whose predecessor didn't run is admitted at once")
 def step_refund(context):
     for _ in range(3):
         result = charge_request(context.book, ACME, context.now)
         assert isinstance(result, Charged), result
-        settle_ticket(context.book, result.ticket, None)
+        settle_ticket(context.book, result.ticket, [])
 
 
 @given("{count:d} organisations, each with one request more than the one before")
