--- a/camphorspread/process/quota_allocator.py
+++ b/camphorspread/process/quota_allocator.py
@@ -12,7 +12,13 @@
 
 import attrs
 
-from camphorspread.process.quota_levels import DEMAND_MARGIN, Pool, find_target, set_demand
+from camphorspread.process.quota_levels import (
+    DEMAND_MARGIN,
+    Pool,
+    approach_target,
+    find_target,
+    set_demand,
+)
 from camphorspread.process.quota_shares import (
     GRANT_LEASE,
     KEPT_DIVISOR,
@@ -338,10 +344,13 @@
     else:
         unreported = find_unreported(allocator, name, now)
         free = usable - pool.reserved - unreported
-        # After a limit was lowered, shares are reduced at once.
-        held = need.held if pool.reserved <= usable else 0
-        target = find_target(pool, vm, name, usable - unreported, held, now)
-        share = min(target.share, reserved - former + max(free, 0))
+        target = find_target(pool, vm, name, usable - unreported, now)
+        share = target.share
+        # After a limit was lowered, shares are reduced at once; what is free is granted at once.
+        is_crowded = pool.reserved <= usable and free < share - need.held
+        if target.pressure is Pressure.SATURATED and need.held and is_crowded:
+            share = approach_target(need.held, share, vm, name, now)
+        share = min(share, reserved - former + max(free, 0))
         pressure = target.pressure
     set_reserved(allocator, holder, name, max(reserved, share + former))
     return QuotaGrant(share, max(usable or 0, share), pressure)
--- a/camphorspread/process/quota_levels.py
+++ b/camphorspread/process/quota_levels.py
@@ -3,6 +3,7 @@
 The result is a target. It may be out of date, since grants are bounded by the reservations.
 """
 
+import math
 import zlib
 from datetime import timedelta
 
@@ -10,7 +11,7 @@
 
 from camphorspread.process.quota_shares import MAX_SPARE_FACTOR, Pressure
 
-__all__ = ["DEMAND_MARGIN", "Pool", "Target", "find_target", "set_demand"]
+__all__ = ["DEMAND_MARGIN", "Pool", "Target", "approach_target", "find_target", "set_demand"]
 
 # A share is this multiple of a VM's demand, less if the limit is nearly used up. The margin covers
 # the fluctuation of the demand until the next renewal.
@@ -73,7 +74,7 @@
         pool.usual.pop(vm, None)
 
 
-def find_target(pool: Pool, vm: str, name: str, usable: int, held: int, now: timedelta) -> Target:
+def find_target(pool: Pool, vm: str, name: str, usable: int, now: timedelta) -> Target:
     """Return the share that a VM should get, whatever is free.
 
     Args:
@@ -81,7 +82,6 @@
         vm: Name of the VM.
         name: Name of the organisation.
         usable: Total to divide, without what processes that don't renew may have.
-        held: Share that the VM has and should change slowly, 0 if it may change at once.
         now: Current instant.
     """
     demand, usual = pool.demand.get(vm, 0), pool.usual.get(vm, 0)
@@ -91,10 +91,7 @@
     if pool.demand_sum > limit:
         # Each VM's callers are served with the same probability. With one level for all VMs
         # instead, those below it keep room for growth that others could use.
-        share = demand * max(limit, 0) / pool.demand_sum
-        if held:
-            share = held + (share - held) * TARGET_WEIGHT
-        share = int(share + fraction)
+        share = int(demand * max(limit, 0) / pool.demand_sum + fraction)
         return Target(share, Pressure.SATURATED)
     # The present demand goes first; what is left covers a part of the usual demand.
     spare = max(available // SPARE_DIVISOR, min(available // 2, MIN_SPARE))
@@ -111,6 +108,19 @@
     return Target(share, Pressure.HIGH if part < 1 else Pressure.LOW)
 
 
+def approach_target(held: int, target: int, vm: str, name: str, now: timedelta) -> int:
+    """Return a share that moves towards its target by `TARGET_WEIGHT` of the difference.
+
+    Args:
+        held: The VM's present share.
+        target: Its target.
+        vm: Name of the VM.
+        name: Name of the organisation.
+        now: Current instant.
+    """
+    return held + math.floor((target - held) * TARGET_WEIGHT + pick_fraction(vm, name, now))
+
+
 def pick_fraction(vm: str, name: str, now: timedelta) -> float:
     """Return a number from 0 to 1 for a VM, by which fractions are rounded up or down."""
     turn = now // ROTATION_TIME
--- a/camphorspread/version/quota_total.py
+++ b/camphorspread/version/quota_total.py
@@ -6,7 +6,7 @@
 
 from camphorspread.version.organisations import Organisation
 
-__all__ = ["QuotaRules", "compute_usable_total"]
+__all__ = ["GRANTED_FRACTION", "QuotaRules", "compute_usable_total"]
 
 # Fraction of the overage and of the tolerance that is granted. The rest covers requests that are
 # sent to a second backend server, which are counted only at their end.
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -22,13 +22,13 @@
   Scenario: A new leader increases nothing before all VMs have reported
     Given a leader with a usable total of 115, which the VMs "a" and "b" poll
     When "b" reports that it holds 10, with a demand of 100
-    Then it gets 10
+    Then its share is 10
     When 0.9 s pass
     And "b" reports that it holds 10, with a demand of 100
-    Then it gets 10
+    Then its share is 10
     When "a" reports that it holds 60, with a demand of 10
     And "b" reports that it holds 10, with a demand of 100
-    Then it gets 55
+    Then its share is 55
 
   # Guards against a new leader that grants what a VM holds that it hasn't heard from.
   Scenario: A new leader assumes an equal part for a VM that doesn't report
@@ -85,7 +85,7 @@
   Scenario: A VM reduces its share at once with the limit, and doesn't increase it by itself
     Given an entry VM with a share of 40 of a usable total of 115
     When the limit of 20 requests a second becomes 10, 20 and 1
-    Then it may send 40, 21, 21 and 5 requests in a window
+    Then it may send 40, 24, 24 and 7 requests in a window
 
   # Guards against a raised limit that reduces shares until the VM has the new configuration.
   Scenario: A grant under a newer configuration isn't reduced to the limit of an older one
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -22,7 +22,7 @@
     settle_ticket,
 )
 from camphorspread.version.organisations import Organisation, OrganisationTable
-from camphorspread.version.quota_total import QuotaRules
+from camphorspread.version.quota_total import GRANTED_FRACTION, QuotaRules
 
 ACME = "acme"
 START = timedelta(seconds=1000)
@@ -33,10 +33,18 @@
     return OrganisationTable((Organisation(ACME, rate=rate),))
 
 
+def find_rate(usable):
+    """Return the rate of a limit without a burst that has this usable total."""
+    rules = QuotaRules()
+    granted = 1 + rules.overage * GRANTED_FRACTION
+    total = usable - rules.tolerance * GRANTED_FRACTION
+    return total / rules.window.total_seconds() / granted + 1e-6
+
+
 @given('a leader with a usable total of {usable:d}, which the VMs "a" and "b" poll')
 def step_leader(context, usable):
     context.allocator = QuotaAllocator(QuotaRules())
-    observe_limits(context.allocator, make_table((usable - 10) / 5 / 1.05 + 1e-6), 1)
+    observe_limits(context.allocator, make_table(find_rate(usable)), 1)
     context.now = START
     context.numbers, context.incarnations, context.started = {}, {}, {}
     begin_term(context.allocator, 1, ["a", "b"], START)
@@ -107,7 +115,7 @@
     assert granted <= share if bound == "most" else granted >= share, granted
 
 
-@then("it gets {share:d}")
+@then("its share is {share:d}")
 def step_gets_exactly(context, share):
     assert context.share == share, context.share
 
@@ -136,7 +144,7 @@
 @given("an entry VM with a share of {share:d} of a usable total of {usable:d}, which is {pressure}")
 def step_entry_vm(context, share, usable, pressure="low"):
     context.book = QuotaBook(QuotaRules())
-    apply_limits(context.book, make_table((usable - 10) / 5 / 1.05 + 1e-6), 1)
+    apply_limits(context.book, make_table(find_rate(usable)), 1)
     grant = QuotaGrant(share, usable, Pressure[pressure.upper()])
     need = QuotaNeed(share, share, 0, 0)
     apply_grants(context.book, {ACME: need}, {ACME: grant}, 1, START)
