Don't send a refused request again on the connection that refused it

What was seen: callers repeat refused uploads with the same Request-Id, and the endpoints write the refusal once more on the kept connections while they receive the repeated bodies. One of 8 callers gets 503 for a request that ran.

Cause: a response belongs to a request if it names its identifier, and the second copy of the earlier refusal names it too.

Change: a connection keeps the identifiers of the requests that were refused on it (64 at most, then it is closed); acquire_clean takes another connection for them. AnswerRule joins what send_request needs to know of responses.

The fix works because a copy can arrive only on the connection of its original, whenever it comes.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -42,6 +42,7 @@
         head_sent: Set once the head of the current request may have been sent.
         completed_requests: Number of exchanges that were completed on this connection.
         informational_responses: Number of informational responses before the current response.
+        refused_requests: Identifiers of the requests that were refused on this connection.
     """
 
     address: Address
@@ -51,6 +52,7 @@
     head_sent: asyncio.Event = attrs.field(factory=asyncio.Event)
     completed_requests: int = 0
     informational_responses: int = 0
+    refused_requests: set[str] = attrs.field(factory=set)
 
     async def send_head(self, head: RequestHead) -> None:
         """Send the head of a request.
--- a/camphorspread/connection/pool.py
+++ b/camphorspread/connection/pool.py
@@ -15,6 +15,8 @@
 # A server may close an idle connection at any time; a short limit makes it rare that a request
 # is sent on a connection that is being closed.
 IDLE_TIMEOUT = timedelta(seconds=5)
+# Bounds the memory for identifiers of refused requests on one connection.
+MAX_REFUSED_REQUESTS = 64
 
 
 @attrs.frozen(eq=False)
@@ -67,10 +69,16 @@
         return await open_connection(self.network, address, self.limits, self.connect_limit)
 
     def release(self, conn: ClientConnection) -> None:
-        """Keep the connection if its exchange is complete, and reset it otherwise."""
+        """Keep the connection if its exchange is complete, and reset it otherwise.
+
+        A connection that has carried many refusals, whose identifiers it keeps, is closed.
+        """
         if not conn.is_reusable:
             conn.abort()
             return
+        if len(conn.refused_requests) >= MAX_REFUSED_REQUESTS:
+            conn.close()
+            return
         conn.prepare_next_request()
         self.release_unused(conn)
 
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -40,6 +40,7 @@
 from camphorspread.request.routed_request import RoutedRequest
 from camphorspread.request.run_statistics import record_peer_warmth, record_run_end
 from camphorspread.request.send import (
+    AnswerRule,
     NotSent,
     Reply,
     ResponseLost,
@@ -126,6 +127,9 @@
         # response to this request, a copied refusal would assure that this request didn't run.
         return state.dialect.decode_response(response).request_id == job.call.request_id
 
+    def is_refusal(response: ResponseHead) -> bool:
+        return state.dialect.decode_response(response).is_not_run
+
     result: SendResult | None = None
     may_have_run = job.may_have_run
     job.may_have_run = True
@@ -135,8 +139,7 @@
             instance.report.address,
             prepare,
             job.body,
-            is_answer,
-            needs_new_connection=not job.call.request_id,
+            AnswerRule(is_answer, is_refusal, job.call.request_id, not job.call.request_id),
         )
         outcome = classify_send(state, job, place, result, was_sent)
         if isinstance(outcome, Rejected):
@@ -285,7 +288,7 @@
     may_have_run = job.may_have_run
     job.may_have_run = True
     result = await send_request(
-        state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
+        state.peer_pool, peer.peers, prepare, job.body, AnswerRule(lambda _response: True)
     )
     outcome = classify_forward(state, job, peer, result)
     if isinstance(outcome, Rejected):
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -19,6 +19,7 @@
 from camphorspread.request.resend import BodyProgress, WholeBuffered, may_resend, note_read
 
 __all__ = [
+    "AnswerRule",
     "NotSent",
     "Reply",
     "RequestBody",
@@ -109,13 +110,30 @@
 SendResult = Reply | StreamedReply | NotSent | Withheld | ResponseLost
 
 
+@attrs.frozen
+class AnswerRule:
+    """Which responses belong to a request.
+
+    Attributes:
+        is_answer: Returns True if a response names this request.
+        is_refusal: Returns True if a response states that its request didn't run.
+        request_id: Identifier that responses name, empty if they name none.
+        needs_new_connection: True if the response can only be recognised on a connection that has
+            carried no other request.
+    """
+
+    is_answer: Callable[[ResponseHead], bool]
+    is_refusal: Callable[[ResponseHead], bool] = lambda _response: False
+    request_id: str = ""
+    needs_new_connection: bool = False
+
+
 async def send_request(
     pool: ConnectionPool,
     address: Address,
     prepare: Callable[[], RequestHead | None],
     body: RequestBody,
-    is_answer: Callable[[ResponseHead], bool],
-    needs_new_connection: bool = False,
+    rule: AnswerRule,
 ) -> SendResult:
     """Send a request and read the response.
 
@@ -129,9 +147,7 @@
             longer be sent. Opening a connection takes time, and the process may have been suspended
             meanwhile.
         body: Body of the request.
-        is_answer: Returns True if a response belongs to this request.
-        needs_new_connection: True if the response can only be recognised on a connection that has
-            carried no other request.
+        rule: Which responses belong to this request.
 
     Raises:
         RuntimeError: An earlier attempt has read bytes of the body that aren't buffered.
@@ -142,7 +158,7 @@
     is_complete = False
     try:
         try:
-            conn = await acquire_clean(pool, address, needs_new_connection)
+            conn = await acquire_clean(pool, address, rule)
         except (OSError, TimeoutError) as exc:
             return NotSent(str(exc) or "connection timed out")
         head = prepare()
@@ -152,7 +168,7 @@
             return Withheld()
         full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
         try:
-            result = await exchange(pool, conn, full_head, body, is_answer)
+            result = await exchange(pool, conn, full_head, body, rule)
         except RequestNotSentError as exc:
             return NotSent(str(exc))
         except (InvalidResponseError, ConnectionError) as exc:
@@ -177,17 +193,18 @@
             conn.abort()
 
 
-async def acquire_clean(pool: ConnectionPool, address: Address, is_new: bool) -> ClientConnection:
-    """Acquire a connection on which no unexpected data has arrived.
+async def acquire_clean(
+    pool: ConnectionPool, address: Address, rule: AnswerRule
+) -> ClientConnection:
+    """Acquire a connection on which no response to another request can be taken for the answer.
 
-    Args:
-        pool: Connection pool.
-        address: Address of the next hop.
-        is_new: True if the connection must not have carried another request.
+    No unexpected data has arrived on it. It hasn't carried a refusal of a request with the same
+    identifier either: a caller may send a refused request again, and a late second copy of the
+    refusal would assure that the new one didn't run.
     """
     while True:
-        conn = await (pool.open(address) if is_new else pool.acquire(address))
-        if conn.is_idle:
+        conn = await (pool.open(address) if rule.needs_new_connection else pool.acquire(address))
+        if conn.is_idle and rule.request_id not in conn.refused_requests:
             return conn
         conn.close()
 
@@ -197,7 +214,7 @@
     conn: ClientConnection,
     head: RequestHead,
     body: RequestBody,
-    is_answer: Callable[[ResponseHead], bool],
+    rule: AnswerRule,
 ) -> SendResult:
     """Send the request and read its response; responses to other requests are skipped."""
     if body.receive is None:
@@ -210,7 +227,9 @@
         await conn.finish_request()
     for _ in range(MAX_STRAY_RESPONSES + 1):
         response = await conn.read_final_head()
-        if is_answer(response):
+        if rule.is_answer(response):
+            if rule.request_id and rule.is_refusal(response):
+                conn.refused_requests.add(rule.request_id)
             return await read_reply(pool, conn, response)
         await discard_body(conn)
         conn.prepare_next_response(head)
--- a/features/platform/broken_uploads.feature
+++ b/features/platform/broken_uploads.feature
@@ -70,6 +70,21 @@
       | a "not run" that belongs to another request   | refusal  | 0      | 23   |
       | the same, within the rest of the body         | refusal  | 110000 | 24   |
 
+  # Guards against a refusal of a caller's earlier try that is taken for that of the later one.
+  @fixture.platform_fleet
+  Scenario Outline: A second copy of a refusal arrives while the repeated body is being sent
+    Given callers upload once and are refused, with seed <seed>
+    And each endpoint repeats an earlier refusal after <bytes> bytes of a body
+    When callers repeat their uploads with the same identifiers
+    Then the fault has occurred
+    And no endpoint takes a body for whole that isn't its caller's, and no caller is told wrong
+    And callers get 200
+
+    Examples:
+      | guards against                          | bytes  | seed |
+      | a false "not run" before the body       | 0      | 121  |
+      | the same, within the rest of the body   | 110000 | 122  |
+
   # Guards against a body whose rest goes to a server other than the one that got its first part.
   @fixture.platform_fleet
   Scenario Outline: Servers change while bodies are received
--- a/features/steps/resend_steps.py
+++ b/features/steps/resend_steps.py
@@ -14,7 +14,7 @@
     may_resend,
     note_read,
 )
-from camphorspread.request.send import RequestBody, send_request
+from camphorspread.request.send import AnswerRule, RequestBody, send_request
 from features.fixtures.memory_network import MemoryNetwork
 
 REQUEST_FOLDER = Path(__file__).parent.parent.parent / "camphorspread" / "request"
@@ -55,7 +55,11 @@
     network = MemoryNetwork(lambda _source, _target: 0.001)
     pool = ConnectionPool(network.host("10.0.0.1"), context.clock)
     sending = send_request(
-        pool, Address("10.0.0.2", 80), lambda: None, context.request_body, lambda _head: True
+        pool,
+        Address("10.0.0.2", 80),
+        lambda: None,
+        context.request_body,
+        AnswerRule(lambda _head: True),
     )
     context.network = network
     try:
