Test forwarded bodies that callers break off

Change: five rows in which callers leave, reset, send an invalid chunk or pause within bodies that are forwarded to another region, and one with a planned stop of the caller's entry VM.

--- a/features/platform/broken_uploads.feature
+++ b/features/platform/broken_uploads.feature
@@ -101,6 +101,7 @@
       | a new server at the address, within the rest | the endpoints of sofia are replaced         | 80000  | 35   | 200 or 503        |
       | a hand-over of the owner while buffered      | the entry VM of sofia-b stops               | 40000  | 36   | 200               |
       | a hand-over of the owner within the rest     | the entry VM of sofia-b stops               | 80000  | 37   | 200               |
+      | a planned stop of the caller's VM            | the entry VM of sofia-a stops               | 80000  | 48   | 200               |
       | the death of the owner within the rest       | the entry VMs of sofia-b die                | 80000  | 38   | 200               |
       | the restart of the owner within the rest     | the entry VMs of sofia-b restart            | 80000  | 39   | 200               |
       | the death of the caller's VM within the rest | the entry VMs of sofia-a die                | 80000  | 40   | nothing           |
@@ -189,6 +190,24 @@
       | a pause beyond the progress limit           | pauses for 4 s         | 100000 | 99   | no    | all    |
       | such a pause in the buffered part           | pauses for 4 s         | 30000  | 100  | no    | none   |
 
+  # Guards against an aborted body that the second VM completes.
+  @fixture.platform_fleet
+  Scenario Outline: Callers break off bodies that are forwarded
+    Given configuration 2 with a time limit of 20 s
+    And no endpoint of "sofia" has room
+    When each caller <action> after <bytes> bytes, with seed <seed>
+    Then <whole> bodies arrive whole, and <broken> are seen broken
+    And no endpoint takes a body for whole that isn't its caller's, and no caller is told wrong
+    And 0.5 s after that no work goes on
+
+    Examples:
+      | guards against                             | action                 | bytes  | seed | whole | broken |
+      | a caller that leaves within the rest       | leaves                 | 100000 | 131  | no    | all    |
+      | a caller that resets within the rest       | resets                 | 100000 | 132  | no    | all    |
+      | an invalid chunk within the rest           | sends an invalid chunk | 100000 | 133  | no    | all    |
+      | a pause within the progress limit          | pauses for 2.5 s       | 100000 | 134  | all   | none   |
+      | a pause beyond the progress limit          | pauses for 4 s         | 100000 | 135  | no    | all    |
+
   # Guards against a body over the limit that an endpoint takes for a complete one.
   @fixture.platform_fleet
   Scenario Outline: The size limit is reached within a body
