Cover organisations, limits and stated pauses in the soak

The soak ran no organisations, so that nothing checked keys, limits and pauses on real processes under faults. Configurations now have four organisations whose keys and limits change, and a public route; endpoints state four-figure loads, run slowly for a time, and reject with Retry-After. The checks use only what callers and endpoints see; the sender of a request to an endpoint is found by its socket, because all processes connect from 127.0.0.1.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -28,3 +28,84 @@
       | an accepted revision that is lost at the end | 1     |
       | a revision in force with other content       | 1     |
       | a read of an older revision                  | 1     |
+
+  # Guards against endpoints that see a key, or the name of another organisation, unnoticed.
+  Scenario Outline: Identities that endpoints see
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And a request reached an endpoint for <names> and <credentials> a key
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | names         | credentials | count |
+      | coral         | without     | 0     |
+      | coral         | with        | 1     |
+      | kelp          | without     | 1     |
+      | coral,claimed | without     | 1     |
+      | nobody        | without     | 1     |
+
+  # Guards against wrong and withdrawn keys that are accepted unnoticed, and against reports of
+  # refusals that the promises allow.
+  Scenario Outline: Requests with keys
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And a request with the <key> key that was sent at <at> s got <status>
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | key      | at   | status | count |
+      | unknown  | 1    | 401    | 0     |
+      | unknown  | 1    | 503    | 0     |
+      | unknown  | 1    | 429    | 1     |
+      | unknown  | 1    | 200    | 1     |
+      | steady   | 20   | 401    | 1     |
+      | steady   | 20   | 403    | 1     |
+      | steady   | 20   | 404    | 1     |
+      | changing | 20   | 401    | 0     |
+      | changing | 20   | 404    | 1     |
+      | changing | 12.8 | 200    | 0     |
+      | changing | 13.1 | 200    | 1     |
+      | changing | 36.4 | 401    | 0     |
+      | changing | 36.6 | 401    | 1     |
+
+  # Guards against runs of withdrawn keys that an unrelated fault excuses.
+  Scenario Outline: A withdrawn key at a disturbed VM
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And <name> was disturbed from 9 s to 11 s
+    And a request with the changing key that was sent at <at> s got 200
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | at   | count |
+      | front-a | 14.8 | 0     |
+      | front-a | 15.1 | 1     |
+      | front-b | 14.8 | 1     |
+
+  # Guards against limits that are exceeded unnoticed, and against reports before a lower limit is
+  # binding.
+  Scenario Outline: Requests that ran under a limit
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And front-a was disturbed from 9 s to <end> s
+    And <requests> requests ran within 5 s from <start> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | end | start | requests | count |
+      | 9   | 4     | 250      | 0     |
+      | 9   | 4     | 252      | 1     |
+      | 9   | 20    | 74       | 0     |
+      | 9   | 20    | 76       | 1     |
+      | 9   | 12    | 76       | 0     |
+      | 18  | 20    | 76       | 0     |
+
+  # Guards against pauses that VMs ignore unnoticed, and against reports of pauses that were lost.
+  Scenario Outline: Requests in a pause that an endpoint asked for
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And <name> was disturbed from <start> s to 2.5 s
+    And requests arrived <offsets> s after the endpoint asked for a pause of 2 s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | start | offsets             | count |
+      | front-b | 1.9   | 0.1 0.4 0.6 1.9 2.1 | 0     |
+      | front-b | 1.9   | 0.6 1.0 1.9         | 1     |
+      | front-a | 1.9   | 0.6 1.0 1.9         | 0     |
+      | s-1     | 1.9   | 0.6 1.0 1.9         | 0     |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,7 +8,17 @@
 from behave import given, then, when
 
 from soak.faults import FAULTS
-from soak.guarantees import CallerResponse, ConfigurationRead, Observations, find_violations
+from soak.guarantees import (
+    Arrival,
+    CallerResponse,
+    ConfigurationRead,
+    Disturbance,
+    Observations,
+    StatedPause,
+    find_violations,
+)
+from soak.organisation_checks import find_organisation_violations
+from soak.organisations import CHANGING_KEYS, STEADY_KEYS, UNKNOWN_KEY
 from soak.run import run_seed
 
 # Only ends a run that hangs; the recovery time is measured by hand on an idle machine.
@@ -70,3 +80,88 @@
 @then("it reports {count:d} violated guarantees")
 def step_reports(context, count):
     assert len(find_violations(context.seen)) == count, find_violations(context.seen)
+
+
+KEYS = {
+    "steady": STEADY_KEYS["coral"],
+    "changing": CHANGING_KEYS["coral"],
+    "unknown": UNKNOWN_KEY,
+}
+SUCCESS = 200
+
+
+def make_configuration_of(revision, keys, rate):
+    """Return a configuration with one organisation."""
+    tenants = [{"name": "coral", "apiKeys": keys, "ratePerS": rate, "burst": 10}]
+    return {"version": f"r{revision}", "tenants": tenants}
+
+
+def make_organisation_observations():
+    """Return observations of an organisation at 1 s whose key and limit change at 10 s and 30 s."""
+    steady, changing = KEYS["steady"], KEYS["changing"]
+    seen = Observations(
+        sent={
+            1: make_configuration_of(1, [steady, changing], 40.0),
+            2: make_configuration_of(2, [steady], 8.0),
+            3: make_configuration_of(3, [steady, changing], 40.0),
+        },
+        sent_at={1: 0.0, 2: 9.9, 3: 29.9},
+        accepted_at={1: 0.0, 2: 10.0, 3: 30.0},
+    )
+    add_request(seen, steady, 1.0)
+    return seen
+
+
+def add_request(seen, key, at, status=200, **fields):
+    """Add a request that arrived at an endpoint and ran unless it was refused."""
+    name = f"q{len(seen.responses) + 1}"
+    values = {"sent_at": at - 0.1, "key": key, "is_public": False, "vm": "front-a", **fields}
+    seen.responses.append(CallerResponse(name, True, status, b"", at + 0.1, **values))
+    if status == SUCCESS:
+        seen.runs.append((name, "s-1", at))
+        seen.arrivals.append(Arrival(name, "s-1", "front-a", at, (b"coral",)))
+
+
+@given("a soak with an organisation whose key and limit changed at 10 s and 30 s")
+def step_organisation(context):
+    context.seen = make_organisation_observations()
+
+
+@given("{name} was disturbed from {start:g} s to {end:g} s")
+def step_disturbed(context, name, start, end):
+    is_vm = name.startswith("front-")
+    context.seen.disturbances.append(Disturbance(name, start, end, is_vm))
+
+
+@given("a request reached an endpoint for {names} and {credentials} a key")
+def step_reached(context, names, credentials):
+    tenants = () if names == "nobody" else tuple(names.encode().split(b","))
+    arrival = context.seen.arrivals[0]
+    has_key = credentials == "with"
+    context.seen.arrivals[0] = attrs.evolve(arrival, tenants=tenants, has_key=has_key)
+
+
+@given("a request with the {key} key that was sent at {at:g} s got {status:d}")
+def step_got(context, key, at, status):
+    add_request(context.seen, KEYS[key], at + 0.1, status)
+    if status == SUCCESS and key == "unknown":
+        context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], tenants=())
+
+
+@given("{count:d} requests ran within 5 s from {start:g} s")
+def step_ran(context, count, start):
+    for number in range(count):
+        add_request(context.seen, KEYS["steady"], start + 4 * number / count)
+
+
+@given("requests arrived {offsets} s after the endpoint asked for a pause of 2 s")
+def step_paused(context, offsets):
+    context.seen.pauses.append(StatedPause("s-1", "front-a", 2.0, 2.0))
+    for offset in offsets.split():
+        add_request(context.seen, KEYS["steady"], 2.0 + float(offset))
+
+
+@then("it reports {count:d} violations for organisations")
+def step_reports_organisations(context, count):
+    violations = find_organisation_violations(context.seen)
+    assert len(violations) == count, violations
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -17,10 +17,11 @@
 from features.fixtures.platform_endpoint import StubEndpoint, call_address
 from features.fixtures.platform_fleet import make_configuration, make_route
 from soak.fleet import FRONT_PORT, ZONES, SoakFleet
-from soak.guarantees import CallerResponse, ConfigurationRead, Observations
+from soak.guarantees import Arrival, CallerResponse, ConfigurationRead, Observations, StatedPause
+from soak.organisations import KEY_MARK, CallerRequest, draw_request, draw_tenants
 from soak.proxy import FaultProxy
 
-__all__ = ["SoakEndpoint", "SoakEnvironment", "call_operator", "run_callers"]
+__all__ = ["NORMAL_SPEED", "SoakEndpoint", "SoakEnvironment", "call_operator", "run_callers"]
 
 SERVER_PORT = 8080
 # All callers together send about 200 requests per second, well below the backend servers' slots.
@@ -29,14 +30,24 @@
 # Timeout of the callers in production deployments.
 REQUEST_TIMEOUT_S = 3.0
 OBJECT_COUNT = 30
+SERVICE_TIME_S = 0.05
+# The speed that an endpoint states while work takes as long as usual.
+NORMAL_SPEED = 100
 
 
 @attrs.define(eq=False)
 class SoakEndpoint(StubEndpoint):
-    """A backend server that listens behind a proxy and records the requests that it runs."""
+    """A backend server that listens behind a proxy and records the requests that it runs.
+
+    Attributes:
+        observations: Where it records them.
+        proxy: The proxy in front of it.
+        speed: How long work takes, in percent of the usual time.
+    """
 
     observations: Observations | None = None
     proxy: FaultProxy | None = None
+    speed: int = NORMAL_SPEED
 
     async def start(self) -> None:
         """Listen behind the proxy and announce the proxy's address."""
@@ -58,12 +69,45 @@
         length = find_header(exchange.head.headers, b"content-length") or b"0"
         body = f"{self.instance} {target} {int(length)}".encode()
         self.observations.complete_bodies[(request, self.instance)] = body
+        self.observations.arrivals.append(self.describe_arrival(exchange, request, arrived))
         try:
             await StubEndpoint.serve(self, exchange)
         finally:
             if request in self.runs[before:]:
                 self.observations.runs.append((request, self.instance, arrived))
 
+    def set_speed(self, speed: int) -> None:
+        """Let work take a percentage of its usual time from now on, and state it."""
+        self.speed, self.service_time_s = speed, SERVICE_TIME_S * speed / NORMAL_SPEED
+
+    def describe_arrival(self, exchange: Exchange, request: str, at: float) -> Arrival:
+        """Return what this server sees of the sender of a request."""
+        headers = exchange.head.headers
+        return Arrival(
+            request,
+            self.instance,
+            self.proxy.senders.get(exchange.peer.port, ""),
+            at,
+            tuple(value for name, value in headers if name.lower() == b"tenant"),
+            any(
+                name.lower() == b"authorization" or KEY_MARK.encode() in value
+                for name, value in headers
+            ),
+        )
+
+    async def answer(self, exchange: Exchange, request_id: bytes, body_size: int) -> None:
+        """Respond to a request that has run and state the load."""
+        self.load = b"%d,0,%d,%d" % (self.running, self.slots, self.speed)
+        await StubEndpoint.answer(self, exchange, request_id, body_size)
+
+    def state_pause(self, exchange: Exchange) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the header on its pause, if any, and record it with the VM that gets it."""
+        if self.retry_after:
+            vm = self.proxy.senders.get(exchange.peer.port, "")
+            pause = StatedPause(self.instance, vm, time.monotonic(), float(self.retry_after))
+            self.observations.pauses.append(pause)
+        return StubEndpoint.state_pause(self, exchange)
+
 
 @attrs.define(eq=False)
 class SoakEnvironment:
@@ -76,6 +120,7 @@
         caller_proxies: Proxies between callers and the entry VMs, by zone.
         endpoints: Backend servers, by identifier.
         revision: Revision of the newest configuration sent.
+        tenants: Organisations of the newest configuration sent.
         request_count: Number of requests started so far.
         last_octet: Last octet of the newest backend server's proxy address.
         is_stopped: True once callers must stop.
@@ -88,6 +133,7 @@
     endpoints: dict[str, SoakEndpoint] = attrs.field(factory=dict)
     network: TcpNetwork = attrs.field(factory=TcpNetwork)
     revision: int = 0
+    tenants: list[dict] = attrs.field(factory=list)
     request_count: int = 0
     last_octet: int = 10
     is_stopped: bool = False
@@ -123,10 +169,10 @@
             listen_address,
             zone,
             tuple(self.rng.sample(controls, len(controls))),
-            service_time_s=0.05,
+            service_time_s=SERVICE_TIME_S,
             born=int(time.time() * 1000),
             observations=self.observations,
-            proxy=FaultProxy(listen_address, target_address),
+            proxy=FaultProxy(listen_address, target_address, find_sender=self.fleet.find_sender),
         )
         await self.endpoints[name].start()
 
@@ -150,10 +196,13 @@
         routes = [
             make_route("read", "/read/", "safe", "status"),
             make_route("file", "/file/", "unsafe", "filing"),
+            make_route("open", "/open/", "safe", "status", public=True),
             make_route(f"more-{revision}", f"/more/{revision}/", "safe", "status"),
         ]
-        body = make_configuration(revision, routes)
+        self.tenants = draw_tenants(self.rng, self.tenants)
+        body = make_configuration(revision, routes, self.tenants)
         self.observations.sent[revision] = json.loads(body)
+        self.observations.sent_at[revision] = time.monotonic()
         for _ in range(40):
             answer = await call_operator(self, "POST", "/-/Config.Put", body)
             if answer is not None and answer[0] == 200:
@@ -198,10 +247,9 @@
     rng = random.Random(number)
     zones = list(ZONES)
     while not environment.is_stopped:
-        proxy = environment.caller_proxies[zones[number % len(zones)]]
-        is_read = rng.random() < 0.7
+        zone = zones[number % len(zones)]
         answer = await send_request(
-            environment, pool, proxy.listen_address, is_read, rng.randrange(OBJECT_COUNT)
+            environment, pool, zone, draw_request(rng), rng.randrange(OBJECT_COUNT)
         )
         environment.observations.responses.append(answer)
         if answer.status == 0:
@@ -211,25 +259,32 @@
 
 
 async def send_request(
-    environment: SoakEnvironment, pool: ConnectionPool, address: Address, is_read: bool, key: int
+    environment: SoakEnvironment,
+    pool: ConnectionPool,
+    zone: str,
+    request: CallerRequest,
+    object_number: int,
 ) -> CallerResponse:
     """Send one request and return the response that the caller received."""
     environment.request_count += 1
     request_id = f"q{environment.request_count}"
-    method, target, body = ("GET", "/read/x", b"") if is_read else ("POST", "/file/x", b"form")
+    method, target = request.method.encode(), request.target.encode()
+    body = b"" if request.is_idempotent else b"form"
+    sent_at = time.monotonic()
     headers = (
         (b"host", b"water.example"),
         (b"request-id", request_id.encode()),
-        (b"cookie", b"Affinity-Key=%d" % key),
+        (b"cookie", b"Affinity-Key=%d" % object_number),
         (b"deadline-ms", b"%d" % (REQUEST_TIMEOUT_S * 1000)),
+        *request.headers,
         *(((b"content-length", b"%d" % len(body)),) if body else ()),
     )
     conn = None
     status, received = 0, b""
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
-            conn = await pool.acquire(address)
-            await conn.send_head(RequestHead(method.encode(), target.encode(), headers))
+            conn = await pool.acquire(environment.caller_proxies[zone].listen_address)
+            await conn.send_head(RequestHead(method, target, headers))
             if body:
                 await conn.send_body(body)
             await conn.finish_request()
@@ -241,4 +296,14 @@
     except (OSError, TimeoutError, InvalidResponseError, RequestNotSentError):
         if conn is not None:
             conn.abort()
-    return CallerResponse(request_id, is_read, status, received, time.monotonic())
+    return CallerResponse(
+        request_id,
+        request.is_idempotent,
+        status,
+        received,
+        time.monotonic(),
+        sent_at,
+        request.key,
+        request.is_public,
+        f"front-{zone}",
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,11 +1,15 @@
 """Faults and planned operations that a soak run injects."""
 
 import asyncio
+import contextlib
 import random
 import signal
+import time
+from collections.abc import Iterator
 
-from soak.environment import SoakEnvironment, call_operator
+from soak.environment import NORMAL_SPEED, SoakEndpoint, SoakEnvironment, call_operator
 from soak.fleet import ZONES, Node, SoakFleet
+from soak.guarantees import Disturbance, Observations
 from soak.proxy import FaultProxy, LinkFault
 
 __all__ = ["FAULTS", "PLANNED_OPERATIONS", "ensure_started", "finish_evacuation", "run_operation"]
@@ -13,7 +17,7 @@
 PLANNED_OPERATIONS = ("put", "read", "evacuate", "drain", "reload")
 FAULTS = (
     *PLANNED_OPERATIONS,
-    "put",
+    *["put"] * 3,
     "kill_entry",
     "kill_control",
     "kill_all_controls",
@@ -24,10 +28,17 @@
     "tear",
     "proxy",
     "endpoint",
+    "slow",
+    *["overload"] * 2,
 )
 # Longer than a leader's lease, shorter than the silence after which a member is removed.
 MAX_FAULT_S = 3.0
 EXIT_POLL_INTERVAL_S = 0.05
+# While an endpoint is slow, its requests take three times as long as usual.
+SLOW_SPEED = 300
+# An endpoint gets requests mainly from the VM of its zone, so that one alone asks for few pauses.
+OVERLOADED_ENDPOINTS = 3
+RETRY_AFTER_VALUES = (b"0.8", b"1.5", b"3")
 MISBEHAVIOURS = ("reset", "shed", "cut", "stray")
 
 
@@ -49,24 +60,76 @@
             ready = [item for item in environment.endpoints.values() if item.state == "ready"]
             await environment.replace_endpoint(rng.choice(ready))
         case "proxy":
-            proxies = [
-                *environment.caller_proxies.values(),
-                *(item.proxy for item in environment.endpoints.values()),
-            ]
-            await fail_link(rng.choice(proxies), rng, duration_s)
+            proxies = {
+                **environment.caller_proxies,
+                **{name: item.proxy for name, item in environment.endpoints.items()},
+            }
+            name = rng.choice(list(proxies))
+            with record_disturbances(environment.observations, [name], is_vm=False):
+                await fail_link(proxies[name], rng, duration_s)
+        case "endpoint" | "slow" | "overload":
+            await fail_endpoints(list(environment.endpoints.values()), kind, rng, duration_s)
+        case "kill_all_controls":
+            names = [node.name for node in environment.fleet.list_nodes(is_control=False)]
+            with record_disturbances(environment.observations, names):
+                await fail_all_controls(environment.fleet, duration_s)
+                # VMs are cut off until a leader is elected.
+                for _ in range(40):
+                    if await environment.read_configuration() is not None:
+                        break
+                    await asyncio.sleep(0.3)
+        case _:
+            is_entry = kind in ("kill_entry", "pause_entry", "stop_entry")
+            node = rng.choice(environment.fleet.list_nodes(is_control=not is_entry))
+            names = [node.name] if is_entry else []
+            with record_disturbances(environment.observations, names):
+                await fail_process(environment.fleet, kind, node, duration_s)
+
+
+@contextlib.contextmanager
+def record_disturbances(seen: Observations, names: list[str], is_vm: bool = True) -> Iterator[None]:
+    """Record that VMs or links are disturbed while the context is open."""
+    items = [Disturbance(name, time.monotonic(), is_vm=is_vm) for name in names]
+    seen.disturbances.extend(items)
+    yield
+    for item in items:
+        item.end = time.monotonic()
+
+
+async def fail_endpoints(
+    endpoints: list[SoakEndpoint], kind: str, rng: random.Random, duration_s: float
+) -> None:
+    """Let an endpoint misbehave or run slowly, or some of them ask for pauses, for a time."""
+    endpoint = rng.choice(endpoints)
+    match kind:
         case "endpoint":
-            endpoint = rng.choice(list(environment.endpoints.values()))
             endpoint.fault = rng.choice(MISBEHAVIOURS)
             await asyncio.sleep(duration_s)
             endpoint.fault = ""
-        case _:
-            await fail_process(environment.fleet, kind, rng, duration_s)
-
-
-async def fail_process(fleet: SoakFleet, kind: str, rng: random.Random, duration_s: float) -> None:
+        case "slow":
+            endpoint.set_speed(SLOW_SPEED)
+            await asyncio.sleep(duration_s)
+            endpoint.set_speed(NORMAL_SPEED)
+        case "overload":
+            overloaded = rng.sample(endpoints, OVERLOADED_ENDPOINTS)
+            for item in overloaded:
+                item.fault, item.retry_after = "shed", rng.choice(RETRY_AFTER_VALUES)
+            await asyncio.sleep(duration_s / 2)
+            for item in overloaded:
+                item.fault, item.retry_after = "", b""
+
+
+async def fail_all_controls(fleet: SoakFleet, duration_s: float) -> None:
+    """Kill all control VMs and start them again."""
+    for item in fleet.list_nodes(is_control=True):
+        fleet.kill(item)
+    await asyncio.sleep(min(duration_s, 1.0))
+    for item in fleet.list_nodes(is_control=True):
+        ensure_started(fleet, item)
+
+
+async def fail_process(fleet: SoakFleet, kind: str, node: Node, duration_s: float) -> None:
     """Kill, suspend or stop a process, or damage its data folder while it is down."""
-    is_entry = kind in ("kill_entry", "pause_entry", "stop_entry")
-    node = rng.choice(fleet.list_nodes(is_control=not is_entry))
     match kind:
         case "kill_entry" | "kill_control" | "wipe" | "tear":
             fleet.kill(node)
@@ -76,12 +139,6 @@
                 fleet.append_torn_record(node)
             await asyncio.sleep(duration_s)
             ensure_started(fleet, node)
-        case "kill_all_controls":
-            for item in fleet.list_nodes(is_control=True):
-                fleet.kill(item)
-            await asyncio.sleep(min(duration_s, 1.0))
-            for item in fleet.list_nodes(is_control=True):
-                ensure_started(fleet, item)
         case _ if not node.is_up:
             return
         case "pause_entry" | "pause_control":
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,8 +1,10 @@
 """Processes of a soak run: control VMs and entry VMs, each on its own loopback address."""
 
+import contextlib
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -151,6 +153,42 @@
             with log.open("ab") as file:
                 file.write(b"\x00\x00\x01")
 
+    def find_sender(self, source: Address, target: Address) -> str:
+        """Return the entry VM that has a connection, empty if its process has ended.
+
+        All processes connect from the same loopback address, so the socket tells them apart.
+
+        Args:
+            source: Address from which the VM connected.
+            target: Address to which it connected.
+        """
+        ends = [encode_socket_address(source), encode_socket_address(target)]
+        for line in Path("/proc/net/tcp").read_text().splitlines():
+            fields = line.split()
+            if fields[1:3] == ends:
+                link = f"socket:[{fields[9]}]"
+                nodes = self.list_nodes(is_control=False)
+                return next((node.name for node in nodes if has_open_file(node, link)), "")
+        return ""
+
     def control_address(self, node: Node) -> Address:
         """Return the address where a control VM accepts operator requests."""
         return Address(node.host, CONTROL_PORT)
+
+
+def encode_socket_address(address: Address) -> str:
+    """Return an address as in the kernel's table of TCP sockets."""
+    return f"{socket.inet_aton(address.host)[::-1].hex().upper()}:{address.port:04X}"
+
+
+def has_open_file(node: Node, link: str) -> bool:
+    """Return True if a process has an open file with this name."""
+    if node.process is None:
+        return False
+    # The process may end, or close a file, meanwhile.
+    with contextlib.suppress(OSError):
+        for entry in os.scandir(f"/proc/{node.process.pid}/fd"):
+            with contextlib.suppress(OSError):
+                if os.readlink(entry.path) == link:
+                    return True
+    return False
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,12 +1,22 @@
 """Observations of a soak run from outside the processes, and checks of the guarantees on them."""
 
+import math
 from collections import Counter
 
 import attrs
 
-__all__ = ["CallerResponse", "ConfigurationRead", "Observations", "find_violations"]
-
-NOT_RUN_STATUSES = (408, 421, 429, 503)
+__all__ = [
+    "APPLY_LIMIT_S",
+    "Arrival",
+    "CallerResponse",
+    "ConfigurationRead",
+    "Disturbance",
+    "Observations",
+    "StatedPause",
+    "find_violations",
+]
+
+NOT_RUN_STATUSES = (401, 408, 421, 429, 503)
 # Limits of the users' deployments until a departure and a change must be in effect.
 DRAIN_LIMIT_S = 2.5
 APPLY_LIMIT_S = 2.5
@@ -14,13 +24,70 @@
 
 @attrs.frozen
 class CallerResponse:
-    """Response to one request of a caller; status 0 stands for no complete response."""
+    """Response to one request of a caller.
+
+    Attributes:
+        request: Identifier of the request.
+        is_idempotent: True if it may run more than once.
+        status: Status of the response, 0 for no complete response.
+        body: Body of the response.
+        at: When it was complete.
+        sent_at: When the request was sent.
+        key: Key that the request carried, empty for none.
+        is_public: True if its route is public.
+        vm: Entry VM to which it was sent.
+    """
 
     request: str
     is_idempotent: bool
     status: int
     body: bytes
     at: float
+    sent_at: float = 0.0
+    key: str = ""
+    is_public: bool = True
+    vm: str = ""
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached a backend server.
+
+    Attributes:
+        request: Identifier of the request.
+        server: The backend server.
+        vm: Entry VM that sent it, empty if its process had ended.
+        at: When it arrived.
+        tenants: Values of its headers that name an organisation.
+        has_key: True if it carried credentials or a key.
+    """
+
+    request: str
+    server: str
+    vm: str
+    at: float
+    tenants: tuple[bytes, ...] = ()
+    has_key: bool = False
+
+
+@attrs.frozen
+class StatedPause:
+    """A rejection of a backend server that asked a VM for a pause."""
+
+    server: str
+    vm: str
+    at: float
+    length_s: float
+
+
+@attrs.define(eq=False)
+class Disturbance:
+    """A fault of one VM, or of the link to one backend server; its end is infinite until known."""
+
+    name: str
+    start: float
+    end: float = math.inf
+    is_vm: bool = True
 
 
 @attrs.frozen
@@ -45,6 +112,10 @@
         reads: Configurations read back during the run.
         final_configuration: Configuration read back at the end of the run.
         fault_times: Times at which faults other than planned operations were injected.
+        sent_at: Time at which a revision was first sent, by revision.
+        arrivals: Requests that reached backend servers.
+        pauses: Pauses for which backend servers asked.
+        disturbances: Faults of VMs and of the links to backend servers.
     """
 
     responses: list[CallerResponse] = attrs.field(factory=list)
@@ -56,6 +127,10 @@
     reads: list[ConfigurationRead] = attrs.field(factory=list)
     final_configuration: dict | None = None
     fault_times: list[float] = attrs.field(factory=list)
+    sent_at: dict[int, float] = attrs.field(factory=dict)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    pauses: list[StatedPause] = attrs.field(factory=list)
+    disturbances: list[Disturbance] = attrs.field(factory=list)
 
 
 def find_violations(seen: Observations) -> list[str]:
--- /dev/null
+++ b/soak/organisation_checks.py
@@ -0,0 +1,224 @@
+"""Checks of a soak's observations for keys, limits and pauses that endpoints ask for.
+
+A configuration whose acknowledgement got lost may be in force, so every check allows what the
+newest acknowledged configuration or any later one that was sent allows.
+"""
+
+from collections import defaultdict
+
+from soak.guarantees import APPLY_LIMIT_S, CallerResponse, Observations
+from soak.organisations import KEY_MARK, OWNERS, STEADY_KEYS, find_limit, list_keys
+
+__all__ = ["find_organisation_violations"]
+
+# Limits of the users' deployments, and the bounds that the settings leave at their defaults.
+WITHDRAWAL_LIMIT_S = 3.0
+CONTACT_WINDOW_S = 4.0
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERAGE = 0.1
+QUOTA_TOLERANCE = 20
+# All VMs must have had a lower limit for this time before it is binding.
+LIMIT_SETTLING_S = 3.0
+PAUSE_GRACE_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+
+
+def find_organisation_violations(seen: Observations) -> list[str]:
+    """Return a description of each violated guarantee on keys, limits and pauses."""
+    requests = {answer.request: answer for answer in seen.responses}
+    return [
+        *find_wrong_identities(seen, requests),
+        *find_wrong_refusals(seen),
+        *find_withdrawn_runs(seen, requests),
+        *find_exceeded_limits(seen, requests),
+        *find_ignored_pauses(seen),
+    ]
+
+
+def list_possible_contents(seen: Observations, since: float, until: float) -> list[dict]:
+    """Return the configurations that may be in force in a period.
+
+    Args:
+        seen: All observations.
+        since: Acknowledgements before this time have taken effect.
+        until: End of the period.
+    """
+    newest = max((r for r, at in seen.accepted_at.items() if at <= since), default=0)
+    return [
+        content
+        for revision, content in seen.sent.items()
+        if revision >= newest and seen.sent_at.get(revision, 0.0) <= until
+    ]
+
+
+def find_wrong_identities(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return requests that reached an endpoint with a key or another organisation's name."""
+    violations = []
+    for item in seen.arrivals:
+        if item.has_key:
+            violations.append(f"{item.request} reached {item.server} with a key")
+        request = requests.get(item.request)
+        if request is None:
+            continue
+        owner = OWNERS.get(request.key)
+        allowed = [(owner.encode(),)] if owner else [()]
+        if request.is_public and owner and request.key not in STEADY_KEYS.values():
+            # While its key is withdrawn, a request on a public route is one without a key.
+            allowed.append(())
+        if item.tenants not in allowed:
+            violations.append(f"{item.request} reached {item.server} for {item.tenants}")
+    return violations
+
+
+def find_wrong_refusals(seen: Observations) -> list[str]:
+    """Return wrong keys that were accepted, and proper requests that were refused."""
+    violations = []
+    ran = {request for request, _, _ in seen.runs}
+    for answer in seen.responses:
+        if not answer.is_public and answer.key not in OWNERS:
+            if answer.request in ran or answer.status not in (0, 401, 503):
+                violations.append(f"{answer.request} has no valid key and got {answer.status}")
+        elif answer.status in (403, 404) or (answer.status == 401 and is_proper(seen, answer)):
+            violations.append(f"{answer.request} is proper and got {answer.status}")
+    return violations
+
+
+def is_proper(seen: Observations, answer: CallerResponse) -> bool:
+    """Return True if a request's key was valid at every VM that may answer 401.
+
+    A VM may do so for a key that was added within the contact window and the time until a change
+    must be in effect.
+    """
+    since = answer.sent_at - CONTACT_WINDOW_S - APPLY_LIMIT_S
+    return answer.is_public or all(
+        answer.key in list_keys(content)
+        for content in list_possible_contents(seen, since, answer.at)
+    )
+
+
+def find_withdrawn_runs(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return requests that ran too long after their key was withdrawn."""
+    senders = {(item.request, item.server): item.vm for item in seen.arrivals}
+    violations = []
+    for name, server, at in seen.runs:
+        request = requests.get(name)
+        if request is None or request.is_public or request.key not in OWNERS:
+            continue
+        contents = list_possible_contents(seen, at - WITHDRAWAL_LIMIT_S, at)
+        if any(request.key in list_keys(content) for content in contents):
+            continue
+        vms = (senders.get((name, server), ""), request.vm)
+        if not any(is_disturbed(seen, vm, at - CONTACT_WINDOW_S, at) for vm in vms):
+            violations.append(f"{name} ran at {server} at {at:.2f} after its key was withdrawn")
+    return violations
+
+
+def is_disturbed(seen: Observations, name: str, since: float, until: float) -> bool:
+    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known."""
+    return not name or any(
+        item.name == name and item.start <= until and item.end >= since
+        for item in seen.disturbances
+    )
+
+
+def find_exceeded_limits(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return the first window of each organisation in which too many requests ran."""
+    spans = defaultdict(list)
+    first_runs: dict[str, float] = {}
+    for name, _, at in seen.runs:
+        first_runs[name] = min(at, first_runs.get(name, at))
+    for name, at in first_runs.items():
+        request = requests.get(name)
+        if request is not None and request.key in OWNERS and not is_keyless(request):
+            spans[OWNERS[request.key]].append((request.sent_at, at))
+    return [
+        violation
+        for organisation, items in spans.items()
+        if (violation := find_exceeded_limit(seen, organisation, sorted(items)))
+    ]
+
+
+def is_keyless(request: CallerResponse) -> bool:
+    """Return True if a request may have been served as one without a key."""
+    return request.is_public and request.key not in STEADY_KEYS.values()
+
+
+def find_exceeded_limit(
+    seen: Observations, organisation: str, spans: list[tuple[float, float]]
+) -> str | None:
+    """Return the first window in which too many requests were both sent and run, or None.
+
+    Args:
+        seen: All observations.
+        organisation: Name of the organisation.
+        spans: When each of its requests was sent and ran, in order.
+    """
+    for number, (start, _) in enumerate(spans):
+        end = start + QUOTA_WINDOW_S
+        count = 0
+        for sent_at, ran_at in spans[number:]:
+            if sent_at > end:
+                break
+            count += ran_at <= end
+        if count <= QUOTA_TOLERANCE:
+            continue
+        contents = list_possible_contents(seen, find_settled(seen, start), end)
+        limits = [find_limit(content, organisation) for content in contents]
+        if None in limits or not limits:
+            continue
+        bound = max(rate * QUOTA_WINDOW_S + burst for rate, burst in limits)
+        bound = bound * (1 + QUOTA_OVERAGE) + QUOTA_TOLERANCE
+        if count > bound:
+            return f"{count} requests of {organisation} ran within 5 s from {start:.2f}: {bound:g}"
+    return None
+
+
+def find_settled(seen: Observations, start: float) -> float:
+    """Return the time before which acknowledged limits are binding for a window.
+
+    A VM that is disturbed in the time in which it should get a configuration gets it afterwards.
+
+    Args:
+        seen: All observations.
+        start: Start of the window.
+    """
+    latest = start - LIMIT_SETTLING_S - APPLY_LIMIT_S
+    settled = 0.0
+    for at in sorted(seen.accepted_at.values()):
+        received = max(
+            (
+                item.end
+                for item in seen.disturbances
+                if item.is_vm and item.start <= at + APPLY_LIMIT_S and item.end >= at
+            ),
+            default=at,
+        )
+        if max(received, at) <= latest:
+            settled = at
+    return settled
+
+
+def find_ignored_pauses(seen: Observations) -> list[str]:
+    """Return endpoints that got too many requests of a VM in a pause that they asked for."""
+    times = defaultdict(list)
+    for item in seen.arrivals:
+        times[(item.server, item.vm)].append(item.at)
+    violations = []
+    for pause in seen.pauses:
+        end = pause.at + pause.length_s
+        late = [at for at in times[(pause.server, pause.vm)] if pause.at + PAUSE_GRACE_S < at < end]
+        if len(late) <= MAX_REQUESTS_IN_PAUSE:
+            continue
+        # The response may not have arrived if the link failed about that time.
+        is_lost = is_disturbed(seen, pause.server, pause.at - 0.5, pause.at + 1.0)
+        if not is_lost and not is_disturbed(seen, pause.vm, pause.at - 0.5, end):
+            violations.append(
+                f"{len(late)} requests of {pause.vm} reached {pause.server} in a pause of"
+                f" {pause.length_s:g} s from {pause.at:.2f}"
+            )
+    return violations
+
+
+def find_logged_keys(text: str) -> bool:
+    """Return True if a log contains a key."""
+    return KEY_MARK in text
--- /dev/null
+++ b/soak/organisations.py
@@ -0,0 +1,117 @@
+"""Organisations of a soak run: their keys and limits, and the requests of their callers."""
+
+import random
+
+import attrs
+
+__all__ = [
+    "CHANGING_KEYS",
+    "KEY_MARK",
+    "OWNERS",
+    "STEADY_KEYS",
+    "UNKNOWN_KEY",
+    "CallerRequest",
+    "draw_request",
+    "draw_tenants",
+    "find_limit",
+    "list_keys",
+]
+
+# Part of every key, so that a key is found in a header or a log line.
+KEY_MARK = "soakkey-"
+STEADY_KEYS = {name: f"{KEY_MARK}{name}-1" for name in ("kelp", "coral", "reef", "tide")}
+CHANGING_KEYS = {name: f"{KEY_MARK}{name}-2" for name in ("coral", "tide")}
+UNKNOWN_KEY = f"{KEY_MARK}unknown"
+OWNERS = {key: name for keys in (STEADY_KEYS, CHANGING_KEYS) for name, key in keys.items()}
+# Callers of coral send about 60 requests per second, those of reef about 20.
+RATES = {"coral": (8.0, 20.0, 40.0), "reef": (2.0, 4.0, 10.0)}
+BURSTS = {"coral": 10, "reef": 2}
+# A lower limit is judged only if it stays for some ten seconds; submissions are about 3 s apart.
+KEY_CHANGE_PROBABILITY = 0.4
+LIMIT_CHANGE_PROBABILITY = 0.4
+CALLER_KEYS = (
+    *[STEADY_KEYS["kelp"]] * 6,
+    *[STEADY_KEYS["coral"]] * 4,
+    *[CHANGING_KEYS["coral"]] * 2,
+    *[STEADY_KEYS["reef"]] * 2,
+    STEADY_KEYS["tide"],
+    *[CHANGING_KEYS["tide"]] * 2,
+    UNKNOWN_KEY,
+    "",
+)
+
+
+@attrs.frozen
+class CallerRequest:
+    """A request that a caller is about to send.
+
+    Attributes:
+        method: Its method.
+        target: Its target.
+        key: Key that it carries, empty for none.
+        is_public: True if its route is public.
+    """
+
+    method: str
+    target: str
+    key: str
+    is_public: bool
+
+    @property
+    def is_idempotent(self) -> bool:
+        """True if it may run more than once."""
+        return self.method == "GET"
+
+    @property
+    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Its key, and a claim to an organisation that must not reach an endpoint."""
+        claim = (b"tenant", b"claimed")
+        if not self.key:
+            return (claim,)
+        return (claim, (b"authorization", b"Token " + self.key.encode()))
+
+
+def draw_request(rng: random.Random) -> CallerRequest:
+    """Draw a caller's request."""
+    key = rng.choice(CALLER_KEYS)
+    kind = rng.random()
+    if kind < 0.1:
+        return CallerRequest("GET", "/open/x", key, True)
+    if kind < 0.7:
+        return CallerRequest("GET", "/read/x", key, False)
+    return CallerRequest("POST", "/file/x", key, False)
+
+
+def draw_tenants(rng: random.Random, previous: list[dict]) -> list[dict]:
+    """Draw the organisations of the next configuration: keys and limits change now and then.
+
+    Args:
+        rng: Random source.
+        previous: Organisations of the previous configuration, empty for the first one.
+    """
+    tenants = []
+    held = list_keys({"tenants": previous}) or {*CHANGING_KEYS.values()}
+    for priority, (name, key) in enumerate(STEADY_KEYS.items()):
+        changing = CHANGING_KEYS.get(name)
+        has_changing = (changing in held) is not (rng.random() < KEY_CHANGE_PROBABILITY)
+        keys = [key, changing] if changing and has_changing else [key]
+        tenant = {"name": name, "apiKeys": keys, "priority": priority}
+        if name in RATES:
+            is_changed = not previous or rng.random() < LIMIT_CHANGE_PROBABILITY
+            rate = rng.choice(RATES[name]) if is_changed else previous[priority]["ratePerS"]
+            tenant |= {"ratePerS": rate, "burst": BURSTS[name]}
+        tenants.append(tenant)
+    return tenants
+
+
+def list_keys(content: dict) -> set[str]:
+    """Return all keys of a configuration."""
+    return {key for tenant in content.get("tenants", ()) for key in tenant["apiKeys"]}
+
+
+def find_limit(content: dict, name: str) -> tuple[float, float] | None:
+    """Return the rate and burst of an organisation, None without a limit."""
+    for tenant in content.get("tenants", ()):
+        if tenant["name"] == name and tenant.get("ratePerS"):
+            return tenant["ratePerS"], tenant["burst"]
+    return None
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+from collections.abc import Callable
 
 import attrs
 
@@ -34,6 +35,9 @@
         fault: The current fault; bytes held back by it are lost, as on a cut link.
         writers: Open streams of both ends, for resets.
         server: Its listener.
+        find_sender: Returns the name of the process with a connection, by the addresses of both
+            ends; None if the senders aren't needed.
+        senders: Names of the senders, by the port from which the proxy connects to the target.
     """
 
     listen_address: Address
@@ -41,6 +45,8 @@
     fault: LinkFault = LinkFault.NONE
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     server: asyncio.Server | None = None
+    find_sender: Callable[[Address, Address], str] | None = None
+    senders: dict[int, str] = attrs.field(factory=dict)
 
     async def start(self) -> None:
         """Start listening."""
@@ -69,6 +75,10 @@
                 self.target_address.host, self.target_address.port
             )
             self.writers.add(server_writer)
+            if self.find_sender is not None:
+                source = Address(*caller_writer.get_extra_info("peername"))
+                port = server_writer.get_extra_info("sockname")[1]
+                self.senders[port] = self.find_sender(source, self.listen_address)
             tasks = {
                 asyncio.create_task(
                     self.copy_stream(caller_reader, server_writer, LinkFault.NO_REQUESTS)
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,8 @@
 from soak.faults import FAULTS, PLANNED_OPERATIONS, ensure_started, finish_evacuation, run_operation
 from soak.fleet import ZONES, SoakFleet
 from soak.guarantees import find_violations
+from soak.organisation_checks import find_logged_keys, find_organisation_violations
+from soak.organisations import STEADY_KEYS
 
 __all__ = ["main", "run_seed"]
 
@@ -59,7 +61,7 @@
         await repair(environment)
         if not await wait_until_served(environment, recovery_s):
             return [
-                *find_violations(environment.observations),
+                *list_violations(environment),
                 f"callers weren't served within {recovery_s:g} s after the repair",
             ]
         for _ in range(20):
@@ -69,7 +71,7 @@
             await asyncio.sleep(0.5)
         environment.is_stopped = True
         await callers
-        return find_violations(environment.observations)
+        return list_violations(environment)
     finally:
         for endpoint in environment.endpoints.values():
             endpoint.task.cancel()
@@ -77,12 +79,25 @@
             environment.fleet.kill(node)
 
 
+def list_violations(environment: SoakEnvironment) -> list[str]:
+    """Return all violated guarantees, also of the logs."""
+    logs = environment.fleet.folder.glob("*.log")
+    return [
+        *find_violations(environment.observations),
+        *find_organisation_violations(environment.observations),
+        *(f"{log.name} contains a key" for log in logs if find_logged_keys(log.read_text())),
+    ]
+
+
 async def wait_until_served(environment: SoakEnvironment, limit_s: float) -> bool:
     """Wait until the newest requests were all served; return False if that exceeds the limit."""
     end = time.monotonic() + limit_s
     since = len(environment.observations.responses)
+    # The only organisation that has a steady key and no limit, with the highest priority.
+    key = STEADY_KEYS["kelp"]
     while time.monotonic() < end:
-        newest = environment.observations.responses[since:][-CONSECUTIVE_SUCCESSES:]
+        answers = environment.observations.responses[since:]
+        newest = [item for item in answers if item.key == key][-CONSECUTIVE_SUCCESSES:]
         if len(newest) == CONSECUTIVE_SUCCESSES and all(item.status == 200 for item in newest):
             return True
         await asyncio.sleep(0.1)
