Place requests after a failure that is counted late

Callers of a service with organisations got 500 for every request of a VM. A failure is recorded at its own time: when its decision had left the window of 10 s and no other request had come, the counts were 0 requests and -1 served, and is_underserved divided by zero. It failed before a new decision could be recorded, so that the buckets never expired.

Evidence: before the change the new scenario ends with ZeroDivisionError at the first request after the failure (1 error), afterwards requests 0, 1 and 30 s after it start (1 scenario passed).

Without counted requests no organisation is underserved now; the next decision is recorded and expires the buckets.

--- a/camphorspread/request/service_fairness.py
+++ b/camphorspread/request/service_fairness.py
@@ -143,7 +143,8 @@
         organisation: Name of the organisation.
         rank: Its priority.
     """
-    if not organisation or fairness.served >= fairness.requests:
+    # A failure may be counted after its decision has left the window, which leaves `served` at -1.
+    if not organisation or fairness.requests <= 0 or fairness.served >= fairness.requests:
         return False
     limit = UNDERSERVED_FRACTION * fairness.served / fairness.requests
     key, rank_key = (organisation, rank), ("", rank)
--- a/features/request/scarce_capacity.feature
+++ b/features/request/scarce_capacity.feature
@@ -77,6 +77,13 @@
     And another one with 8 requests whose attempts failed is underserved
     But 11 s later no organisation is
 
+  # Guards against a failure that is counted after its decision has left the window, and after which
+  # the VM could place no request any more.
+  Scenario: A failure later than the window leaves other requests placeable
+    Given a server with a free slot
+    When a request of an organisation starts there, and its attempt fails 10.1 s later
+    Then requests of the organisation start after 0, 1 and 30 s
+
   # Guards against callers that return together, or while the overload lasts, and are refused again.
   Scenario Outline: Refused callers are told to return when there is room
     Given a region of <vms> VMs and <servers> servers whose callers return once, seed <seed>
