Follow the new configuration in requests that wait for their turn

Callers that waited for their turn under a limit got 500 (KeyError) when the limit or the organisation was removed meanwhile, or 429 over a limit that was no more. charge_limited fetched the quota once, and only the wait for a renewal checked afterwards that it was still in force.

The quota is now fetched before each charge, after both kinds of wait: without a limit the request is admitted, and a quota that replaces the former one counts its arrival and decides.

--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -91,11 +91,17 @@
     random arrivals leave about an eighth of each part unused.
     """
     contact = state.quota_contact
-    quota = state.quotas.quotas[name]
     arrived = state.clock.monotonic()
     until = arrived + WAIT_LIMIT
-    record_arrival(quota, arrived)
+    counted = None
     while True:
+        # While the request waits, a configuration may remove the limit, or replace its quota.
+        quota = state.quotas.quotas.get(name)
+        if quota is None or quota.usable is None:
+            return Admitted()
+        if quota is not counted:
+            record_arrival(quota, arrived)
+            counted = quota
         now = state.clock.monotonic()
         match charge_request(state.quotas, name, now):
             case Charged(ticket=ticket):
@@ -117,9 +123,6 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout((until - now).total_seconds()):
                 await contact.ended.wait()
-        if state.quotas.quotas.get(name) is not quota or quota.usable is None:
-            # A configuration without this limit came into force meanwhile.
-            return Admitted()
 
 
 async def wait_for_turn(quota: OrganisationQuota, time: timedelta) -> None:
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -108,3 +108,19 @@
   Scenario: Only the organisations with the most requests have labels of their own
     Given 150 organisations, each with one request more than the one before
     Then the metrics have labels for the last 100 of them, and the sum of the others
+
+  # Guards against an error, or a refusal over a limit that is no more, for a request that waits for
+  # its turn while the configuration changes.
+  @fixture.virtual_loop
+  Scenario Outline: A request whose limit changes while it waits follows the new configuration
+    Given an entry VM with a share of 1 of a usable total of 20, which is saturated
+    And a request that waits for its turn
+    When <change>
+    Then the waiting request is <result>
+
+    Examples:
+      | change                                                  | result    |
+      | the limit is removed                                    | admitted  |
+      | the limit is removed while another request is in flight | admitted  |
+      | the organisation is removed                             | admitted  |
+      | the organisation is removed and added with a limit      | undecided |
