Count a forwarded request at the end of its forward

An organisation could get more requests to backend servers than its bound allows: a forwarded request counted at its forward, but it may wait in the queue of the other VM, which sends it after that time has left the window of 5 s.

The time is set when the result has arrived or the attempt is cancelled, which is never before the send at the other VM. Until then the request counts by its charge. The redundant check of the deadline and the identity is removed.

--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -236,21 +236,26 @@
 ) -> AttemptResult:
     """Forward a request to another entry VM."""
     peer = place.peer
+    was_prepared = False
 
     def prepare() -> RequestHead | None:
+        nonlocal was_prepared
         now = state.clock.monotonic()
         if now >= job.req.deadline or not is_still_identified(state, job):
             return None
-        if now >= job.req.deadline or not is_still_identified(state, job):
-            return None
-        job.sent[before:] = [now]
+        was_prepared = True
         return make_forward_head(state, job, peer, now)
 
     may_have_run, before = job.may_have_run, len(job.sent)
     job.may_have_run = True
-    result = await send_request(
-        state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
-    )
+    try:
+        result = await send_request(
+            state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
+        )
+    finally:
+        # The request may wait at the other VM, which may send it at any time until now.
+        if was_prepared:
+            job.sent.append(state.clock.monotonic())
     outcome = classify_forward(state, job, peer, result)
     if isinstance(outcome, Rejected):
         job.may_have_run = may_have_run
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -124,3 +124,15 @@
       | the limit is removed while another request is in flight | admitted  |
       | the organisation is removed                             | admitted  |
       | the organisation is removed and added with a limit      | undecided |
+
+  # Guards against requests that wait at another VM and are sent after they have left the window here.
+  @fixture.virtual_loop
+  Scenario Outline: A forwarded request counts at the end of the forward
+    Given a request of a limited organisation that was forwarded 5.5 s ago
+    When <end>
+    Then it counts as sent 5.5 s after the forward
+
+    Examples:
+      | end                       |
+      | the response is lost      |
+      | the caller disconnects    |
