Keep renewals after the return of the shares from recording demand

After a VM had stopped, the other VMs got too little of a limit for the rest of the leader's term: the periodic renewals went on between the return of the shares and the exit, and recorded demand again. A returned VM isn't treated as silent, so that nothing cleared it, also not its removal.

The VM sends no renewal once it returns its shares, also not the second call of one in progress. The leader ignores renewals of a process that has returned, and clears the demand with the removal.

--- a/camphorspread/process/quota_allocator.py
+++ b/camphorspread/process/quota_allocator.py
@@ -161,7 +161,9 @@
 def renew_quotas(
     allocator: QuotaAllocator, request: QuotaRequest, now: timedelta
 ) -> dict[str, QuotaGrant] | None:
-    """Record a renewal and return its grants, None if a newer one has arrived before.
+    """Record a renewal and return its grants, None if it is out of date.
+
+    It is if a newer one has arrived before, or if its process has returned its shares.
 
     Args:
         allocator: State of the leader, whose leader lease is valid.
@@ -198,7 +200,8 @@
     started_at = now - request.age
     known = allocator.holders.get(request.vm)
     if known is not None and known.incarnation == request.incarnation:
-        return known if request.number > known.number else None
+        is_newer = request.number > known.number
+        return known if is_newer and not known.is_returned else None
     if known is not None and started_at < known.started_at:
         return None
     holder = Holder(request.incarnation, started_at)
@@ -248,8 +251,7 @@
         used = request.needs[name].used if name in request.needs else 0
         used += find_former(allocator, holder, name, now)
         set_reserved(allocator, holder, name, used)
-    for name in list(holder.demanded):
-        record_demand(allocator, request.vm, holder, name, 0, 0)
+    clear_demand(allocator, request.vm, holder)
     holder.former, holder.former_at = dict(holder.reserved), now
     holder.is_returned = True
 
@@ -294,6 +296,12 @@
         holder.demanded.discard(name)
 
 
+def clear_demand(allocator: QuotaAllocator, vm: str, holder: Holder) -> None:
+    """Record that a VM has no demand any more."""
+    for name in list(holder.demanded):
+        record_demand(allocator, vm, holder, name, 0, 0)
+
+
 def update_ready(allocator: QuotaAllocator, now: timedelta) -> None:
     """Allow increases once all VMs have renewed in this term, or `REPORT_TIME` has passed."""
     if allocator.ready_at is not None:
@@ -382,6 +390,7 @@
         elif silence >= SILENCE_LIMIT:
             reduce_silent(allocator, vm, holder, silence)
         if not holder.reserved and silence >= SILENCE_LIMIT:
+            clear_demand(allocator, vm, holder)
             del allocator.holders[vm]
 
 
@@ -391,8 +400,7 @@
         holder.is_silent = True
         for name, amount in holder.reserved.items():
             allocator.pools[name].silent += amount
-        for name in list(holder.demanded):
-            record_demand(allocator, vm, holder, name, 0, 0)
+        clear_demand(allocator, vm, holder)
     lapse = GRANT_LEASE + allocator.rules.window
     if silence >= lapse and not holder.is_lapsed:
         holder.is_lapsed = True
--- a/camphorspread/process/quota_contact.py
+++ b/camphorspread/process/quota_contact.py
@@ -19,6 +19,7 @@
         leader: Address of the leader, None while it isn't known.
         position: Position of the control VM to ask for the leader, in the order of addresses.
         number: Number of the newest renewal.
+        is_returned: True once the shares are being returned, after which none are renewed.
         failures: Renewals without a response since the last one with a response.
         has_limits: Set while the configuration limits an organisation.
         is_urgent: Set when a request waits for a renewal.
@@ -29,6 +30,7 @@
     leader: Address | None = None
     position: int = 0
     number: int = 0
+    is_returned: bool = False
     failures: int = 0
     has_limits: asyncio.Event = attrs.field(factory=asyncio.Event)
     is_urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/camphorspread/process/quota_renewal.py
+++ b/camphorspread/process/quota_renewal.py
@@ -101,6 +101,9 @@
             kept=loss.kept,
         )
     for _ in range(MAX_CALLS):
+        # A renewal after the return would record demand of a VM that stops.
+        if contact.is_returned:
+            return
         address = contact.leader or pick_control(state)
         if address is None:
             break
@@ -173,6 +176,7 @@
 
     If the leader can't be reached, they return to it when their lease ends.
     """
+    state.quota_contact.is_returned = True
     address = state.quota_contact.leader
     if address is None or not state.quotas.has_limits:
         return
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -136,3 +136,15 @@
       | end                       |
       | the response is lost      |
       | the caller disconnects    |
+
+  # Guards against demand of a VM that has stopped, which takes its part of the limit for the whole
+  # term of the leader.
+  Scenario: A renewal after the return of all shares changes nothing
+    Given a leader with a usable total of 115, which the VMs "a" and "b" poll
+    And "b" has reported that it holds 0
+    When "a" reports that it holds 50, with a demand of 200
+    And "a" returns its shares
+    Then a renewal of "a" with a demand of 200 gets no response
+    When 20 s pass
+    And "b" reports that it holds 0, with a demand of 200
+    Then "b" with a demand of 200 gets at least 110
--- a/features/process/quotas.feature
+++ b/features/process/quotas.feature
@@ -131,6 +131,13 @@
     Then each refused caller of a VM gets a later time than the one before
     And the retry times are from 0.15 s to one window
 
+  # Guards against renewals between the return of the shares and the exit of the process.
+  @fixture.quota_simulation
+  Scenario: A VM that has returned its shares renews them no more
+    Given 26 entry VMs with a limit of 100 requests a second and a burst of 0, from seed 1
+    When 300 requests a second arrive at all VMs for 20 s, and after 10 s one VM returns its shares
+    Then the leader counts no demand of it, and got no renewal after the return
+
   # Guards against a malformed message that ends a task, or that makes the leader grant anything.
   Scenario Outline: A malformed message is refused
     Given random changes of a valid <message>, from seed <seed>
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -50,7 +50,7 @@
     begin_term(context.allocator, 1, ["a", "b"], START)
 
 
-def renew(context, vm, need, number=None, incarnation=None, age=None):
+def renew(context, vm, need, number=None, incarnation=None, age=None, is_returning=False):
     """Send a renewal and return the granted share, None without one."""
     context.numbers[vm] = context.numbers.get(vm, 0) + 1
     request = QuotaRequest(
@@ -59,9 +59,10 @@
         number or context.numbers[vm],
         context.now - context.started.get(vm, timedelta(0)) if age is None else age,
         {ACME: need},
+        is_returning,
     )
     grants = renew_quotas(context.allocator, request, context.now)
-    context.share = grants and grants[ACME].share
+    context.share = grants[ACME].share if grants else None
     return context.share
 
 
@@ -125,6 +126,16 @@
     check_share(context.share, bound, share)
 
 
+@when('"{vm}" returns its shares')
+def step_return(context, vm):
+    renew(context, vm, QuotaNeed(0, 0, 0, 0), is_returning=True)
+
+
+@then('a renewal of "{vm}" with a demand of {demand:d} gets no response')
+def step_renewal_ignored(context, vm, demand):
+    assert renew(context, vm, QuotaNeed(demand, demand, 0, 50)) is None
+
+
 @then('an earlier renewal of "{vm}" gets no response')
 def step_earlier(context, vm):
     assert renew(context, vm, QuotaNeed(9, 9, 0, 0), number=context.numbers[vm] - 1) is None
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from camphorspread.process.quota_renewal import return_quotas
 from features.fixtures.quota_simulation import CONTROLS, ELECTION_S, RULES, WINDOW_S
 
 ACME, OTHER = "acme", "bergen"
@@ -126,6 +127,16 @@
     replace_leader(context, simulation)
 
 
+def return_shares(context, simulation):
+    """Let a VM return its shares, and stop a second later."""
+    state = simulation.vms["vm-3"].state
+    simulation.loop.run_until_complete(return_quotas(state))
+    context.returned = state.quota_contact.number
+    simulation.run(1)
+    context.last = state.quota_contact.number
+    simulation.kill_vm("vm-3")
+
+
 def change_limit(factor):
     """Return an event that changes the limit."""
 
@@ -166,6 +177,7 @@
     "a region is cut off with the leader": cut_region_with_leader,
     "it is paused for 6 s as the leader is lost": pause_with_leader,
     "one VM is lost with the leader": lose_with_leader,
+    "one VM returns its shares": return_shares,
     "the limit is raised threefold": change_limit(3),
     "the limit is lowered to a tenth": change_limit(0.1),
     "the limit is removed": lambda _context, simulation: simulation.configure({}, SPREAD_S),
@@ -269,6 +281,14 @@
     assert counts["Admitted"] >= tenths / 10 * rate * seconds, (counts, seconds)
 
 
+@then("the leader counts no demand of it, and got no renewal after the return")
+def step_returned(context):
+    simulation = context.simulation
+    pool = simulation.allocators[simulation.leader].pools[ACME]
+    assert pool.demand and "vm-3" not in pool.demand, pool.demand
+    assert context.last == context.returned, (context.last, context.returned)
+
+
 @then("no request is sent, and none is said to be over the limit")
 def step_undecided(context):
     counts = context.simulation.count_results(ACME, 0, context.end + 1)
