Split the state and the pacing of a quota from its decisions

The share and use of one organisation are in request/organisation_quota.py, pacing and retry times in request/quota_pacing.py; nothing else changes. quota_decisions.feature and shape.feature pass (23 scenarios).

--- a/camphorspread/process/quota_renewal.py
+++ b/camphorspread/process/quota_renewal.py
@@ -16,10 +16,10 @@
 )
 from camphorspread.process.quota_shares import QuotaNeed
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.organisation_quota import count_used
 from camphorspread.request.quota import (
     apply_grants,
     apply_limits,
-    count_used,
     expire_shares,
     list_needs,
 )
--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -20,6 +20,8 @@
     QuotaGrant,
     QuotaNeed,
 )
+from camphorspread.request.organisation_quota import OrganisationQuota, count_used
+from camphorspread.request.quota_pacing import fill_tokens, find_retry_delay
 from camphorspread.request.quota_window import QuotaWindow, count_latest, count_window, record_at
 from camphorspread.version.organisations import OrganisationTable
 from camphorspread.version.quota_total import QuotaRules, compute_usable_total
@@ -27,17 +29,14 @@
 __all__ = [
     "Charged",
     "Exceeded",
-    "OrganisationQuota",
     "QuotaBook",
     "ShareLoss",
     "Ticket",
     "apply_grants",
     "apply_limits",
     "charge_request",
-    "count_used",
     "expire_shares",
     "find_demand",
-    "find_free_time",
     "is_renewal_useful",
     "list_needs",
     "record_arrival",
@@ -54,14 +53,6 @@
 # Time constant of the average demand; averages of less than this are none.
 MEAN_TIME = timedelta(seconds=15)
 MIN_MEAN = 0.05
-# The bucket fills faster than the share needs, since the window is the bound.
-FILL_MARGIN = 1.1
-# Requests of a share that may be sent together: a few, and a fraction of it.
-MIN_TOKEN_LIMIT = 8
-TOKEN_FRACTION = 0.25
-MIN_RETRY_DELAY = timedelta(milliseconds=150)
-# Without a share, retries are spread over the window, in which the leader may grant one.
-UNSHARED_RETRIES = 8
 
 
 @attrs.frozen
@@ -99,59 +90,6 @@
     kept: int
 
 
-@attrs.define(eq=False)
-class OrganisationQuota:
-    """Share and use of one organisation at this VM.
-
-    Attributes:
-        usable: Total of all shares under the configuration in force here; None without a limit.
-        burst_fraction: Fraction of the limit that may come at once.
-        sends: Requests that were sent.
-        arrivals: Requests that arrived, refused ones included.
-        share: Maximum number of sends in any window.
-        usable_at_grant: Total of all shares to which the share refers.
-        granted_at: When the request for the share was sent.
-        lease_end: When the share is reduced to a part, or ends.
-        is_leased: False once it was reduced to that part.
-        reduced_from: Share before a reduction that hasn't been reported yet; 0 for none.
-        pressure: How much of the limit the demand of all VMs took at that time.
-        mean: Moving average of the requests that arrive in a window.
-        mean_at: When it was last updated.
-        asked: Demand in the last renewal that was answered; None before one.
-        tokens: Requests that may be sent now as far as pacing is concerned.
-        filled_at: When `tokens` was last updated.
-        charges: When the requests that haven't ended yet were charged, by number of the ticket.
-        retry_at: Time given to the caller that was refused last.
-        waiting: Requests that wait for their turn in the window.
-    """
-
-    usable: int | None
-    burst_fraction: float
-    sends: QuotaWindow
-    arrivals: QuotaWindow
-    share: int = 0
-    usable_at_grant: int = 0
-    granted_at: timedelta = timedelta(0)
-    lease_end: timedelta = timedelta(0)
-    is_leased: bool = False
-    reduced_from: int = 0
-    pressure: Pressure = Pressure.LOW
-    mean: float = 0.0
-    mean_at: timedelta = timedelta(0)
-    asked: int | None = None
-    tokens: float = 0.0
-    filled_at: timedelta = timedelta(0)
-    charges: dict[int, timedelta] = attrs.field(factory=dict)
-    retry_at: timedelta = timedelta(0)
-    waiting: int = 0
-
-    @property
-    def token_limit(self) -> float:
-        """Requests that may be sent together."""
-        fraction = max(TOKEN_FRACTION, self.burst_fraction)
-        return min(self.share, MIN_TOKEN_LIMIT + self.share * fraction)
-
-
 @attrs.define(eq=False)
 class QuotaBook:
     """Quotas of this VM.
@@ -251,53 +189,6 @@
         quota.tokens = min(quota.tokens + 1, max(quota.token_limit, 1))
 
 
-def count_used(quota: OrganisationQuota, now: timedelta) -> int:
-    """Return the sends of the last window, with the requests that may still be sent.
-
-    A request may wait, or its VM may be paused, between its charge and its send. It counts until
-    it ends, at most for two windows, since a long run must not hold its part of the quota.
-    """
-    window = quota.sends.window
-    while quota.charges:
-        number, charged_at = next(iter(quota.charges.items()))
-        if now - charged_at <= 2 * window:
-            break
-        del quota.charges[number]
-    return count_window(quota.sends, now) + len(quota.charges)
-
-
-def fill_tokens(quota: OrganisationQuota, window: timedelta, now: timedelta) -> None:
-    """Add the tokens of the time that has passed."""
-    added = (now - quota.filled_at) / window * quota.share * FILL_MARGIN
-    quota.tokens = min(quota.tokens + added, quota.token_limit)
-    quota.filled_at = now
-
-
-def find_retry_delay(quota: OrganisationQuota, window: timedelta, now: timedelta) -> timedelta:
-    """Return when a retry is likely to be served; each refused caller gets a later time."""
-    interval = window / (quota.share * FILL_MARGIN or UNSHARED_RETRIES)
-    earliest = now + max(1 - quota.tokens, 0) * interval
-    if quota.sends.counts and count_used(quota, now) >= quota.share:
-        leaves_at = quota.sends.width * (min(quota.sends.counts) + 1) + window
-        earliest = max(earliest, leaves_at)
-    retry_at = max(earliest, quota.retry_at + interval, now + MIN_RETRY_DELAY)
-    quota.retry_at = min(retry_at, now + window)
-    return quota.retry_at - now
-
-
-def find_free_time(quota: OrganisationQuota, now: timedelta) -> timedelta | None:
-    """Return when this VM's share allows the next request that waits for it; None if unknown.
-
-    It is when enough earlier sends have left the window, also for those that wait already.
-    """
-    needed = count_used(quota, now) - quota.share + 1 + quota.waiting
-    for number in sorted(quota.sends.counts):
-        needed -= quota.sends.counts[number]
-        if needed <= 0:
-            return quota.sends.width * (number + 1) + quota.sends.window
-    return None
-
-
 def find_demand(quota: OrganisationQuota, now: timedelta) -> int:
     """Return the requests to be expected in a window, 0 without any in the last one."""
     window = quota.arrivals.window
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -11,17 +11,17 @@
 from camphorspread.process.quota_renewal import update_limits
 from camphorspread.process.quota_shares import Pressure
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.organisation_quota import OrganisationQuota
 from camphorspread.request.quota import (
     Charged,
     Exceeded,
-    OrganisationQuota,
     Ticket,
     charge_request,
-    find_free_time,
     is_renewal_useful,
     record_arrival,
     settle_ticket,
 )
+from camphorspread.request.quota_pacing import find_free_time
 from camphorspread.version.organisations import Organisation
 
 __all__ = ["Admitted", "Over", "Undecided", "admit_quota", "settle_quota"]
