Read the memory limit of an entry VM from its settings

Cause: the bytes that a VM holds for others need a bound, which is derived from the memory that its process may use. Change: EntryVmSettings.memory_bytes is self.limits.memoryMb in bytes (1 MB is 1,000,000 bytes, the smaller reading), None if it is absent; zero and values that are no whole number are faults.

--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -24,6 +24,7 @@
 ENTRY_METRICS_PORT = 9464
 CONTROL_METRICS_PORT = 9465
 ZONE_PREFIX = "network.zones."
+MEGABYTE = 1_000_000
 # File descriptors that the platform reserves for files outside the data folder.
 RESERVED_DESCRIPTORS = 200
 
@@ -96,6 +97,14 @@
     return timedelta(seconds=float(text))
 
 
+def parse_megabytes(text: str) -> int:
+    """Parse a size in megabytes, which must be positive, and return it in bytes."""
+    size = int(text) * MEGABYTE
+    if size <= 0:
+        raise ValueError(text)
+    return size
+
+
 def parse_lines(text: str) -> dict[str, str]:
     """Return the fields of a settings file; lines without `=` are ignored."""
     pairs = (line.partition("=") for line in text.splitlines())
@@ -143,10 +152,14 @@
     """Decode the settings of the VM's role."""
     if is_entry:
         descriptors = reader.read("self.limits.maxFds", int, "a whole number", 1024)
+        has_memory_limit = bool(reader.fields.get("self.limits.memoryMb"))
         return EntryVmSettings(
             reader.read("network.listen.front", parse_address, "host:port"),
             reader.read("network.listen.ready", parse_address, "host:port"),
             descriptors - RESERVED_DESCRIPTORS,
+            reader.read("self.limits.memoryMb", parse_megabytes, "a whole number above 0")
+            if has_memory_limit
+            else None,
         )
     lookups = reader.fields.get("network.listen.directory")
     return ControlVmSettings(
--- a/camphorspread/process/steering_settings.py
+++ b/camphorspread/process/steering_settings.py
@@ -81,11 +81,13 @@
         callers: Listener for callers.
         probes: Listener for readiness probes, which ask whether the VM accepts callers.
         max_sockets: Sockets that the process may have open.
+        memory_bytes: Memory that the process may use; None if no limit is stated.
     """
 
     callers: Address
     probes: Address
     max_sockets: int
+    memory_bytes: int | None = None
 
 
 @attrs.frozen
--- a/features/platform/codec.feature
+++ b/features/platform/codec.feature
@@ -65,15 +65,28 @@
     Then the settings are <result>
 
     Examples:
-      | change                     | result                                       |
-      | nothing unusual            | read                                         |
-      | a field that isn't known   | read                                         |
-      | no seeds                   | read                                         |
-      | no zone                    | refused with "self.zone is missing"          |
-      | a port that is no number   | refused with "network.listen.front is"       |
-      | an inner range of one port | refused with "network.internalPortRange is"  |
-      | a bound that is no number  | refused with "terms.bounds.drainMs is"       |
-      | three faults at once       | refused with three lines                     |
+      | change                           | result                                       |
+      | nothing unusual                  | read                                         |
+      | a field that isn't known         | read                                         |
+      | no seeds                         | read                                         |
+      | no zone                          | refused with "self.zone is missing"          |
+      | a port that is no number         | refused with "network.listen.front is"       |
+      | an inner range of one port       | refused with "network.internalPortRange is"  |
+      | a memory limit of 152 MB         | read                                         |
+      | a memory limit of 0 MB           | refused with "self.limits.memoryMb is"       |
+      | a memory limit that is no number | refused with "self.limits.memoryMb is"       |
+      | a bound that is no number        | refused with "terms.bounds.drainMs is"       |
+      | three faults at once             | refused with three lines                     |
+
+  # Guards against a bound that no operator asked for, and against one in the wrong unit.
+  Scenario Outline: The memory that an entry VM may use
+    When the settings file has <change>
+    Then the memory limit is <limit>
+
+    Examples:
+      | change                   | limit           |
+      | nothing unusual          | none            |
+      | a memory limit of 152 MB | 152000000 bytes |
 
   Scenario Outline: The status of an error response claims no more than is known
     Given a refusal of the kind <kind>
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -188,6 +188,15 @@
         "no zone": (("self.zone=sofia-a\n", ""),),
         "a port that is no number": (("10.1.0.15:8641", "10.1.0.15:http"),),
         "an inner range of one port": (("7620,7635", "7620,7620"),),
+        "a memory limit of 152 MB": (
+            ("self.limits.maxFds=4100\n", "self.limits.maxFds=4100\nself.limits.memoryMb=152\n"),
+        ),
+        "a memory limit of 0 MB": (
+            ("self.limits.maxFds=4100\n", "self.limits.maxFds=4100\nself.limits.memoryMb=0\n"),
+        ),
+        "a memory limit that is no number": (
+            ("self.limits.maxFds=4100\n", "self.limits.maxFds=4100\nself.limits.memoryMb=1.5G\n"),
+        ),
         "a bound that is no number": (("drainMs=2500", "drainMs=soon"),),
         "three faults at once": (
             ("self.zone=sofia-a\n", ""),
@@ -214,6 +223,12 @@
                 assert any(result.split('"')[1] in fault for fault in faults), faults
 
 
+@then("the memory limit is {limit}")
+def step_memory_limit(context, limit):
+    found = context.result.unwrap().role.memory_bytes
+    assert found == (None if limit == "none" else int(limit.split()[0])), found
+
+
 @given("a refusal of the kind {kind}")
 def step_refusal(context, kind):
     context.refusal = Refusal(ErrorKind(kind), "text")
