Decide on requests by the bytes that a VM holds for others

Cause: callers and servers may read slowly, and nothing bounded the bytes held for them. Change: a counter by kind and by rank with two thresholds of a bound, which is a quarter of the process's memory. Above half of the bound no more bytes of bodies are to be read; above three quarters of it requests are refused, the least urgent ones first, and at the bound all of them. Not in use yet.

--- /dev/null
+++ b/features/steps/held_memory_decision_steps.py
@@ -0,0 +1,85 @@
+"""Steps for the decisions on held memory."""
+
+import itertools
+from datetime import timedelta
+
+from behave import given, then, when
+from behave import step as any_step
+
+from camphorspread.process.held_memory import (
+    Accept,
+    HeldKind,
+    HeldMemory,
+    Holding,
+    ReadOn,
+    Refuse,
+    StopReading,
+    hold,
+    judge_reading,
+    judge_request,
+    note_refusal,
+    release,
+    take_pressure_change,
+)
+
+
+@given("a bound of {bound} bytes")
+def step_bound(context, bound):
+    context.memory = HeldMemory(None if bound == "no" else int(bound))
+
+
+@any_step("{size:d} bytes are held for a request of rank {rank:d}")
+def step_hold(context, size, rank):
+    context.holding = Holding((0, rank))
+    hold(context.memory, context.holding, HeldKind.BODY, size // 2)
+    hold(context.memory, context.holding, HeldKind.UNSENT, size - size // 2)
+
+
+@when("it holds {size:d} bytes instead")
+def step_change(context, size):
+    hold(context.memory, context.holding, HeldKind.BODY, 0)
+    hold(context.memory, context.holding, HeldKind.UNSENT, size)
+
+
+@when("it is released twice")
+def step_release(context):
+    release(context.memory, context.holding)
+    release(context.memory, context.holding)
+
+
+@then("bodies are {result}")
+def step_reading(context, result):
+    expected = {"read on": ReadOn(), "not read": StopReading()}[result]
+    assert judge_reading(context.memory) == expected, context.memory
+
+
+@then("a new request of rank {rank:d} is {result}")
+def step_request(context, rank, result):
+    expected = {"accepted": Accept(), "refused": Refuse()}[result]
+    assert judge_request(context.memory, (0, rank)) == expected, context.memory
+
+
+@then(
+    "the retry times of {count:d} refusals are between {low:g} and {high:g} s and at least "
+    "{distance:d} ms apart"
+)
+def step_retry_times(context, count, low, high, distance):
+    times = sorted(note_refusal(context.memory) for _ in range(count))
+    assert timedelta(seconds=low) <= times[0] <= times[-1] <= timedelta(seconds=high), times
+    steps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert min(steps) >= timedelta(milliseconds=distance), steps
+
+
+@then("{size:d} bytes are held")
+def step_held(context, size):
+    memory = context.memory
+    sums = (memory.total, sum(memory.by_kind.values()), sum(memory.by_urgency.values()))
+    assert sums == (size, size, size), memory
+    assert len(memory.by_urgency) == (1 if size else 0), memory
+
+
+@then('the reported pressures are "{expected}"')
+def step_pressures(context, expected):
+    reported = [take_pressure_change(context.memory) for _ in expected.split(", ")]
+    found = ", ".join("-" if item is None else item.value for item in reported)
+    assert found == expected, found
