Wait until the kernel has accepted a whole response

Cause: up to 16 KiB of a response stay in the send buffer of a connection after its exchange has ended, uncounted, and a closed connection keeps them until its peer reads. Change: Stream.unsent_bytes and wait_sent; Exchange.wait_until_sent, with the progress limit. Not in use yet. Result: features/connection passed (65 scenarios), with a new one on loopback sockets.

--- a/camphorspread/connection/exchange.py
+++ b/camphorspread/connection/exchange.py
@@ -205,6 +205,23 @@
         self.sent_bytes += len(body)
         self.is_complete = True
 
+    async def wait_until_sent(self) -> None:
+        """Wait until the kernel has accepted the whole response.
+
+        Raises:
+            CallerDisconnectedError: The connection was reset.
+            ProgressTimeoutError: This took longer than the progress limit.
+        """
+        if not self.stream.unsent_bytes:
+            return
+        try:
+            async with asyncio.timeout(self.limits.progress.total_seconds()):
+                await self.stream.wait_sent()
+        except TimeoutError as exc:
+            raise ProgressTimeoutError from exc
+        except ConnectionError as exc:
+            raise CallerDisconnectedError from exc
+
     async def respond_json(self, status: int, value: object, headers: tuple = ()) -> None:
         """Send a whole response as JSON."""
         body = json.dumps(value, separators=(",", ":")).encode()
--- a/camphorspread/connection/network.py
+++ b/camphorspread/connection/network.py
@@ -10,6 +10,8 @@
 import attrs
 
 __all__ = [
+    "READ_BYTES",
+    "WRITE_BYTES",
     "Address",
     "Listener",
     "Network",
@@ -72,6 +74,10 @@
     def has_unread(self) -> bool:
         """True if received bytes haven't been read yet."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Sent bytes that the kernel hasn't accepted yet."""
+
     async def read(self) -> bytes:
         """Return the next bytes, or `b""` at the end of the stream.
 
@@ -93,6 +99,13 @@
             ConnectionError: The stream was reset.
         """
 
+    async def wait_sent(self) -> None:
+        """Wait until the kernel has accepted all sent bytes.
+
+        Raises:
+            ConnectionError: The stream was reset.
+        """
+
     async def write(self, data: bytes) -> None:
         """Send bytes and wait until the send buffer has room.
 
@@ -227,6 +240,11 @@
         """True if received bytes haven't been read yet."""
         return self.unread_bytes > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Sent bytes that the kernel hasn't accepted yet."""
+        return self.transport.get_write_buffer_size()
+
     async def read(self) -> bytes:
         """Return the next bytes, or `b""` at the end of the stream."""
         while not self.unread_bytes:
@@ -260,6 +278,15 @@
             await self.write_waiter
             self.check_open()
 
+    async def wait_sent(self) -> None:
+        """Wait until the kernel has accepted all sent bytes."""
+        # With a limit of 0, the transport pauses writers until its buffer is empty.
+        self.transport.set_write_buffer_limits(high=0)
+        try:
+            await self.drain()
+        finally:
+            self.transport.set_write_buffer_limits(high=WRITE_BYTES)
+
     def check_open(self) -> None:
         """Raise an error if the connection is closed."""
         if self.is_lost or self.transport.is_closing():
--- a/features/connection/relay.feature
+++ b/features/connection/relay.feature
@@ -89,3 +89,7 @@
 
   Scenario: A TCP reset isn't taken for a normal close
     Then a reset TCP stream raises an error at the other end, and at most 16384 bytes are unread
+
+  # Guards against responses that are taken for sent although they stay in the process.
+  Scenario: The end of a response waits for the kernel
+    Then a TCP stream waits until the kernel has accepted all bytes, or raises an error at a reset
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from camphorspread.connection.messages import ResponseHead, find_header
-from camphorspread.connection.network import READ_BYTES, Address, TcpNetwork
+from camphorspread.connection.network import READ_BYTES, WRITE_BYTES, Address, TcpNetwork
 from camphorspread.connection.server import HttpServer
 from features.fixtures.memory_network import MemoryNetwork
 from features.fixtures.owner import OWNER_HOST, caller_head, run
@@ -104,3 +104,54 @@
 def step_tcp_reset(context, limit):
     assert limit == READ_BYTES
     assert asyncio.run(asyncio.wait_for(check_tcp(), 10)), "the reset looked like a clean end"
+
+
+WRITE_PART = 4096
+
+
+async def check_unsent():
+    """Check what a TCP stream says about bytes that the kernel doesn't accept."""
+    streams = asyncio.Queue()
+
+    async def hold_open(stream):
+        await streams.put(stream)
+        await asyncio.sleep(3600)
+
+    network = TcpNetwork()
+    listener = await network.listen(Address("127.0.0.1", 0), hold_open)
+    client_stream = await network.connect(listener.address)
+    server_stream = await streams.get()
+    size = 0
+    # Small writes leave less in the send buffer than its limit, at which `drain` would wait.
+    while not server_stream.unsent_bytes:
+        assert server_stream.send(b"x" * WRITE_PART)
+        size += WRITE_PART
+        await asyncio.sleep(0)
+    assert not server_stream.is_write_paused
+    waiting = asyncio.create_task(server_stream.wait_sent())
+    await asyncio.sleep(0.05)
+    assert not waiting.done(), "it didn't wait for the kernel"
+    received = 0
+    while received < size:
+        received += len(await client_stream.read())
+    await waiting
+    assert not server_stream.unsent_bytes and not server_stream.is_write_paused
+    while server_stream.send(b"x" * WRITE_PART):
+        pass
+    assert server_stream.unsent_bytes > WRITE_BYTES, "the usual limit isn't in force again"
+    waiting = asyncio.create_task(server_stream.wait_sent())
+    await asyncio.sleep(0)
+    server_stream.abort()
+    try:
+        await waiting
+    except ConnectionResetError:
+        return True
+    finally:
+        client_stream.close()
+        await listener.shutdown()
+    return False
+
+
+@then("a TCP stream waits until the kernel has accepted all bytes, or raises an error at a reset")
+def step_tcp_unsent(_context):
+    assert asyncio.run(asyncio.wait_for(check_unsent(), 10)), "the reset went unnoticed"
