Bound the bytes that an entry VM holds for callers and servers

Cause: nothing bounded buffered bodies, buffered responses and what slow callers leave unread. At the thresholds no body is begun to be read, and requests that haven't been sent get 503 with a retry time, the least urgent first. Callers that take no response within the progress limit are reset. With responses counted only as they arrived, urgent requests were refused at the bound while usual ones overshot it.

--- a/camphorspread/process/held_memory.py
+++ b/camphorspread/process/held_memory.py
@@ -1,9 +1,13 @@
 """The bytes that an entry VM holds for callers and servers, and what it does when they are many.
 
 Counted are buffered request bodies, buffered responses, and responses that are being sent until the
-kernel has accepted them. The kernel's socket buffers aren't counted: the kernel bounds them itself,
-and they aren't part of the process. Neither are the receive buffer of each connection and what is
-in transit, which is at most one buffer for each request in flight.
+kernel has accepted them. Both are counted before they arrive: bodies with their announced size, and
+responses with the average size. The kernel's socket buffers aren't counted: the kernel bounds them
+itself, and they aren't part of the process. Neither are the receive buffer of each connection and
+what is in transit, which is at most one buffer for each request in flight.
+
+Each threshold is compared with what requests hold that are at least as urgent as the one that is
+judged, so that the least urgent ones are stopped first; at the bound all of them are.
 """
 
 import enum
@@ -23,12 +27,13 @@
     "Refuse",
     "StopReading",
     "Urgency",
-    "count_free_bytes",
+    "expect_response",
     "find_bound",
     "find_pressure",
     "hold",
     "judge_reading",
     "judge_request",
+    "learn_response",
     "note_refusal",
     "release",
     "take_pressure_change",
@@ -42,6 +47,10 @@
 # requests that were sent before it was passed, and for more urgent requests.
 STOP_FRACTION = 0.5
 REFUSE_FRACTION = 0.75
+# Assumed size of a response before the first one has arrived.
+FIRST_RESPONSE_BYTES = 16384.0
+# Weight of the newest response in the average of their sizes, once there were as many.
+RESPONSE_WEIGHT = 1 / 16
 # Slow callers release memory within the progress limit, usually 10 s, and others within one run.
 MIN_RETRY_DELAY = timedelta(milliseconds=500)
 RETRY_SPREAD = timedelta(seconds=1)
@@ -70,12 +79,12 @@
 
 @attrs.frozen
 class ReadOn:
-    """More bytes of a body may be read from its caller."""
+    """The body of a request may be read from its caller."""
 
 
 @attrs.frozen
 class StopReading:
-    """No more bytes of a body are read from its caller until memory is released."""
+    """The body of a request isn't read from its caller until memory is released."""
 
 
 @attrs.frozen
@@ -110,6 +119,8 @@
         total: Bytes held.
         by_kind: Bytes held by kind.
         by_urgency: Bytes held by the ranks of the requests; those without any are absent.
+        response_bytes: Moving average of the buffered bytes of a response.
+        responses: Number of responses in this average.
         refusals: Number of refused requests.
         peak: Largest total since the pressure was last reported.
         reported: Pressure that was last reported.
@@ -120,6 +131,8 @@
     total: int = 0
     by_kind: Counter = attrs.field(factory=Counter)
     by_urgency: Counter = attrs.field(factory=Counter)
+    response_bytes: float = FIRST_RESPONSE_BYTES
+    responses: int = 0
     refusals: int = 0
     peak: int = 0
     reported: Pressure = Pressure.NONE
@@ -156,45 +169,66 @@
         hold(memory, holding, kind, 0)
 
 
-def judge_reading(memory: HeldMemory) -> ReadOn | StopReading:
-    """Return whether more bytes of bodies may be read from callers.
+def expect_response(memory: HeldMemory, holding: Holding) -> None:
+    """Count the response to a request that is being sent with the average size.
+
+    Otherwise the responses to all requests in flight could exceed the bound at once.
+    """
+    if memory.bound is not None:
+        hold(memory, holding, HeldKind.RESPONSE, int(memory.response_bytes))
+
+
+def learn_response(memory: HeldMemory, size: int) -> None:
+    """Update the average with the buffered bytes of a response."""
+    memory.responses += 1
+    # The assumed size weighs as much as one response.
+    weight = max(RESPONSE_WEIGHT, 1 / (memory.responses + 1))
+    memory.response_bytes += (size - memory.response_bytes) * weight
+
+
+def judge_reading(memory: HeldMemory, urgency: Urgency) -> ReadOn | StopReading:
+    """Return whether the body of a request may be read from its caller.
+
+    A body is counted with the size that will be buffered before it is read. Counted as it arrives,
+    many bodies could stop each other halfway.
 
     Examples:
         >>> memory = HeldMemory(1000)
         >>> hold(memory, Holding((0, 1)), HeldKind.BODY, 500)
-        >>> judge_reading(memory)
-        StopReading()
+        >>> judge_reading(memory, (0, 1)), judge_reading(memory, (0, 0))
+        (StopReading(), ReadOn())
     """
-    return ReadOn() if count_free_bytes(memory) else StopReading()
+    if memory.bound is None:
+        return ReadOn()
+    threshold = int(memory.bound * STOP_FRACTION)
+    if memory.total < threshold:
+        return ReadOn()
+    if memory.total < memory.bound and count_urgent_bytes(memory, urgency) < threshold:
+        return ReadOn()
+    return StopReading()
 
 
-def count_free_bytes(memory: HeldMemory) -> int:
-    """Return how many bytes may be read before reading stops; one or more without a bound."""
-    if memory.bound is None:
-        return 1
-    return max(int(memory.bound * STOP_FRACTION) - memory.total, 0)
+def count_urgent_bytes(memory: HeldMemory, urgency: Urgency) -> int:
+    """Return the bytes held by requests that are at least as urgent."""
+    return sum(size for other, size in memory.by_urgency.items() if other <= urgency)
 
 
 def judge_request(memory: HeldMemory, urgency: Urgency) -> Accept | Refuse:
     """Return whether a request that hasn't been sent is served.
 
-    What less urgent requests hold doesn't count below the bound, so that these are refused first.
-
     Examples:
         >>> memory = HeldMemory(1000)
         >>> hold(memory, Holding((0, 2)), HeldKind.UNSENT, 800)
-        >>> judge_request(memory, (0, 1))
-        Accept()
-        >>> judge_request(memory, (0, 2))
-        Refuse()
+        >>> judge_request(memory, (0, 1)), judge_request(memory, (0, 2))
+        (Accept(), Refuse())
     """
-    if memory.bound is None or memory.total <= memory.bound * REFUSE_FRACTION:
+    if memory.bound is None:
+        return Accept()
+    threshold = memory.bound * REFUSE_FRACTION
+    if memory.total <= threshold:
+        return Accept()
+    if memory.total < memory.bound and count_urgent_bytes(memory, urgency) <= threshold:
         return Accept()
-    counted = memory.total
-    if counted < memory.bound:
-        counted -= sum(size for other, size in memory.by_urgency.items() if other > urgency)
-        if counted <= memory.bound * REFUSE_FRACTION:
-            return Accept()
     return Refuse()
 
 
--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -36,6 +36,8 @@
         key_refusals: Requests that were refused for their key, by reason.
         unreadable_loads: Responses whose stated load can't be read, by service.
         pauses: Pauses that servers have asked for, by service.
+        memory_refusals: Requests that were refused since too much was held, by what would have
+            followed.
         quota_requests: Decisions on the quotas of organisations, by (organisation, result).
         times: Time to the response by service, in microseconds.
         time_sums: Sum of the recorded microseconds.
@@ -51,6 +53,7 @@
     key_refusals: Counter = attrs.field(factory=Counter)
     unreadable_loads: Counter = attrs.field(factory=Counter)
     pauses: Counter = attrs.field(factory=Counter)
+    memory_refusals: Counter = attrs.field(factory=Counter)
     quota_requests: Counter = attrs.field(factory=Counter)
     times: dict[str, HdrHistogram] = attrs.field(factory=dict)
     time_sums: Counter = attrs.field(factory=Counter)
@@ -94,6 +97,7 @@
     ("key_refusals", ("reason",), "Requests that were refused for their key."),
     ("unreadable_loads", ("service",), "Responses whose stated load can't be read."),
     ("pauses", ("service",), "Pauses that backend servers have asked for."),
+    ("memory_refusals", ("stage",), "Requests refused since this VM holds too much for others."),
 )
 
 
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -19,6 +19,7 @@
     process_forwarded_departure,
 )
 from camphorspread.process.events import Event
+from camphorspread.process.held_memory import HeldKind, take_pressure_change
 from camphorspread.process.instances import expire_instances, list_owned_instances
 from camphorspread.process.learned_metrics import format_learned_runs
 from camphorspread.process.metrics import METRICS_TYPE
@@ -191,6 +192,19 @@
         "paused_instances": ("Backend servers in a pause for this VM.", paused_count),
         "entry_vms": ("Other entry VMs that are alive.", live_count),
         "in_flight": ("Requests in flight.", state.in_flight),
+        "held_body_bytes": (
+            "Bytes of request bodies that are buffered.",
+            state.held.by_kind[HeldKind.BODY],
+        ),
+        "held_response_bytes": (
+            "Bytes of responses that are buffered.",
+            state.held.by_kind[HeldKind.RESPONSE],
+        ),
+        "held_unsent_bytes": (
+            "Bytes of responses that callers haven't taken.",
+            state.held.by_kind[HeldKind.UNSENT],
+        ),
+        "held_bytes_bound": ("Bound on held bytes, 0 for none.", state.held.bound or 0),
     }
     text = format_steering_metrics(state.metrics, gauges)
     text += format_learned_runs(state.board.work, now)
@@ -207,6 +221,7 @@
             state.log.write(
                 Event.INSTANCE_EXPIRED, instance=instance.name, service=instance.report.service
             )
+        report_pressure(state)
         if state.table is not None:
             limits = state.table.limits
             callers.limits = ConnectionLimits(
@@ -221,6 +236,23 @@
             await notify_control_vms(state)
 
 
+def report_pressure(state: SteeringState) -> None:
+    """Log that a threshold of the held bytes was passed or left since the last call."""
+    pressure = take_pressure_change(state.held)
+    if pressure is None:
+        return
+    sizes = state.held.by_kind
+    state.log.write(
+        Event.MEMORY_PRESSURE_CHANGED,
+        pressure=pressure.value,
+        bound=state.held.bound,
+        refusals=state.held.refusals,
+        body_bytes=sizes[HeldKind.BODY],
+        response_bytes=sizes[HeldKind.RESPONSE],
+        unsent_bytes=sizes[HeldKind.UNSENT],
+    )
+
+
 async def stop_gracefully(node: SteeringNode) -> None:
     """Shut down after SIGTERM, once every request that was read has been answered.
 
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -12,6 +12,7 @@
 from camphorspread.connection.pool import ConnectionPool
 from camphorspread.process.clock import Clock
 from camphorspread.process.events import EventLog
+from camphorspread.process.held_memory import HeldMemory, Urgency, find_bound
 from camphorspread.process.instances import InstanceRegistry
 from camphorspread.process.loans import LentList
 from camphorspread.process.quota_contact import QuotaContact
@@ -100,6 +101,10 @@
         waiting_checks: Returns whether a waiting request may still run, by ticket.
         has_waiting: Set while a request waits.
         next_ticket: Ticket of the next request.
+        held: Bytes held for callers and servers.
+        paused_readers: Futures of the requests whose bodies are read on once memory is released,
+            by urgency and number, oldest first.
+        next_reader: Number of the next one.
         arrivals: Callers' requests in the window of the request rate.
         in_flight: Callers' requests in flight.
         is_leaving: True after SIGTERM.
@@ -138,6 +143,9 @@
     waiting_checks: dict[int, Callable[[], bool]] = attrs.field(factory=dict)
     has_waiting: asyncio.Event = attrs.field(factory=asyncio.Event)
     next_ticket: int = 0
+    held: HeldMemory = attrs.field(factory=HeldMemory)
+    paused_readers: dict[Urgency, dict[int, asyncio.Future]] = attrs.field(factory=dict)
+    next_reader: int = 0
     arrivals: SlidingWindow = attrs.field(
         factory=lambda: SlidingWindow(RATE_WINDOW / RATE_BUCKETS, RATE_BUCKETS)
     )
@@ -208,4 +216,5 @@
         FleetRetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack),
         QuotaBook(QuotaRules(bounds.quota_window, bounds.quota_overage, bounds.quota_tolerance)),
         QuotaContact(clock.monotonic()),
+        held=HeldMemory(find_bound(settings.role.memory_bytes)),
     )
--- a/camphorspread/request/reply.py
+++ b/camphorspread/request/reply.py
@@ -6,7 +6,9 @@
 from camphorspread.connection.client import InvalidResponseError
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
+from camphorspread.connection.network import READ_BYTES
 from camphorspread.process.events import Event
+from camphorspread.process.held_memory import HeldKind, Holding, hold, learn_response
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.send import Reply, StreamedReply
 
@@ -20,6 +22,7 @@
     reply: Reply | StreamedReply,
     service: str,
     limit: timedelta,
+    holding: Holding,
 ) -> None:
     """Send a response; if it breaks off, reset the connection so that it can't appear complete.
 
@@ -30,17 +33,29 @@
         reply: Response of the backend server, whose body is sent.
         service: Service of the backend server, for the log.
         limit: Time after which a streamed response is cut, as its body may never end.
+        holding: What is held for the request.
     """
     match reply:
         case Reply(body=body):
+            learn_response(state.held, len(body))
+            hold(state.held, holding, HeldKind.RESPONSE, 0)
+            hold(state.held, holding, HeldKind.UNSENT, len(body))
             await exchange.respond(head, body)
-        case StreamedReply():
+        case StreamedReply(held=held):
+            learn_response(state.held, len(held))
+            hold(state.held, holding, HeldKind.RESPONSE, 0)
+            hold(state.held, holding, HeldKind.UNSENT, len(held) + READ_BYTES)
             try:
                 async with asyncio.timeout(max(limit.total_seconds(), 0)):
                     await stream_body(exchange, head, reply)
             except (InvalidResponseError, TimeoutError) as exc:
                 cause = str(exc) or "the body didn't end before the deadline"
                 state.log.write(Event.RESPONSE_CUT, service=service, cause=cause)
+                return
+    if state.held.bound is not None:
+        # A caller that reads slowly would otherwise leave a part of each response in the send
+        # buffer of its connection, uncounted.
+        await exchange.wait_until_sent()
 
 
 async def stream_body(exchange: Exchange, head: ResponseHead, reply: StreamedReply) -> None:
--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -7,6 +7,7 @@
 from camphorspread.connection.messages import RequestHead, ResponseHead
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
+from camphorspread.process.held_memory import expect_response
 from camphorspread.process.instances import (
     Instance,
     is_usable,
@@ -17,6 +18,7 @@
 from camphorspread.request.caller_identity import is_still_identified
 from camphorspread.request.deadline import time_left
 from camphorspread.request.errors import Outcome
+from camphorspread.request.memory_limit import may_hold_response, note_response
 from camphorspread.request.peer_forward_codec import (
     ForwardMetadata,
     decode_forward_result,
@@ -113,6 +115,7 @@
     instance = place.instance
     started = state.clock.monotonic()
     was_sent = False
+    may_have_run = job.may_have_run
 
     def prepare() -> RequestHead | None:
         nonlocal was_sent
@@ -120,8 +123,9 @@
         if now >= job.req.deadline or not may_send_to(state, instance, now):
             return None
         # The key may have been withdrawn while the request waited for a slot or a connection.
-        if not is_still_identified(state, job):
+        if not is_still_identified(state, job) or not may_hold_response(state, job, may_have_run):
             return None
+        expect_response(state.held, job.holding)
         was_sent = True
         job.sends += 1
         job.sent_at = now
@@ -139,7 +143,6 @@
         return True
 
     result: SendResult | None = None
-    may_have_run = job.may_have_run
     job.may_have_run = True
     try:
         result = await send_request(
@@ -149,6 +152,7 @@
             job.body,
             is_answer,
             needs_new_connection=not job.call.request_id,
+            note_held=lambda size: note_response(state, job.holding, size),
         )
         outcome = classify_send(state, job, place, result, was_sent)
         if isinstance(outcome, Rejected):
@@ -235,18 +239,26 @@
 ) -> AttemptResult:
     """Forward a request to another entry VM."""
     peer = place.peer
+    may_have_run = job.may_have_run
 
     def prepare() -> RequestHead | None:
         now = state.clock.monotonic()
         if now >= job.req.deadline or not is_still_identified(state, job):
             return None
+        if not may_hold_response(state, job, may_have_run):
+            return None
+        expect_response(state.held, job.holding)
         job.sent_at = now
         return make_forward_head(state, job, peer, now)
 
-    may_have_run = job.may_have_run
     job.may_have_run = True
     result = await send_request(
-        state.peer_pool, peer.peers, prepare, job.body, lambda _response: True
+        state.peer_pool,
+        peer.peers,
+        prepare,
+        job.body,
+        lambda _response: True,
+        note_held=lambda size: note_response(state, job.holding, size),
     )
     outcome = classify_forward(state, job, peer, result)
     if isinstance(outcome, Rejected):
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -14,14 +14,17 @@
 )
 from camphorspread.connection.exchange import Exchange
 from camphorspread.connection.messages import ResponseHead
+from camphorspread.process.held_memory import Holding, release
 from camphorspread.process.reported_load import measure_loads
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.body_reading import read_first_part
 from camphorspread.request.caller_identity import (
     check_identity,
     identify_forwarded,
     is_still_identified,
 )
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
+from camphorspread.request.memory_limit import check_memory, check_unsent, drop_body
 from camphorspread.request.peer_forward_codec import (
     ForwardMetadata,
     ForwardResult,
@@ -39,7 +42,6 @@
 from camphorspread.request.placement_queue import Refused
 from camphorspread.request.reply import send_reply
 from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_local
-from camphorspread.request.route_steering import read_first_part
 from camphorspread.request.routed_request import Denied, RoutedRequest
 from camphorspread.request.send import Reply, RequestBody, StreamedReply
 from camphorspread.version.routing import Route
@@ -75,13 +77,44 @@
         organisation=forward.organisation,
         organisation_rank=forward.organisation_rank,
     )
-    body = await read_first_part(state, exchange)
+    holding = Holding((forward.organisation_rank, forward.rank))
+    denied = check_memory(state, holding.urgency, "forward")
+    if denied is not None:
+        await refuse_forwarded(state, exchange, forward, denied)
+        return
+    try:
+        match await read_first_part(state, exchange, holding, now + forward.time_left / 2):
+            case Denied() as denied:
+                release(state.held, holding)
+                await refuse_forwarded(state, exchange, forward, denied)
+            case body:
+                route = make_route(forward)
+                job = RoutedRequest(
+                    caller.call, route, req, body, now, deadline, caller.identity, holding=holding
+                )
+                await serve_job(state, exchange, forward, job)
+    finally:
+        release(state.held, holding)
+
+
+async def refuse_forwarded(
+    state: SteeringState, exchange: Exchange, forward: ForwardMetadata, denied: Denied
+) -> None:
+    """Refuse a forwarded request whose body hasn't been read, and discard that."""
+    await exchange.discard_body(forward.time_left)
+    await respond_forwarded(state, exchange, forward, make_denied_result(denied), None)
+
+
+async def serve_job(
+    state: SteeringState, exchange: Exchange, forward: ForwardMetadata, job: RoutedRequest
+) -> None:
+    """Run a forwarded request whose body has been read, and respond."""
+    body, deadline = job.body, job.deadline
     if not state.can_end_before_exit(deadline):
         facts = ForwardResult(Outcome.NOT_RUN, ErrorKind.LEAVING, 0)
         await discard_rest(body, forward.time_left)
         await respond_forwarded(state, exchange, forward, facts, None)
         return
-    job = RoutedRequest(caller.call, make_route(forward), req, body, now, deadline, caller.identity)
     state.in_flight += 1
     try:
         work = run_forwarded(state, job)
@@ -95,8 +128,10 @@
                 outcome = Outcome.UNKNOWN if job.may_have_run else Outcome.NOT_RUN
                 facts, reply = ForwardResult(outcome, ErrorKind.DEADLINE_EXCEEDED, job.sends), None
         if reply is None:
+            release(state.held, job.holding)
             await discard_rest(body, deadline - state.clock.monotonic())
-        await respond_forwarded(state, exchange, forward, facts, reply)
+        drop_body(state, job)
+        await respond_forwarded(state, exchange, forward, facts, reply, job.holding)
     finally:
         state.in_flight -= 1
 
@@ -159,7 +194,7 @@
             run = state.clock.monotonic() - started
             fast = is_fast(state, job, run)
             return ForwardResult(Outcome.COMPLETED, None, job.sends, fast, leaving=leaving), reply
-        case Rejected(was_sent=False) if denied := check_identity(state, job):
+        case Rejected(was_sent=False) if denied := check_unsent(state, job):
             return make_denied_result(denied), None
         case Rejected(retry_after=return_delay):
             return ForwardResult(
@@ -195,6 +230,7 @@
     forward: ForwardMetadata,
     facts: ForwardResult,
     reply: Reply | StreamedReply | None,
+    holding: Holding | None = None,
 ) -> None:
     """Send the response and its metadata to the forwarding VM."""
     now = state.clock.monotonic()
@@ -208,4 +244,5 @@
         case _:
             head = state.dialect.encode_response(reply.head)
             head = attrs.evolve(head, headers=(*head.headers, *headers))
-            await send_reply(state, exchange, head, reply, forward.service, FORWARD_BODY_LIMIT)
+            limit = FORWARD_BODY_LIMIT
+            await send_reply(state, exchange, head, reply, forward.service, limit, holding)
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -15,13 +15,13 @@
     CallerDisconnectedError,
     Exchange,
     ProgressTimeoutError,
-    RequestRefusedError,
 )
-from camphorspread.connection.messages import Headers, has_body
 from camphorspread.process.events import Event
+from camphorspread.process.held_memory import Holding, release
 from camphorspread.process.live_vms import find_retry_share
 from camphorspread.process.steering_metrics import record_result
 from camphorspread.process.steering_state import SteeringState
+from camphorspread.request.body_reading import read_first_part
 from camphorspread.request.caller_identity import (
     IdentifiedCall,
     check_identity,
@@ -32,6 +32,12 @@
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.fleet_retry_budget import record_first_send, try_fleet_retry
 from camphorspread.request.identify import combine_home_regions
+from camphorspread.request.memory_limit import (
+    check_memory,
+    check_unsent,
+    drop_body,
+    drop_response,
+)
 from camphorspread.request.placement_board import (
     ForwardPlacement,
     LocalPlacement,
@@ -50,7 +56,7 @@
 )
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
-from camphorspread.request.resend import RestUnread, may_resend
+from camphorspread.request.resend import may_resend
 from camphorspread.request.route_attempt import (
     SERVER_ERROR,
     AttemptResult,
@@ -61,15 +67,14 @@
     attempt_local,
 )
 from camphorspread.request.routed_request import Denied, RoutedRequest
-from camphorspread.request.send import HELD_BYTES, Reply, RequestBody, StreamedReply
+from camphorspread.request.send import Reply, StreamedReply
 from camphorspread.request.slot_use import describe_use, measure_use
 from camphorspread.request.splitting import pick_service
 from camphorspread.request.window import record_event
-from camphorspread.version.routing import CallerLimits, Route, find_route
+from camphorspread.version.routing import Route, find_route
 
 __all__ = ["serve_by_route"]
 
-FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # The final response is sent this long before the time limit, so that it arrives within it.
 RESPONSE_MARGIN = timedelta(milliseconds=30)
 # No further attempt begins unless more than this time is left until the deadline.
@@ -136,10 +141,19 @@
     route: Route,
     arrived: timedelta,
 ) -> None:
-    """Serve one request whose route and organisation are known, within the organisation's quota."""
+    """Serve one request whose route and organisation are known, within memory and quota."""
+    organisation_rank = caller.organisation.rank if caller.organisation else 0
+    holding = Holding((organisation_rank, route.rank))
+    denied = check_memory(state, holding.urgency, "arrival")
+    if denied is not None:
+        await refuse_unread(state, exchange, denied)
+        return
     match await admit_quota(state, caller.organisation):
         case Admitted(ticket=ticket):
-            await steer_admitted(state, exchange, caller, route, arrived, ticket)
+            try:
+                await steer_admitted(state, exchange, caller, route, arrived, ticket, holding)
+            finally:
+                release(state.held, holding)
         case Over(retry_after=retry_after):
             refusal = Refusal(ErrorKind.QUOTA_EXCEEDED, "the organisation's limit is reached")
             await refuse_unread(state, exchange, Denied(refusal, retry_after))
@@ -155,6 +169,7 @@
     route: Route,
     arrived: timedelta,
     ticket: Ticket | None,
+    holding: Holding,
 ) -> None:
     """Serve one request that is charged to a quota, or that has none."""
     call, organisation = caller.call, caller.organisation
@@ -177,26 +192,29 @@
     )
     job: RoutedRequest | None = None
     try:
-        body = await read_first_part(state, exchange)
-        job = RoutedRequest(call, route, req, body, arrived, deadline, caller.identity)
-        if home_regions is None:
-            refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
-            result = Denied(refusal, NO_REGION_RETRY_DELAY)
-        elif state.can_end_before_exit(deadline):
-            result = await run_until_disconnect(state, exchange, job)
-        else:
-            refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
-            result = Denied(refusal, PROMPT_RETRY_DELAY)
+        match await read_first_part(state, exchange, holding, arrived + (deadline - arrived) / 2):
+            case Denied() as denied:
+                result = denied
+            case body:
+                job = RoutedRequest(
+                    call, route, req, body, arrived, deadline, caller.identity, holding=holding
+                )
+                result = await run_job(state, exchange, job, home_regions)
     finally:
         sent_at = job.sent_at if job is not None and job.may_have_run else None
         sends = job.sends if job is not None else 1
         settle_quota(state, ticket, sent_at is not None, sent_at, sends)
+    if job is None:
+        await refuse_unread(state, exchange, result)
+        return
+    drop_body(state, job)
     if result is None:
         record_end(state, job, "caller_gone")
         exchange.abort()
         return
     match result:
         case Denied() as denied:
+            release(state.held, holding)
             record_end(state, job, denied.refusal.kind.value, denied)
             await respond_denied(state, exchange, denied)
         case Reply() | StreamedReply():
@@ -204,45 +222,19 @@
             await respond_reply(state, exchange, job, result)
 
 
-async def read_first_part(state: SteeringState, exchange: Exchange) -> RequestBody:
-    """Read the body of a request up to the size that is buffered.
-
-    Raises:
-        RequestRefusedError: The body exceeds the limit or violates the framing.
-    """
-    headers = exchange.head.headers
-    if not has_body(headers):
-        framing = tuple(item for item in headers if item[0] == b"content-length")
-        return RequestBody(framing)
-    # Another VM may forward a request to this one before it has its routes.
-    limit = (state.table.limits if state.table else CallerLimits()).body_bytes
-    announced = next((value for name, value in headers if name == b"content-length"), b"0")
-    if int(announced) > limit:
-        raise make_body_limit_error(limit)
-    held = bytearray()
-    while len(held) <= HELD_BYTES:
-        chunk = await exchange.read_body()
-        if not chunk:
-            length = (b"content-length", b"%d" % len(held))
-            return RequestBody((length,), bytes(held))
-        held += chunk
-        # A body in chunks doesn't announce its size.
-        if len(held) > limit:
-            raise make_body_limit_error(limit)
-
-    async def receive() -> bytes:
-        chunk = await exchange.read_body()
-        if exchange.received_bytes > limit:
-            raise make_body_limit_error(limit)
-        return chunk
-
-    framing: Headers = tuple(item for item in headers if item[0] in FRAMING_HEADERS)
-    return RequestBody(framing, bytes(held), RestUnread(), receive)
-
-
-def make_body_limit_error(limit: int) -> RequestRefusedError:
-    """Return the error for a body over the limit."""
-    return RequestRefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, f"the body exceeds {limit} bytes"))
+async def run_job(
+    state: SteeringState,
+    exchange: Exchange,
+    job: RoutedRequest,
+    home_regions: tuple[str, ...] | None,
+) -> Denied | Reply | StreamedReply | None:
+    """Run a request whose body has been read, if this VM and its regions may run it."""
+    if home_regions is None:
+        refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
+        return Denied(refusal, NO_REGION_RETRY_DELAY)
+    if state.can_end_before_exit(job.deadline):
+        return await run_until_disconnect(state, exchange, job)
+    return Denied(Refusal(ErrorKind.LEAVING, "this VM is about to stop"), PROMPT_RETRY_DELAY)
 
 
 async def run_until_disconnect(
@@ -310,6 +302,7 @@
         withdraw_grant(state.board, job.req, denied is not None, state.clock.monotonic())
         if denied is not None:
             return denied
+        drop_response(state, job.holding)
         state.metrics.repeats[(job.req.service,)] += 1
 
 
@@ -331,7 +324,7 @@
     """Return the final result after a failed attempt, or None if another one follows."""
     now = state.clock.monotonic()
     match result:
-        case Rejected(was_sent=False) if denied := check_identity(state, job):
+        case Rejected(was_sent=False) if denied := check_unsent(state, job):
             return denied
         case Rejected(was_sent=was_sent, retry_after=return_delay):
             if not was_sent and may_resend(job.body.progress):
@@ -381,7 +374,7 @@
     until = job.arrived + max(job.call.time_left or timedelta(0), job.route.time_limit)
     limit = until - state.clock.monotonic()
     head = state.dialect.encode_response(reply.head)
-    await send_reply(state, exchange, head, reply, job.req.service, limit)
+    await send_reply(state, exchange, head, reply, job.req.service, limit, job.holding)
 
 
 async def respond_denied(state: SteeringState, exchange: Exchange, denied: Denied) -> None:
--- a/camphorspread/request/routed_request.py
+++ b/camphorspread/request/routed_request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from camphorspread.process.held_memory import Holding
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.errors import Refusal
 from camphorspread.request.identify import Identity, UnidentifiedCaller
@@ -42,6 +43,7 @@
         waited: Time from arrival until the first placement or the refusal.
         use: Use of the slots at that time, None before it.
         trail: Attempts and their results, for the log.
+        holding: The bytes held for it.
     """
 
     call: SteeredCall
@@ -58,3 +60,4 @@
     waited: timedelta | None = None
     use: SlotUse | None = None
     trail: list[str] = attrs.field(factory=list)
+    holding: Holding = attrs.field(factory=lambda: Holding((0, 0)))
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -42,7 +42,8 @@
 
     Attributes:
         framing: Headers that frame the body, empty without a body.
-        held: Buffered first part of the body.
+        held: Buffered first part of the body; empty once bytes after it have been read, since it
+            can't be sent again then.
         progress: How much of the body has been read from the caller.
         receive: Receives the next chunk after `held`, `b""` at the end; None if `held` is the whole
             body.
@@ -59,6 +60,8 @@
             return b""
         chunk = await self.receive()
         self.progress = note_read(self.progress, len(chunk))
+        if not may_resend(self.progress):
+            self.held = b""
         return chunk
 
 
@@ -116,6 +119,7 @@
     body: RequestBody,
     is_answer: Callable[[ResponseHead], bool],
     needs_new_connection: bool = False,
+    note_held: Callable[[int], None] = lambda _size: None,
 ) -> SendResult:
     """Send a request and read the response.
 
@@ -132,6 +136,7 @@
         is_answer: Returns True if a response belongs to this request.
         needs_new_connection: True if the response can only be recognised on a connection that has
             carried no other request.
+        note_held: Called with the number of bytes of the response that are buffered.
 
     Raises:
         RuntimeError: An earlier attempt has read bytes of the body that aren't buffered.
@@ -152,7 +157,7 @@
             return Withheld()
         full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
         try:
-            result = await exchange(pool, conn, full_head, body, is_answer)
+            result = await exchange(pool, conn, full_head, body, is_answer, note_held)
         except RequestNotSentError as exc:
             return NotSent(str(exc))
         except (InvalidResponseError, ConnectionError) as exc:
@@ -198,6 +203,7 @@
     head: RequestHead,
     body: RequestBody,
     is_answer: Callable[[ResponseHead], bool],
+    note_held: Callable[[int], None],
 ) -> SendResult:
     """Send the request and read its response; responses to other requests are skipped."""
     if body.receive is None:
@@ -211,7 +217,7 @@
     for _ in range(MAX_STRAY_RESPONSES + 1):
         response = await conn.read_final_head()
         if is_answer(response):
-            return await read_reply(pool, conn, response)
+            return await read_reply(pool, conn, response, note_held)
         await discard_body(conn)
         conn.prepare_next_response(head)
     raise InvalidResponseError("the received responses belong to other requests")
@@ -231,7 +237,10 @@
 
 
 async def read_reply(
-    pool: ConnectionPool, conn: ClientConnection, head: ResponseHead
+    pool: ConnectionPool,
+    conn: ClientConnection,
+    head: ResponseHead,
+    note_held: Callable[[int], None],
 ) -> Reply | StreamedReply:
     """Read the body of a response completely, unless it is too large to buffer."""
     chunks: list[bytes] = []
@@ -239,6 +248,7 @@
     while chunk := await conn.read_body():
         chunks.append(chunk)
         size += len(chunk)
+        note_held(size)
         if size > HELD_BYTES:
             return StreamedReply(head, b"".join(chunks), conn, pool)
     return Reply(head, b"".join(chunks))
--- a/features/process/held_memory.feature
+++ b/features/process/held_memory.feature
@@ -6,7 +6,7 @@
   Scenario Outline: What <held> held bytes of rank 1 mean with a bound of <bound>
     Given a bound of <bound> bytes
     When <held> bytes are held for a request of rank 1
-    Then bodies are <reading>
+    Then a body of rank 1 is <reading>
     And a new request of rank 1 is <result>
 
     Examples:
@@ -24,17 +24,21 @@
     When <urgent> bytes are held for a request of rank 0
     And <usual> bytes are held for a request of rank 1
     Then a new request of rank 0 is <first>
+    And a body of rank 0 is <read>
     And a new request of rank 1 is <second>
+    And a body of rank 1 is not read
     And a new request of rank 2 is <second>
 
     Examples:
-      | urgent | usual | first    | second   |
-      | 10     | 700   | accepted | accepted |
-      | 10     | 800   | accepted | refused  |
-      | 740    | 20    | accepted | refused  |
-      | 760    | 20    | refused  | refused  |
-      | 10     | 989   | accepted | refused  |
-      | 10     | 990   | refused  | refused  |
+      | urgent | usual | first    | read     | second   |
+      | 10     | 700   | accepted | read on  | accepted |
+      | 10     | 800   | accepted | read on  | refused  |
+      | 499    | 20    | accepted | read on  | accepted |
+      | 500    | 20    | accepted | not read | accepted |
+      | 740    | 20    | accepted | not read | refused  |
+      | 760    | 20    | refused  | not read | refused  |
+      | 10     | 989   | accepted | read on  | refused  |
+      | 10     | 990   | refused  | not read | refused  |
 
   # Guards against callers that are refused together and return together.
   Scenario: Retry times are spread
@@ -57,3 +61,20 @@
     When 800 bytes are held for a request of rank 1
     And it is released twice
     Then the reported pressures are "refusing, none, -"
+
+  # Guards against responses in flight that exceed the bound together, and against an average that
+  # follows single responses.
+  Scenario: Responses count with the average size from the send on
+    Given a bound of 1000000 bytes
+    Then a request that is sent counts 16384 bytes
+    When 1 response of 64000 bytes was received
+    Then a request that is sent counts 40192 bytes
+    When 100 responses of 1000 bytes were received
+    Then a request that is sent counts 1000 to 1300 bytes
+    When 1 response of 64000 bytes was received
+    Then a request that is sent counts 4900 to 5300 bytes
+
+  # Guards against counts of what may never arrive where nothing is bounded.
+  Scenario: Without a bound, nothing is counted before it arrives
+    Given a bound of no bytes
+    Then a request that is sent counts 0 bytes
--- a/features/steps/held_memory_decision_steps.py
+++ b/features/steps/held_memory_decision_steps.py
@@ -14,9 +14,11 @@
     ReadOn,
     Refuse,
     StopReading,
+    expect_response,
     hold,
     judge_reading,
     judge_request,
+    learn_response,
     note_refusal,
     release,
     take_pressure_change,
@@ -47,10 +49,10 @@
     release(context.memory, context.holding)
 
 
-@then("bodies are {result}")
-def step_reading(context, result):
+@then("a body of rank {rank:d} is {result}")
+def step_reading(context, rank, result):
     expected = {"read on": ReadOn(), "not read": StopReading()}[result]
-    assert judge_reading(context.memory) == expected, context.memory
+    assert judge_reading(context.memory, (0, rank)) == expected, context.memory
 
 
 @then("a new request of rank {rank:d} is {result}")
@@ -83,3 +85,29 @@
     reported = [take_pressure_change(context.memory) for _ in expected.split(", ")]
     found = ", ".join("-" if item is None else item.value for item in reported)
     assert found == expected, found
+
+
+@when("{count:d} response of {size:d} bytes was received")
+@when("{count:d} responses of {size:d} bytes were received")
+def step_learn(context, count, size):
+    for _ in range(count):
+        learn_response(context.memory, size)
+
+
+def measure_sent(memory):
+    """Return what is counted for a request that is sent."""
+    holding = Holding((0, 0))
+    expect_response(memory, holding)
+    size = memory.total
+    release(memory, holding)
+    return size
+
+
+@then("a request that is sent counts {size:d} bytes")
+def step_expected(context, size):
+    assert measure_sent(context.memory) == size, measure_sent(context.memory)
+
+
+@then("a request that is sent counts {low:d} to {high:d} bytes")
+def step_expected_range(context, low, high):
+    assert low <= measure_sent(context.memory) <= high, measure_sent(context.memory)
