--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -20,6 +20,7 @@
 )
 from camphorspread.process.events import Event
 from camphorspread.process.explain_listener import EXPLAIN_PATH, serve_explanation
+from camphorspread.process.held_memory import HeldKind, take_pressure_change
 from camphorspread.process.instances import expire_instances, list_owned_instances
 from camphorspread.process.learned_metrics import format_learned_runs
 from camphorspread.process.metrics import METRICS_TYPE
@@ -32,8 +33,8 @@
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.peer_forward_codec import FORWARD_HEADER
 from camphorspread.request.placement_driver import review_periodically
+from camphorspread.request.route_exchange import serve_by_route
 from camphorspread.request.route_forwarded import serve_forwarded
-from camphorspread.request.route_steering import serve_by_route
 
 __all__ = ["SteeringNode", "start_steering_node", "stop_gracefully"]
 
@@ -195,6 +196,19 @@
         "paused_instances": ("Backend servers in a pause for this VM.", paused_count),
         "entry_vms": ("Other entry VMs that are alive.", live_count),
         "in_flight": ("Requests in flight.", state.in_flight),
+        "held_body_bytes": (
+            "Bytes of request bodies that are buffered.",
+            state.held.by_kind[HeldKind.BODY],
+        ),
+        "held_response_bytes": (
+            "Bytes of responses that are buffered.",
+            state.held.by_kind[HeldKind.RESPONSE],
+        ),
+        "held_unsent_bytes": (
+            "Bytes of responses that callers haven't taken.",
+            state.held.by_kind[HeldKind.UNSENT],
+        ),
+        "held_bytes_bound": ("Bound on held bytes, 0 for none.", state.held.bound or 0),
     }
     text = format_steering_metrics(state.metrics, gauges)
     text += format_learned_runs(state.board.work, now)
@@ -211,6 +225,7 @@
             state.log.write(
                 Event.INSTANCE_EXPIRED, instance=instance.name, service=instance.report.service
             )
+        report_pressure(state)
         if state.table is not None:
             limits = state.table.limits
             callers.limits = ConnectionLimits(
@@ -225,6 +240,23 @@
             await notify_control_vms(state)
 
 
+def report_pressure(state: SteeringState) -> None:
+    """Log that a threshold of the held bytes was passed or left since the last call."""
+    pressure = take_pressure_change(state.held)
+    if pressure is None:
+        return
+    sizes = state.held.by_kind
+    state.log.write(
+        Event.MEMORY_PRESSURE_CHANGED,
+        pressure=pressure.value,
+        bound=state.held.bound,
+        refusals=state.held.refusals,
+        body_bytes=sizes[HeldKind.BODY],
+        response_bytes=sizes[HeldKind.RESPONSE],
+        unsent_bytes=sizes[HeldKind.UNSENT],
+    )
+
+
 async def stop_gracefully(node: SteeringNode) -> None:
     """Shut down after SIGTERM, once every request that was read has been answered.
 
--- a/camphorspread/request/refusals.py
+++ b/camphorspread/request/refusals.py
@@ -8,6 +8,7 @@
 from camphorspread.request.routed_request import Denied
 
 __all__ = [
+    "PROMPT_RETRY_DELAY",
     "refuse_before_exit",
     "refuse_charge",
     "refuse_key",
--- a/camphorspread/request/routed_request.py
+++ b/camphorspread/request/routed_request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from camphorspread.process.held_memory import Holding
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.errors import Refusal
 from camphorspread.request.identify import Identity, UnidentifiedCaller
@@ -46,6 +47,7 @@
         use: Use of the slots at that time, None before it.
         sent: When it was sent to a backend server or VM, for sends that may have run.
         trail: Attempts and their results, for the log.
+        holding: The bytes held for it.
     """
 
     call: SteeredCall
@@ -62,6 +64,7 @@
     use: SlotUse | None = None
     sent: list[timedelta] = attrs.field(factory=list)
     trail: list[str] = attrs.field(factory=list)
+    holding: Holding = attrs.field(factory=lambda: Holding((0, 0)))
 
 
 def make_placement_request(
--- a/camphorspread/request/send.py
+++ b/camphorspread/request/send.py
@@ -43,7 +43,8 @@
 
     Attributes:
         framing: Headers that frame the body, empty without a body.
-        held: Buffered first part of the body.
+        held: Buffered first part of the body; empty once bytes after it have been read, since it
+            can't be sent again then.
         progress: How much of the body has been read from the caller.
         receive: Receives the next chunk after `held`, `b""` at the end; None if `held` is the whole
             body.
@@ -60,6 +61,8 @@
             return b""
         chunk = await self.receive()
         self.progress = note_read(self.progress, len(chunk))
+        if not may_resend(self.progress):
+            self.held = b""
         return chunk
 
 
@@ -134,6 +137,7 @@
     prepare: Callable[[], RequestHead | None],
     body: RequestBody,
     rule: AnswerRule,
+    note_held: Callable[[int], None] = lambda _size: None,
 ) -> SendResult:
     """Send a request and read the response.
 
@@ -148,6 +152,7 @@
             meanwhile.
         body: Body of the request.
         rule: Which responses belong to this request.
+        note_held: Called with the number of bytes of the response that are buffered.
 
     Raises:
         RuntimeError: An earlier attempt has read bytes of the body that aren't buffered.
@@ -168,7 +173,7 @@
             return Withheld()
         full_head = attrs.evolve(head, headers=(*head.headers, *body.framing))
         try:
-            result = await exchange(pool, conn, full_head, body, rule)
+            result = await exchange(pool, conn, full_head, body, rule, note_held)
         except RequestNotSentError as exc:
             return NotSent(str(exc))
         except (InvalidResponseError, ConnectionError) as exc:
@@ -215,6 +220,7 @@
     head: RequestHead,
     body: RequestBody,
     rule: AnswerRule,
+    note_held: Callable[[int], None],
 ) -> SendResult:
     """Send the request and read its response; responses to other requests are skipped."""
     if body.receive is None:
@@ -230,7 +236,7 @@
         if rule.is_answer(response):
             if rule.request_id and rule.is_refusal(response):
                 conn.refused_requests.add(rule.request_id)
-            return await read_reply(pool, conn, response)
+            return await read_reply(pool, conn, response, note_held)
         await discard_body(conn)
         conn.prepare_next_response(head)
     raise InvalidResponseError("the received responses belong to other requests")
@@ -250,7 +256,10 @@
 
 
 async def read_reply(
-    pool: ConnectionPool, conn: ClientConnection, head: ResponseHead
+    pool: ConnectionPool,
+    conn: ClientConnection,
+    head: ResponseHead,
+    note_held: Callable[[int], None],
 ) -> Reply | StreamedReply:
     """Read the body of a response completely, unless it is too large to buffer."""
     chunks: list[bytes] = []
@@ -258,6 +267,7 @@
     while chunk := await conn.read_body():
         chunks.append(chunk)
         size += len(chunk)
+        note_held(size)
         if size > HELD_BYTES:
             return StreamedReply(head, b"".join(chunks), conn, pool)
     return Reply(head, b"".join(chunks))
