Separate the decisions on quotas and refusals from the code that waits

Cause: an explanation of a request has to call the decisions that requests use, but the decision on a charge was part of a coroutine, and refusals were built where they are sent, next to logging.

Change: quota_decision.py decides on a charge; refusals.py has the refusals of requests that aren't sent; make_placement_request and count_request are functions of their own. No decision changes.

--- a/camphorspread/request/caller_identity.py
+++ b/camphorspread/request/caller_identity.py
@@ -22,6 +22,7 @@
     identify,
 )
 from camphorspread.request.peer_forward_codec import ForwardMetadata
+from camphorspread.request.refusals import refuse_key
 from camphorspread.request.routed_request import Denied, RoutedRequest
 from camphorspread.version.organisations import Organisation
 from camphorspread.version.routing import Route
@@ -29,17 +30,13 @@
 __all__ = [
     "IdentifiedCall",
     "check_identity",
+    "describe_contact",
     "identify_caller",
     "identify_forwarded",
     "is_still_identified",
 ]
 
 MILLISECOND = timedelta(milliseconds=1)
-# Newer routes arrive within a few round trips of their announcement, and a request that has to be
-# identified anew can be sent at once.
-PROMPT_RETRY_DELAY = timedelta(milliseconds=250)
-# The next contact to a control VM takes about a poll.
-CONTACT_RETRY_DELAY = timedelta(seconds=1)
 
 
 @attrs.frozen
@@ -164,12 +161,4 @@
         revision=state.table.revision,
         contact_age_ms=None if silence is None else silence // MILLISECOND,
     )
-    match fault:
-        case _ if fault.is_certain:
-            return Denied(Refusal(ErrorKind.KEY_REFUSED, "this request needs a valid key"))
-        case KeyFault.NO_CONTACT:
-            refusal = Refusal(ErrorKind.NOT_READY, "this VM can't check keys at present")
-            return Denied(refusal, CONTACT_RETRY_DELAY)
-        case _:
-            refusal = Refusal(ErrorKind.NOT_READY, "this VM gets new routes at present")
-            return Denied(refusal, PROMPT_RETRY_DELAY)
+    return refuse_key(fault)
--- a/camphorspread/request/placement_queue.py
+++ b/camphorspread/request/placement_queue.py
@@ -52,6 +52,7 @@
     "Refused",
     "Waiter",
     "count_decision",
+    "count_request",
     "grant_slot",
     "remove_waiter",
     "request_placement",
@@ -138,13 +139,7 @@
         waiter: The request.
         now: Current monotonic time.
     """
-    service = waiter.req.service
-    if has_scarce_capacity(board, service):
-        count_arrival(find_booking(board, service), now)
-    if waiter.req.may_forward and not waiter.req.excluded:
-        share = board.home_shares.get(waiter.req.service)
-        if share is not None:
-            record_arrival(share, now)
+    count_request(board, waiter.req, now)
     decision = decide_placement(board, queue, waiter, now)
     if decision is None:
         queue.by_service.setdefault(waiter.req.service, {})[waiter.ticket] = waiter
@@ -153,6 +148,16 @@
     return decision
 
 
+def count_request(board: PlacementBoard, req: PlacementRequest, now: timedelta) -> None:
+    """Count an arriving request for the retry times and for the share of kept objects."""
+    if has_scarce_capacity(board, req.service):
+        count_arrival(find_booking(board, req.service), now)
+    if req.may_forward and not req.excluded:
+        share = board.home_shares.get(req.service)
+        if share is not None:
+            record_arrival(share, now)
+
+
 def count_decision(board: PlacementBoard, waiter: Waiter, is_served: bool, now: timedelta) -> None:
     """Count the final decision on a request for its organisation."""
     req = waiter.req
--- a/camphorspread/request/quota_admission.py
+++ b/camphorspread/request/quota_admission.py
@@ -4,61 +4,31 @@
 import contextlib
 from datetime import timedelta
 
-import attrs
-
 from camphorspread.process.events import Event
 from camphorspread.process.quota_renewal import update_limits
 from camphorspread.process.quota_shares import Pressure
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.quota import (
-    Charged,
-    Exceeded,
     OrganisationQuota,
     Ticket,
-    charge_request,
-    find_free_time,
     is_renewal_useful,
     record_arrival,
     settle_ticket,
 )
+from camphorspread.request.quota_decision import (
+    Admitted,
+    Over,
+    Undecided,
+    WaitForRenewal,
+    WaitForTurn,
+    decide_charge,
+)
 from camphorspread.version.organisations import Organisation
 
-__all__ = ["Admitted", "Over", "Undecided", "admit_quota", "settle_quota"]
+__all__ = ["Admitted", "Over", "Undecided", "admit_quota", "can_renew", "settle_quota"]
 
-# Longest time for which a request waits for the leader: a round trip between regions, and the
-# retransmission of a lost packet.
-WAIT_LIMIT = timedelta(milliseconds=300)
-# Longest time for which a request waits until an earlier send has left the window. A VM with a
-# share of 12 requests in 5 s may send one every 0.4 s.
-TURN_LIMIT = timedelta(milliseconds=400)
 # After this number of renewals without a response a request doesn't wait for the next one.
 MAX_FAILURES = 2
-UNDECIDED_RETRY_DELAY = timedelta(seconds=1)
-
-
-@attrs.frozen
-class Admitted:
-    """The request may be sent.
-
-    Attributes:
-        ticket: Its charge, to be settled at its end; None without a limit.
-    """
-
-    ticket: Ticket | None = None
-
-
-@attrs.frozen
-class Over:
-    """The organisation's limit is reached."""
-
-    retry_after: timedelta
-
-
-@attrs.frozen
-class Undecided:
-    """It isn't known whether the organisation's limit is reached."""
-
-    retry_after: timedelta
 
 
 async def admit_quota(
@@ -92,35 +62,35 @@
     contact = state.quota_contact
     quota = state.quotas.quotas[name]
     arrived = state.clock.monotonic()
-    until = arrived + WAIT_LIMIT
     record_arrival(quota, arrived)
     while True:
         now = state.clock.monotonic()
-        match charge_request(state.quotas, name, now):
-            case Charged(ticket=ticket):
-                return Admitted(ticket)
-            case Exceeded(retry_after=retry_after):
-                pass
-        if not is_renewal_useful(quota):
-            free_at = find_free_time(quota, now)
-            if free_at is None or free_at > arrived + TURN_LIMIT:
-                return Over(retry_after)
-            await wait_for_turn(quota, free_at - now)
-            continue
-        if now >= until or contact.failures >= MAX_FAILURES or not state.controls:
-            contact.is_urgent.set()
-            # Without a share, nobody has said that the limit is reached.
-            has_share = quota.is_leased and quota.share
-            return Over(retry_after) if has_share else Undecided(UNDECIDED_RETRY_DELAY)
-        contact.is_urgent.set()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout((until - now).total_seconds()):
-                await contact.ended.wait()
+        decision = decide_charge(state.quotas, name, arrived, can_renew(state), now)
+        match decision:
+            case Admitted():
+                return decision
+            case WaitForTurn(until=until):
+                await wait_for_turn(quota, until - now)
+                continue
+            case Over() | Undecided():
+                if is_renewal_useful(quota):
+                    contact.is_urgent.set()
+                return decision
+            case WaitForRenewal(until=until):
+                contact.is_urgent.set()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout((until - now).total_seconds()):
+                        await contact.ended.wait()
         if state.quotas.quotas.get(name) is not quota or quota.usable is None:
             # A configuration without this limit came into force meanwhile.
             return Admitted()
 
 
+def can_renew(state: SteeringState) -> bool:
+    """Return True if a request may wait for the response of the leader."""
+    return state.quota_contact.failures < MAX_FAILURES and bool(state.controls)
+
+
 async def wait_for_turn(quota: OrganisationQuota, time: timedelta) -> None:
     """Wait until an earlier send has left the window."""
     quota.waiting += 1
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -35,7 +35,6 @@
 from camphorspread.request.placement_board import (
     ForwardPlacement,
     LocalPlacement,
-    PlacementRequest,
     find_region,
 )
 from camphorspread.request.placement_driver import wait_for_placement
@@ -48,6 +47,12 @@
     admit_quota,
     settle_quota,
 )
+from camphorspread.request.refusals import (
+    refuse_before_exit,
+    refuse_charge,
+    refuse_placement,
+    refuse_without_region,
+)
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.reply import send_reply
 from camphorspread.request.resend import RestUnread, may_resend
@@ -60,7 +65,12 @@
     attempt_forward,
     attempt_local,
 )
-from camphorspread.request.routed_request import Denied, RoutedRequest
+from camphorspread.request.routed_request import (
+    RESPONSE_MARGIN,
+    Denied,
+    RoutedRequest,
+    make_placement_request,
+)
 from camphorspread.request.send import HELD_BYTES, Reply, RequestBody, StreamedReply
 from camphorspread.request.slot_use import describe_use, measure_use
 from camphorspread.request.splitting import pick_service
@@ -70,14 +80,10 @@
 __all__ = ["serve_by_route"]
 
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-# The final response is sent this long before the time limit, so that it arrives within it.
-RESPONSE_MARGIN = timedelta(milliseconds=30)
 # No further attempt begins unless more than this time is left until the deadline.
 MIN_ATTEMPT_TIME = timedelta(milliseconds=50)
 # Suggested delay where another VM or backend server can serve the caller at once.
 PROMPT_RETRY_DELAY = timedelta(milliseconds=50)
-# Only a change of the configuration helps a request that no region may run.
-NO_REGION_RETRY_DELAY = timedelta(seconds=1)
 # A caller that is refused before its body was read may send it for this long. It includes a round
 # trip between regions.
 REFUSED_BODY_LIMIT = timedelta(milliseconds=500)
@@ -140,12 +146,8 @@
     match await admit_quota(state, caller.organisation):
         case Admitted(ticket=ticket):
             await steer_admitted(state, exchange, caller, route, arrived, ticket)
-        case Over(retry_after=retry_after):
-            refusal = Refusal(ErrorKind.QUOTA_EXCEEDED, "the organisation's limit is reached")
-            await refuse_unread(state, exchange, Denied(refusal, retry_after))
-        case Undecided(retry_after=retry_after):
-            refusal = Refusal(ErrorKind.NOT_READY, "this VM has no share of the limit yet")
-            await refuse_unread(state, exchange, Denied(refusal, retry_after))
+        case Over() | Undecided() as result:
+            await refuse_unread(state, exchange, refuse_charge(result))
 
 
 async def steer_admitted(
@@ -164,29 +166,19 @@
         deadline = min(deadline, arrived + call.time_left)
     service = pick_service(state.splitter, route)
     record_first_send(state.retry_budget, service, arrived)
-    req = PlacementRequest(
-        service,
-        route.name,
-        f"{route.name}/{call.object_key}" if route.has_affinity and call.object_key else "",
-        route.rank,
-        arrived + route.promised,
-        deadline - RESPONSE_MARGIN,
-        home_regions or (),
-        organisation=organisation.name if organisation else "",
-        organisation_rank=organisation.rank if organisation else 0,
+    req = make_placement_request(
+        route, service, call.object_key, organisation, home_regions or (), arrived, deadline
     )
     job: RoutedRequest | None = None
     try:
         body = await read_first_part(state, exchange)
         job = RoutedRequest(call, route, req, body, arrived, deadline, caller.identity)
         if home_regions is None:
-            refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
-            result = Denied(refusal, NO_REGION_RETRY_DELAY)
+            result = refuse_without_region()
         elif state.can_end_before_exit(deadline):
             result = await run_until_disconnect(state, exchange, job)
         else:
-            refusal = Refusal(ErrorKind.LEAVING, "this VM is about to stop")
-            result = Denied(refusal, PROMPT_RETRY_DELAY)
+            result = refuse_before_exit()
     finally:
         sent_at = job.sent_at if job is not None and job.may_have_run else None
         sends = job.sends if job is not None else 1
@@ -286,9 +278,7 @@
                     return denied
                 if job.may_have_run:
                     return Denied(Refusal(ErrorKind.BACKEND_FAILED, "no attempt got a response"))
-                is_known = has_server or job.forwards
-                kind = ErrorKind.OVERLOADED if is_known else ErrorKind.NO_BACKEND_SERVER
-                return Denied(Refusal(kind, "no backend server has capacity"), return_delay)
+                return refuse_placement(has_server or job.forwards > 0, return_delay)
             case LocalPlacement():
                 record_placement(state, place)
                 job.trail.append(f"start {place.instance.name}")
--- a/camphorspread/request/routed_request.py
+++ b/camphorspread/request/routed_request.py
@@ -10,9 +10,13 @@
 from camphorspread.request.placement_board import PlacementRequest
 from camphorspread.request.send import RequestBody
 from camphorspread.request.slot_use import SlotUse
+from camphorspread.version.organisations import Organisation
 from camphorspread.version.routing import Route
 
-__all__ = ["Denied", "RoutedRequest"]
+__all__ = ["RESPONSE_MARGIN", "Denied", "RoutedRequest", "make_placement_request"]
+
+# The final response is sent this long before the time limit, so that it arrives within it.
+RESPONSE_MARGIN = timedelta(milliseconds=30)
 
 
 @attrs.frozen
@@ -58,3 +62,36 @@
     waited: timedelta | None = None
     use: SlotUse | None = None
     trail: list[str] = attrs.field(factory=list)
+
+
+def make_placement_request(
+    route: Route,
+    service: str,
+    object_key: str,
+    organisation: Organisation | None,
+    home_regions: tuple[str, ...],
+    arrived: timedelta,
+    deadline: timedelta,
+) -> PlacementRequest:
+    """Return the input of the first placement decision on a caller's request.
+
+    Args:
+        route: Route of the request.
+        service: Service that it was assigned to.
+        object_key: Its affinity key as the caller sent it, empty for none.
+        organisation: Its organisation, None for none.
+        home_regions: Regions that may run it, empty for all.
+        arrived: When it arrived.
+        deadline: Time by which the final response must be sent.
+    """
+    return PlacementRequest(
+        service,
+        route.name,
+        f"{route.name}/{object_key}" if route.has_affinity and object_key else "",
+        route.rank,
+        arrived + route.promised,
+        deadline - RESPONSE_MARGIN,
+        home_regions,
+        organisation=organisation.name if organisation else "",
+        organisation_rank=organisation.rank if organisation else 0,
+    )
