--- a/camphorspread/request/placement.py
+++ b/camphorspread/request/placement.py
@@ -70,6 +70,10 @@
     "can_start_run",
     "choose_placement",
     "cold_limit",
+    "is_kept_at_home",
+    "is_region_allowed",
+    "list_candidates",
+    "list_local_placements",
     "match_freed_slot",
 ]
 
