Explain requests at the metrics listener and by explain-route

Cause: operators need the explanation of a running entry VM.

Change: `GET /explain` at the metrics listener of entry VMs returns it as JSON, or an error text; `camphorspread explain-route` prints it as tables.

--- a/camphorspread/process/command/commands.py
+++ b/camphorspread/process/command/commands.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from camphorspread.connection.network import Address
 from camphorspread.process.command.catalogue_change import ChangeOptions
 from camphorspread.process.command.operator import Target
 from camphorspread.process.load import LoadPlan
@@ -21,6 +22,7 @@
     "Command",
     "Explain",
     "ExplainLog",
+    "ExplainRoute",
     "Load",
     "LocalFleet",
     "MembersAdd",
@@ -151,6 +153,18 @@
     as_json: bool
 
 
+@attrs.frozen
+class ExplainRoute:
+    """Explain where an entry VM would send a request now."""
+
+    metrics: Address
+    host: str
+    path: str
+    object_key: str
+    organisation: str
+    as_json: bool
+
+
 @attrs.frozen
 class Report:
     """Print the accounting report."""
--- a/camphorspread/process/command/dispatch.py
+++ b/camphorspread/process/command/dispatch.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 from functools import partial
-from pathlib import Path
 
 from returns.result import Failure, Success
 
@@ -58,8 +57,8 @@
                 command.slots,
                 command.service_time,
             )
-        case commands.ExplainLog(request=request, files=files, as_json=as_json):
-            return run_explain_log(request, files, as_json)
+        case commands.ExplainLog() | commands.ExplainRoute() as command:
+            return run_explain_command(command)
         case commands.Version(as_json=as_json):
             from camphorspread.process.command.version import show_version
 
@@ -78,14 +77,20 @@
             return run_catalogue_command(command)
 
 
-def run_explain_log(request: str, files: tuple[Path, ...], as_json: bool) -> int:
-    """Explain a request from log files."""
-    from camphorspread.process.command.explain_log import explain_from_logs
+def run_explain_command(command: commands.ExplainLog | commands.ExplainRoute) -> int:
+    """Explain a request from log files, or where a VM would send one."""
+    match command:
+        case commands.ExplainRoute():
+            from camphorspread.process.command.explain_route import run_explain_route
+
+            return run_explain_route(command)
+        case commands.ExplainLog(request=request, files=files, as_json=as_json):
+            from camphorspread.process.command.explain_log import explain_from_logs
 
-    try:
-        return print_result(explain_from_logs(request, files), as_json)
-    except OSError as exc:
-        return print_faults((f"{exc.filename}: {exc.strerror}",))
+            try:
+                return print_result(explain_from_logs(request, files), as_json)
+            except OSError as exc:
+                return print_faults((f"{exc.filename}: {exc.strerror}",))
 
 
 def run_fleet_command(command: commands.Status | commands.Explain | commands.Report) -> int:
--- a/camphorspread/process/command/from_arguments.py
+++ b/camphorspread/process/command/from_arguments.py
@@ -14,6 +14,8 @@
     CatalogueUndrain,
     Command,
     Explain,
+    ExplainLog,
+    ExplainRoute,
     Load,
     MembersAdd,
     MembersList,
@@ -28,6 +30,7 @@
 
 __all__ = [
     "make_catalogue_command",
+    "make_explain_command",
     "make_fleet_command",
     "make_load_command",
     "make_members_command",
@@ -52,6 +55,15 @@
     return Explain(target, args.json, args.service, args.request, args.caller or "")
 
 
+def make_explain_command(args: argparse.Namespace) -> Command:
+    """Return a command that explains a request from log files, or at one VM."""
+    if args.command == "explain-log":
+        return ExplainLog(args.request, tuple(args.files), args.json)
+    return ExplainRoute(
+        args.metrics, args.host, args.path, args.object, args.organisation, args.json
+    )
+
+
 def make_members_command(args: argparse.Namespace) -> Command:
     """Return the command of a `members` action."""
     target = make_target(args)
--- a/camphorspread/process/command/parser.py
+++ b/camphorspread/process/command/parser.py
@@ -16,7 +16,6 @@
     CheckCatalogue,
     CheckSettings,
     Command,
-    ExplainLog,
     LocalFleet,
     PlatformNode,
     Run,
@@ -25,6 +24,7 @@
 )
 from camphorspread.process.command.from_arguments import (
     make_catalogue_command,
+    make_explain_command,
     make_fleet_command,
     make_load_command,
     make_members_command,
@@ -72,6 +72,7 @@
     logs.add_argument("request", help="identifier of the request")
     logs.add_argument("files", type=Path, nargs="+", help="logs of any number of VMs")
     logs.add_argument("--json", action="store_true", help="print JSON")
+    add_explain_route_command(commands)
     add_fleet_command(commands, "report", "print the accounting report")
     add_members_commands(commands)
     add_load_command(commands)
@@ -108,6 +109,26 @@
     return parser
 
 
+def add_explain_route_command(commands) -> None:
+    """Add `explain-route`."""
+    text = "explain where an entry VM would send a request now, without sending it"
+    route = commands.add_parser("explain-route", help=text, description=text)
+    route.add_argument(
+        "--metrics",
+        type=convert_address,
+        required=True,
+        metavar="IP:PORT",
+        help="metrics listener of the entry VM",
+    )
+    route.add_argument("--host", required=True, help="host of the request")
+    route.add_argument("--path", required=True, help="path of the request")
+    route.add_argument("--object", default="", help="affinity key of the request")
+    route.add_argument(
+        "--organisation", default="", metavar="NAME", help="name of its organisation, not a key"
+    )
+    route.add_argument("--json", action="store_true", help="print JSON")
+
+
 def add_catalogue_commands(commands) -> None:
     """Add `catalogue` and its actions."""
     catalogue = commands.add_parser("catalogue", help="read and change the catalogue")
@@ -202,8 +223,8 @@
             return make_catalogue_command(args)
         case "status" | "explain" | "report":
             return make_fleet_command(parser, args)
-        case "explain-log":
-            return ExplainLog(args.request, tuple(args.files), args.json)
+        case "explain-log" | "explain-route":
+            return make_explain_command(args)
         case "members":
             return make_members_command(args)
         case "load":
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -19,6 +19,7 @@
     process_forwarded_departure,
 )
 from camphorspread.process.events import Event
+from camphorspread.process.explain_listener import EXPLAIN_PATH, serve_explanation
 from camphorspread.process.instances import expire_instances, list_owned_instances
 from camphorspread.process.learned_metrics import format_learned_runs
 from camphorspread.process.metrics import METRICS_TYPE
@@ -158,7 +159,10 @@
 
 
 async def serve_metrics(state: SteeringState, exchange: Exchange) -> None:
-    """Serve `GET /metrics`."""
+    """Serve `GET /metrics` and `GET /explain`."""
+    if exchange.head.target.partition(b"?")[0] == EXPLAIN_PATH.encode():
+        await serve_explanation(state, exchange)
+        return
     if exchange.head.target != b"/metrics":
         await exchange.refuse(Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path"))
         return
--- a/features/process/commands.feature
+++ b/features/process/commands.feature
@@ -19,6 +19,9 @@
       | status --fleet FOLDER/list.json                               | 2    | allowed: an object                         |
       | explain --settings FOLDER/entry.json                          | 2    | explain needs --service, --request or --caller |
       | explain --settings FOLDER/entry.json --caller here            | 2    | allowed: an IP address |
+      | explain-route --host h --path /p                              | 2    | the following arguments are required       |
+      | explain-route --metrics vm:9464 --host h --path /p            | 2    | allowed: IP:PORT                           |
+      | explain-route --metrics 127.0.0.1:1 --host h --path /p        | 1    | GET /explain?host=h&path=%2Fp              |
       | catalogue                                                     | 2    | the following arguments are required       |
       | catalogue show --settings FOLDER/entry.json vm a              | 2    | invalid choice: 'vm'                       |
       | catalogue drain --settings FOLDER/entry.json rack a           | 2    | invalid choice: 'rack'                     |
