--- a/camphorspread/process/command/explain_route.py
+++ b/camphorspread/process/command/explain_route.py
@@ -160,7 +160,7 @@
         item["name"],
         item["availability_zone"],
         format_number(item["cost_s"]),
-        format_number(item["round_trip_s"]),
+        format_number(item["round_trip_s"] or None),
         f"{item['free']}/{item['slots']}",
         str(item["queued"]),
         format_number(item["summary_age_s"], 1),
