Let a request wait for the next token where its share has room

Callers under a saturated limit were refused although their VM's share had room: find_free_time gave the time at which a send leaves the window, up to 5 s later, although only a token was missing.

Evidence: share 40 of 556, 18 sends at once; the next token is due after 0.114 s.

The later of the two times counts, at least 1 ms from now: without that, rounding made a waiting request try again at the same instant without end in the simulation.

--- a/camphorspread/request/quota_pacing.py
+++ b/camphorspread/request/quota_pacing.py
@@ -9,6 +9,8 @@
 # The bucket fills faster than the share needs, since the window is the bound.
 FILL_MARGIN = 1.1
 MIN_RETRY_DELAY = timedelta(milliseconds=150)
+# A request that waits for a token finds a whole one in spite of rounding, and never waits for less.
+MIN_WAIT = timedelta(milliseconds=1)
 # Without a share, retries are spread over the window, in which the leader may grant one.
 UNSHARED_RETRIES = 8
 
@@ -35,11 +37,19 @@
 def find_free_time(quota: OrganisationQuota, now: timedelta) -> timedelta | None:
     """Return when this VM's share allows the next request that waits for it; None if unknown.
 
-    It is when enough earlier sends have left the window, also for those that wait already.
+    It is when there is a token and enough earlier sends have left the window, also for the requests
+    that wait already.
     """
+    if not quota.share:
+        return None
+    window = quota.sends.window
+    missing = max(1 + quota.waiting - quota.tokens, 0)
+    token_at = now + missing * window / (quota.share * FILL_MARGIN) + MIN_WAIT
     needed = count_used(quota, now) - quota.share + 1 + quota.waiting
+    if needed <= 0:
+        return token_at
     for number in sorted(quota.sends.counts):
         needed -= quota.sends.counts[number]
         if needed <= 0:
-            return quota.sends.width * (number + 1) + quota.sends.window
+            return max(token_at, quota.sends.width * (number + 1) + window)
     return None
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -148,3 +148,9 @@
     When 20 s pass
     And "b" reports that it holds 0, with a demand of 200
     Then "b" with a demand of 200 gets at least 110
+
+  # Guards against a refusal until a send leaves the window where the next token is due soon.
+  Scenario: A request whose share has room waits for the next token only
+    Given an entry VM with a share of 40 of a usable total of 556, which is saturated
+    When it sends as many requests as it may send together
+    Then it has sent 18, and the next one may be sent after 0.115 s
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -21,6 +21,7 @@
     charge_request,
     settle_ticket,
 )
+from camphorspread.request.quota_pacing import find_free_time
 from camphorspread.version.organisations import Organisation, OrganisationTable
 from camphorspread.version.quota_total import GRANTED_FRACTION, QuotaRules
 
@@ -197,6 +198,21 @@
     apply_grants(context.book, {ACME: need}, {ACME: QuotaGrant(share, usable)}, 2, START)
 
 
+@when("it sends as many requests as it may send together")
+def step_send_together(context):
+    context.sent = 0
+    while isinstance(result := charge_request(context.book, ACME, START), Charged):
+        settle_ticket(context.book, result.ticket, [START])
+        context.sent += 1
+
+
+@then("it has sent {count:d}, and the next one may be sent after {seconds:g} s")
+def step_next_token(context, count, seconds):
+    free_at = find_free_time(context.book.quotas[ACME], START)
+    assert context.sent == count, context.sent
+    assert abs((free_at - START).total_seconds() - seconds) < 0.001, free_at - START
+
+
 @then("one request every {period:g} s is admitted for {seconds:d} s")
 def step_once(context, period, seconds):
     context.now = START
