Bound the time that one refusal near full use adds to later returns

Refused callers were told late times long after the load had ended: one booking at 99.9 percent use moved the next one by interval / (1 - use), 50 s for an interval of 0.05 s.

A booking adds at most 10 intervals.

--- a/camphorspread/request/return_booking.py
+++ b/camphorspread/request/return_booking.py
@@ -20,6 +20,8 @@
 # Consecutive multiples of the golden ratio spread any number of returns evenly.
 LATE_FRACTION = 0.2
 GOLDEN_RATIO = 0.6180339887498949
+# Longest distance of two bookings, in intervals of freed slots; at 99.9 percent use it was 50 s.
+MAX_INTERVALS = 10
 # Arrivals are weighted by their age with this time constant.
 ARRIVAL_DECAY_S = 0.5
 
@@ -75,7 +77,8 @@
     latest = max(left, timedelta(0)) * HONOURED_FRACTION
     at = max(now + earliest, booking.next_at)
     if used < 1.0 and at <= now + latest:
-        booking.next_at = at + interval / (1.0 - used)
+        # The use is a snapshot: near full use, one refusal must not delay all later returns.
+        booking.next_at = at + min(interval / (1.0 - used), MAX_INTERVALS * interval)
         return at - now
     booking.late_returns += 1
     part = booking.late_returns * GOLDEN_RATIO % 1.0
--- a/features/request/scarce_capacity.feature
+++ b/features/request/scarce_capacity.feature
@@ -99,6 +99,12 @@
       | 1   | 4       | 1    |
       | 1   | 4       | 2    |
 
+  # Guards against one refusal near full use that puts off all later returns, by 50 s in this run.
+  Scenario: A refusal near full use doesn't delay returns after the load has ended
+    Given a service that frees a slot every 0.05 s, 99.9 percent of which are used
+    When a caller is refused, and the load ends
+    Then 5 s later refused callers are told to return after 0.15, 0.2 and 0.25 s
+
   # Guards against one retry time for all callers that are refused in the same moment, and against
   # times that callers don't honour.
   Scenario: Callers refused in the same moment get different times within a third of the time left
--- a/features/steps/scarce_fault_steps.py
+++ b/features/steps/scarce_fault_steps.py
@@ -11,6 +11,7 @@
     request_placement,
     withdraw_grant,
 )
+from camphorspread.request.return_booking import ARRIVAL_DECAY_S, ReturnBooking, book_return
 from features.fixtures.placement_simulation import PROMISED_S, make_board, make_request
 
 ORGANISATION = "acme"
@@ -47,3 +48,29 @@
     for delay in (first, second, third):
         decision = place(context, context.failed_s + delay)
         assert isinstance(decision, Granted), decision
+
+
+@given("a service that frees a slot every {interval:g} s, {percent:g} percent of which are used")
+def step_near_full_use(context, interval, percent):
+    context.interval = timedelta(seconds=interval)
+    arrivals = ARRIVAL_DECAY_S * percent / 100 / interval
+    context.booking = ReturnBooking(arrivals=arrivals)
+
+
+def book(context, earliest_s: float, now_s: float) -> float:
+    """Return the time after which a refused caller is told to return."""
+    earliest, left = timedelta(seconds=earliest_s), timedelta(seconds=6)
+    now = timedelta(seconds=now_s)
+    return book_return(context.booking, earliest, context.interval, left, now).total_seconds()
+
+
+@when("a caller is refused, and the load ends")
+def step_refused_once(context):
+    book(context, 0.1, DECIDED_S)
+    context.booking.arrivals = 0.0
+
+
+@then("{seconds:g} s later refused callers are told to return after {a:g}, {b:g} and {c:g} s")
+def step_return_times(context, seconds, a, b, c):
+    delays = [round(book(context, a, DECIDED_S + seconds), 6) for _ in range(3)]
+    assert delays == [a, b, c], delays
