Take a huge rate or burst for no limit, and skip single malformed grants

A rate of 1e308 in a configuration ended requests and renewals with OverflowError, one of 1e400 was such an error in the codec, and one of 1e16 gave a grant that no VM accepted; the VM then dropped the whole response, with the grants of all organisations.

The codec takes a rate or burst above 1e9 for no limit, so that the usable total stays far below 2**53. A VM skips a grant that it can't read.

--- a/camphorspread/platform/organisation_codec.py
+++ b/camphorspread/platform/organisation_codec.py
@@ -14,6 +14,9 @@
 KEYS_FIELD = "apiKeys"
 # Part of a key that identifies it in an error, which may contain the beginning of a long value.
 PROBE_LENGTH = 16
+# A higher rate or burst is no limit: no deployment gets as many requests, and counts of requests in
+# messages are below 2**53.
+MAX_AMOUNT = 1e9
 
 
 def build_organisations(value: object) -> OrganisationTable:
@@ -50,8 +53,7 @@
         name,
         keys,
         parse_priority(value, name),
-        parse_amount(value, "ratePerS", name),
-        parse_amount(value, "burst", name),
+        *parse_limit(value, name),
         parse_strings(value, "allowedRegions", name),
     )
 
@@ -76,14 +78,21 @@
     return priority
 
 
+def parse_limit(value: dict, name: str) -> tuple[float, float]:
+    """Return the optional rate and burst, (0, 0) for no limit."""
+    rate, burst = parse_amount(value, "ratePerS", name), parse_amount(value, "burst", name)
+    return (0.0, 0.0) if max(rate, burst) > MAX_AMOUNT else (rate, burst)
+
+
 def parse_amount(value: dict, field: str, name: str) -> float:
-    """Return an optional field that is a finite number of at least 0."""
+    """Return an optional field that is a finite number of at least 0; a huge one is shortened."""
     amount = value.get(field)
     if amount is None:
         return 0.0
     if type(amount) not in (int, float) or not 0 <= amount < math.inf:
         raise ValueError(f"organisation {name}: {field} isn't a number of at least 0")
-    return float(amount)
+    # An integer may be too large for a float.
+    return float(min(amount, 2 * MAX_AMOUNT))
 
 
 def parse_flag(value: object, field: str) -> bool:
--- a/camphorspread/process/quota_codec.py
+++ b/camphorspread/process/quota_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding of quota renewals and of the responses to them."""
 
+import contextlib
 from datetime import timedelta
 
 import attrs
@@ -142,8 +143,7 @@
             answered == number
         ):
             try:
-                decoded = {str(name): decode_grant(item) for name, item in grants.items()}
-                return Granted(decode_count(revision), decoded)
+                return Granted(decode_count(revision), decode_grants(grants))
             except ValueError:
                 return None
         case {"leader": [_, _] as leader}:
@@ -151,6 +151,15 @@
     return None
 
 
+def decode_grants(values: dict) -> dict[str, QuotaGrant]:
+    """Decode grants; a malformed one leaves the others in force."""
+    grants = {}
+    for name, value in values.items():
+        with contextlib.suppress(ValueError):
+            grants[str(name)] = decode_grant(value)
+    return grants
+
+
 def decode_grant(value: object) -> QuotaGrant:
     """Decode a grant.
 
--- a/features/platform/organisation_codec.feature
+++ b/features/platform/organisation_codec.feature
@@ -38,6 +38,20 @@
       | an object in place of the list            | invalid  |
       | a string in place of public               | invalid  |
 
+  # Guards against an exception for all requests of an organisation with a huge limit, and against
+  # grants that no VM can read.
+  Scenario Outline: A limit that no deployment reaches is none
+    When an organisation has a rate of <rate> and a burst of <burst>
+    Then the huge limit is <state>
+
+    Examples:
+      | rate  | burst | state    |
+      | 1e9   | 1e9   | in force |
+      | 1.1e9 | 0     | none     |
+      | 2     | 1e16  | none     |
+      | 1e308 | 0     | none     |
+      | 1e400 | 0     | none     |
+
   # Guards against a deployment without organisations that starts to need keys.
   Scenario Outline: A configuration without organisations
     When the configuration has <tenants> in place of the organisations
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -154,3 +154,8 @@
     Given an entry VM with a share of 40 of a usable total of 556, which is saturated
     When it sends as many requests as it may send together
     Then it has sent 18, and the next one may be sent after 0.115 s
+
+  # Guards against one malformed grant that makes a VM lose the shares of all organisations.
+  Scenario: A malformed grant leaves the others in force
+    Given a response to a renewal with one malformed grant and one valid one
+    Then the valid grant is applied
--- a/features/steps/organisation_codec_steps.py
+++ b/features/steps/organisation_codec_steps.py
@@ -3,13 +3,17 @@
 import json
 import random
 from datetime import timedelta
+from decimal import Decimal
 
 from behave import given, then, when
 from returns.result import Failure, Success
 
 from camphorspread.connection.messages import RequestHead, find_header
 from camphorspread.platform.dialect import PlatformDialect
+from camphorspread.platform.organisation_codec import build_organisations
 from camphorspread.platform.routing_codec import decode_document, decode_table
+from camphorspread.process.quota_codec import decode_quota_response, encode_grants
+from camphorspread.process.quota_shares import QuotaGrant
 from camphorspread.request.dialect import KeyCredential, MalformedCredential, NoCredential
 from camphorspread.request.peer_forward_codec import (
     FORWARD_HEADER,
@@ -17,6 +21,7 @@
     decode_forward,
     encode_forward,
 )
+from camphorspread.version.quota_total import QuotaRules, compute_usable_total
 from features.fixtures.mutation import mutate_bytes, mutate_value
 from features.fixtures.platform_fleet import make_configuration, make_route
 
@@ -291,3 +296,27 @@
 def step_scheme(context, scheme):
     head = PlatformDialect().encode_refusal(context.refusal, None)
     assert (b"www-authenticate", scheme.encode()) in head.headers, head
+
+
+@when("an organisation has a rate of {rate} and a burst of {burst}")
+def step_huge(context, rate, burst):
+    values = {"ratePerS": int(Decimal(rate)), "burst": int(Decimal(burst))}
+    context.built = build_organisations([{"name": "acme", "apiKeys": ["k"], **values}])
+
+
+@then("the huge limit is {state}")
+def step_limited(context, state):
+    (organisation,) = context.built.organisations
+    assert organisation.is_limited == (state == "in force"), organisation
+    assert compute_usable_total(organisation, QuotaRules()) < 2**53
+
+
+@given("a response to a renewal with one malformed grant and one valid one")
+def step_bad_grant(context):
+    value = encode_grants(3, 1, {"huge": QuotaGrant(5, 2**54), "small": QuotaGrant(5, 20)})
+    context.response = decode_quota_response(value, 3)
+
+
+@then("the valid grant is applied")
+def step_good_grant(context):
+    assert context.response.grants == {"small": QuotaGrant(5, 20)}, context.response
