Count a charge until its request has been sent

An organisation could get up to twice its share at a VM: a charge ended two windows after it was made, also if its request was still waiting for a slot and was sent afterwards.

With the former rule put back, the new scenario fails; quota_decisions.feature (23) and platform/quotas.feature (4) pass.

A charge sees the sends of its request and ends two windows after the last one, so that a long run doesn't hold it. A forwarded request has no send before its result, so that it counts until then.

--- a/camphorspread/request/organisation_quota.py
+++ b/camphorspread/request/organisation_quota.py
@@ -1,5 +1,6 @@
 """Share and use of one organisation at an entry VM."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 
 import attrs
@@ -7,13 +8,26 @@
 from camphorspread.process.quota_shares import Pressure
 from camphorspread.request.quota_window import QuotaWindow, count_window
 
-__all__ = ["OrganisationQuota", "count_used"]
+__all__ = ["Charge", "OrganisationQuota", "count_used"]
 
 # Requests of a share that may be sent together: a few, and a fraction of it.
 MIN_TOKEN_LIMIT = 8
 TOKEN_FRACTION = 0.25
 
 
+@attrs.define(eq=False)
+class Charge:
+    """A charge of a request that hasn't ended yet.
+
+    Attributes:
+        charged_at: When it was charged.
+        sent: When the request was sent, for sends that may have run; updated by its attempts.
+    """
+
+    charged_at: timedelta
+    sent: Sequence[timedelta] = ()
+
+
 @attrs.define(eq=False)
 class OrganisationQuota:
     """Share and use of one organisation at this VM.
@@ -35,7 +49,7 @@
         asked: Demand in the last renewal that was answered; None before one.
         tokens: Requests that may be sent now as far as pacing is concerned.
         filled_at: When `tokens` was last updated.
-        charges: When the requests that haven't ended yet were charged, by number of the ticket.
+        charges: Charges of the requests that haven't ended yet, by number of the ticket.
         retry_at: Time given to the caller that was refused last.
         waiting: Requests that wait for their turn in the window.
     """
@@ -56,7 +70,7 @@
     asked: int | None = None
     tokens: float = 0.0
     filled_at: timedelta = timedelta(0)
-    charges: dict[int, timedelta] = attrs.field(factory=dict)
+    charges: dict[int, Charge] = attrs.field(factory=dict)
     retry_at: timedelta = timedelta(0)
     waiting: int = 0
 
@@ -71,12 +85,16 @@
     """Return the sends of the last window, with the requests that may still be sent.
 
     A request may wait, or its VM may be paused, between its charge and its send. It counts until
-    it ends, at most for two windows, since a long run must not hold its part of the quota.
+    it ends, at most for two windows after its send, since a long run must not hold its part of the
+    quota.
     """
     window = quota.sends.window
-    while quota.charges:
-        number, charged_at = next(iter(quota.charges.items()))
-        if now - charged_at <= 2 * window:
+    ended = []
+    for number, charge in quota.charges.items():
+        if now - charge.charged_at <= 2 * window:
             break
+        if charge.sent and now - charge.sent[-1] > 2 * window:
+            ended.append(number)
+    for number in ended:
         del quota.charges[number]
     return count_window(quota.sends, now) + len(quota.charges)
--- a/camphorspread/request/quota.py
+++ b/camphorspread/request/quota.py
@@ -20,7 +20,7 @@
     QuotaGrant,
     QuotaNeed,
 )
-from camphorspread.request.organisation_quota import OrganisationQuota, count_used
+from camphorspread.request.organisation_quota import Charge, OrganisationQuota, count_used
 from camphorspread.request.quota_pacing import fill_tokens, find_retry_delay
 from camphorspread.request.quota_window import QuotaWindow, count_latest, count_window, record_at
 from camphorspread.version.organisations import OrganisationTable
@@ -39,6 +39,7 @@
     "find_demand",
     "is_renewal_useful",
     "list_needs",
+    "observe_sends",
     "record_arrival",
     "settle_ticket",
 ]
@@ -165,11 +166,18 @@
     if count_used(quota, now) < quota.share and not is_paced:
         quota.tokens = max(quota.tokens - 1, 0)
         book.next_number += 1
-        quota.charges[book.next_number] = now
+        quota.charges[book.next_number] = Charge(now)
         return Charged(Ticket(name, book.next_number))
     return Exceeded(find_retry_delay(quota, book.rules.window, now))
 
 
+def observe_sends(book: QuotaBook, ticket: Ticket, sent: Sequence[timedelta]) -> None:
+    """Let a charge know the sends of its request, to which further ones are added."""
+    quota = book.quotas.get(ticket.organisation)
+    if quota is not None and ticket.number in quota.charges:
+        quota.charges[ticket.number].sent = sent
+
+
 def settle_ticket(book: QuotaBook, ticket: Ticket, sent: Sequence[timedelta]) -> None:
     """End a charge; a request that was sent again counts for each send.
 
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -40,7 +40,7 @@
 )
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused, withdraw_grant
-from camphorspread.request.quota import Ticket
+from camphorspread.request.quota import Ticket, observe_sends
 from camphorspread.request.quota_admission import (
     Admitted,
     Over,
@@ -179,6 +179,8 @@
     try:
         body = await read_first_part(state, exchange)
         job = RoutedRequest(call, route, req, body, arrived, deadline, caller.identity)
+        if ticket is not None:
+            observe_sends(state.quotas, ticket, job.sent)
         if home_regions is None:
             refusal = Refusal(ErrorKind.NO_BACKEND_SERVER, "no region may run the request")
             result = Denied(refusal, NO_REGION_RETRY_DELAY)
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -159,3 +159,11 @@
   Scenario: A malformed grant leaves the others in force
     Given a response to a renewal with one malformed grant and one valid one
     Then the valid grant is applied
+
+  # Guards against a request that waits for longer than two windows and is sent on top of the limit,
+  # and against a long run that holds its part of the limit.
+  Scenario: A charge counts until its request is sent, and then for two windows
+    Given an entry VM with a share of 40 of a usable total of 115
+    When 30 requests are charged, 10 of which are sent at once
+    Then it may send 10 requests in a window after 9 s
+    And it may send 20 requests in a window after 11 s
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -19,6 +19,7 @@
     apply_grants,
     apply_limits,
     charge_request,
+    observe_sends,
     settle_ticket,
 )
 from camphorspread.request.quota_pacing import find_free_time
@@ -198,6 +199,14 @@
     apply_grants(context.book, {ACME: need}, {ACME: QuotaGrant(share, usable)}, 2, START)
 
 
+@when("{count:d} requests are charged, {sent:d} of which are sent at once")
+def step_charged(context, count, sent):
+    for number in range(count):
+        ticket = charge_request(context.book, ACME, START).ticket
+        if number < sent:
+            observe_sends(context.book, ticket, [START])
+
+
 @when("it sends as many requests as it may send together")
 def step_send_together(context):
     context.sent = 0
--- a/features/steps/quota_wait_steps.py
+++ b/features/steps/quota_wait_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from camphorspread.process.quota_contact import QuotaContact
+from camphorspread.request.organisation_quota import Charge
 from camphorspread.request.quota import apply_limits, charge_request, settle_ticket
 from camphorspread.request.quota_admission import admit_quota
 from camphorspread.version.organisations import Organisation, OrganisationTable
@@ -44,7 +45,7 @@
 
 @when("the limit is removed while another request is in flight")
 def step_limit_removed_in_flight(context):
-    context.book.quotas[ACME].charges[99] = ARRIVAL
+    context.book.quotas[ACME].charges[99] = Charge(ARRIVAL)
     step_limit_removed(context)
 
 
