Keep to pauses of up to an hour

Servers that asked for a pause of more than 60 s got requests before its end: the codec cut it to 60 s. The statements of a server that is away were dropped after 60 s, also during its pause.

Two existing examples asserted the cut to 60 s, against the promise that no request reaches a server until the end of its pause; they assert 3,600 s instead, just as exactly.

The cap is 3,600 s, and statements are kept until the ramp-up after the pause.

--- a/camphorspread/platform/dialect.py
+++ b/camphorspread/platform/dialect.py
@@ -79,8 +79,8 @@
 # The speed that a server states while work takes as long as usual.
 NORMAL_SPEED = 100
 SECONDS_PATTERN = re.compile(rb"[0-9]{1,32}(\.[0-9]{0,32})?|\.[0-9]{1,32}")
-# A longer pause would keep a server idle if its statement is wrong.
-MAX_PAUSE_S = 60.0
+# A longer pause would keep a server idle for good if its statement is wrong.
+MAX_PAUSE_S = 3600.0
 # Part of an unreadable header that is logged.
 MAX_LOGGED_BYTES = 64
 # The only server error that assures a client that its request didn't run.
--- a/camphorspread/process/server_statements.py
+++ b/camphorspread/process/server_statements.py
@@ -69,6 +69,8 @@
 ) -> None:
     """Drop the statements of servers that haven't been known for `STATEMENTS_TTL`.
 
+    Those of a pause are kept until its ramp-up has ended, since the server may come back before.
+
     Args:
         kept: Statements by server; updated in place.
         known: Identifiers of the known servers.
@@ -77,5 +79,5 @@
     for name, statements in list(kept.items()):
         if name in known or statements.kept_until is None:
             statements.kept_until = now + STATEMENTS_TTL
-        elif now >= statements.kept_until:
+        elif now >= max(statements.kept_until, statements.ramp_until):
             del kept[name]
--- a/features/platform/server_pause.feature
+++ b/features/platform/server_pause.feature
@@ -38,8 +38,9 @@
       | 503    | not run | 1.5                           | 1.5 s   |
       | 503    | not run | .25                           | 0.25 s  |
       | 503    | not run | 1 / 3                         | 3 s     |
-      | 503    | not run | 3600                          | 60 s    |
-      | 503    | not run | 99999999999999999999          | 60 s    |
+      | 503    | not run | 61.5                          | 61.5 s  |
+      | 503    | not run | 3600                          | 3600 s  |
+      | 503    | not run | 99999999999999999999          | 3600 s  |
       | 503    | not run | 0                             | none    |
       | 503    | not run | -1                            | none    |
       | 503    | not run | nan                           | none    |
@@ -62,6 +63,12 @@
     When both are started anew
     Then both may be used
 
+  # Guards against a long pause that is forgotten while the server is away, and statements of servers
+  # that are kept for ever.
+  Scenario: The statements of a server that is away are kept until the end of its pause
+    Given the statements of a server that is away, with a pause of 600 s
+    Then they are kept after 599 s and dropped after 602 s
+
   # Guards against all VMs that send at their full rate as soon as a pause ends.
   Scenario: After a pause the requests become gradually more
     Given a server of 9 slots that asked for a pause of 2 s
--- a/features/steps/server_pause_steps.py
+++ b/features/steps/server_pause_steps.py
@@ -9,12 +9,13 @@
 from camphorspread.platform.dialect import PlatformDialect
 from camphorspread.process.instances import is_usable
 from camphorspread.process.loans import LentList, update_lent_list
+from camphorspread.process.server_statements import expire_statements, find_statements
 from camphorspread.request.dialect import LoadStated, Unreadable
 from camphorspread.request.placement import can_start_run, match_freed_slot
 from camphorspread.request.placement_board import MIN_MEASURED_RUNS, RunTimes
 from camphorspread.request.placement_queue import Refused, review_waiters
 from camphorspread.request.run_statistics import record_run_end, record_run_start
-from camphorspread.request.server_pause import apply_pause
+from camphorspread.request.server_pause import RAMP_TIME, apply_pause
 from features.fixtures.placement_simulation import make_board, make_request
 from features.fixtures.platform_fleet import ZONES
 from features.steps.placement_steps import add_waiter, make_full_board
@@ -66,6 +67,23 @@
     assert context.pause is None, context.pause
 
 
+@given("the statements of a server that is away, with a pause of {seconds:d} s")
+def step_away(context, seconds):
+    context.kept = {}
+    statements = find_statements(context.kept, "i-0", 1)
+    statements.paused_until = timedelta(seconds=seconds)
+    statements.ramp_until = statements.paused_until + RAMP_TIME
+
+
+@then("they are kept after {before:d} s and dropped after {after:d} s")
+def step_dropped(context, before, after):
+    for seconds in range(before + 1):
+        expire_statements(context.kept, (), timedelta(seconds=seconds))
+    assert list(context.kept) == ["i-0"]
+    expire_statements(context.kept, (), timedelta(seconds=after))
+    assert not context.kept
+
+
 @when("both ask for a pause of {seconds:g} s")
 def step_both_pause(context, seconds):
     board = make_board(0)
