--- a/camphorspread/request/route_exchange.py
+++ b/camphorspread/request/route_exchange.py
@@ -16,7 +16,7 @@
 from camphorspread.request.fleet_retry_budget import record_first_send
 from camphorspread.request.identify import combine_home_regions
 from camphorspread.request.memory_limit import check_memory, drop_body
-from camphorspread.request.quota import Ticket
+from camphorspread.request.quota import Ticket, observe_sends
 from camphorspread.request.quota_admission import (
     Admitted,
     Over,
@@ -137,6 +137,8 @@
                 job = RoutedRequest(
                     call, route, req, body, arrived, deadline, caller.identity, holding=holding
                 )
+                if ticket is not None:
+                    observe_sends(state.quotas, ticket, job.sent)
                 result = await run_job(state, exchange, job, home_regions)
     finally:
         settle_quota(state, ticket, job.sent if job is not None else [])
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -148,3 +148,22 @@
     When 20 s pass
     And "b" reports that it holds 0, with a demand of 200
     Then "b" with a demand of 200 gets at least 110
+
+  # Guards against a refusal until a send leaves the window where the next token is due soon.
+  Scenario: A request whose share has room waits for the next token only
+    Given an entry VM with a share of 40 of a usable total of 556, which is saturated
+    When it sends as many requests as it may send together
+    Then it has sent 18, and the next one may be sent after 0.115 s
+
+  # Guards against one malformed grant that makes a VM lose the shares of all organisations.
+  Scenario: A malformed grant leaves the others in force
+    Given a response to a renewal with one malformed grant and one valid one
+    Then the valid grant is applied
+
+  # Guards against a request that waits for longer than two windows and is sent on top of the limit,
+  # and against a long run that holds its part of the limit.
+  Scenario: A charge counts until its request is sent, and then for two windows
+    Given an entry VM with a share of 40 of a usable total of 115
+    When 30 requests are charged, 10 of which are sent at once
+    Then it may send 10 requests in a window after 9 s
+    And it may send 20 requests in a window after 11 s
