--- a/features/steps/quota_forward_steps.py
+++ b/features/steps/quota_forward_steps.py
@@ -30,7 +30,7 @@
     state = mock.Mock(board=make_board(1), table=None, clock=context.clock)
     context.lost = context.loop.create_future()
 
-    async def send(_pool, _address, prepare, _body, _is_answer):
+    async def send(_pool, _address, prepare, _body, _is_answer, note_held=None):
         assert prepare() is not None
         return await context.lost
 
