--- a/features/steps/quota_forward_steps.py
+++ b/features/steps/quota_forward_steps.py
@@ -10,6 +10,7 @@
 from camphorspread.connection.messages import RequestHead
 from camphorspread.connection.network import Address
 from camphorspread.process.entry_vms import EntryVm
+from camphorspread.process.held_memory import HeldMemory
 from camphorspread.request import route_attempt
 from camphorspread.request.dialect import SteeredCall
 from camphorspread.request.placement_board import ForwardPlacement
@@ -27,7 +28,7 @@
     route = Route("read", "", "/", False, timedelta(2), timedelta(1), 0, ())
     call = SteeredCall(RequestHead(b"GET", b"/read/x"), "", "/read/x", "r1", "", None)
     context.job = RoutedRequest(call, route, req, RequestBody(()), timedelta(0), req.deadline)
-    state = mock.Mock(board=make_board(1), table=None, clock=context.clock)
+    state = mock.Mock(board=make_board(1), table=None, clock=context.clock, held=HeldMemory(None))
     context.lost = context.loop.create_future()
 
     async def send(_pool, _address, prepare, _body, _is_answer, note_held=None):
