--- a/camphorspread/process/held_memory.py
+++ b/camphorspread/process/held_memory.py
@@ -22,7 +22,7 @@
     "HeldKind",
     "HeldMemory",
     "Holding",
-    "Pressure",
+    "MemoryPressure",
     "ReadOn",
     "Refuse",
     "StopReading",
@@ -69,7 +69,7 @@
     UNSENT = "unsent"
 
 
-class Pressure(enum.Enum):
+class MemoryPressure(enum.Enum):
     """How much of the bound is in use, as logged."""
 
     NONE = "none"
@@ -135,7 +135,7 @@
     responses: int = 0
     refusals: int = 0
     peak: int = 0
-    reported: Pressure = Pressure.NONE
+    reported: MemoryPressure = MemoryPressure.NONE
     on_released: Callable[[], None] | None = None
 
 
@@ -238,20 +238,20 @@
     return MIN_RETRY_DELAY + RETRY_SPREAD * (memory.refusals * GOLDEN_RATIO % 1.0)
 
 
-def find_pressure(memory: HeldMemory, size: int) -> Pressure:
+def find_pressure(memory: HeldMemory, size: int) -> MemoryPressure:
     """Return the pressure with this many bytes held."""
     match memory.bound:
         case None:
-            return Pressure.NONE
+            return MemoryPressure.NONE
         case bound if size > bound * REFUSE_FRACTION:
-            return Pressure.REFUSING
+            return MemoryPressure.REFUSING
         case bound if size >= int(bound * STOP_FRACTION):
-            return Pressure.READING_STOPPED
+            return MemoryPressure.READING_STOPPED
         case _:
-            return Pressure.NONE
+            return MemoryPressure.NONE
 
 
-def take_pressure_change(memory: HeldMemory) -> Pressure | None:
+def take_pressure_change(memory: HeldMemory) -> MemoryPressure | None:
     """Return the pressure if it isn't the one that was last reported, None if it is.
 
     A threshold that was passed between two calls is reported by the first, and that it was left by
