--- a/features/platform/organisation_codec.feature
+++ b/features/platform/organisation_codec.feature
@@ -63,6 +63,7 @@
       | null        |
       | an empty list |
 
+  # Guards against fields of an organisation that are dropped or mixed up when they are read.
   Scenario: What is read
     When the organisations have nothing unusual
     Then "acme" has 2 keys, priority 1, a rate of 2.5, a burst of 3 and the regions "sofia"
@@ -144,6 +145,7 @@
     And a forward for an organisation is decoded with name, priority and revision
     And a forward whose organisation can't be sent in a header is malformed
 
+  # Guards against a 401 that doesn't tell the caller how to send a key.
   Scenario: A refused key names the scheme
     Given a refusal of the kind key_refused
     Then its status is 401
