Retrieve the exception of work whose caller's connection ends meanwhile

The log of a VM showed "Task exception was never retrieved" with CallerDisconnectedError: when the connection of a caller was cancelled in the same turn of the loop in which the work failed, run_while_connected left the finished task's exception unread. No caller got a wrong response; operators got an error that they couldn't act on. The exception is now read in this case.

"The work fails while the connection is being ended" in disconnect.feature failed before.

--- a/camphorspread/connection/disconnect.py
+++ b/camphorspread/connection/disconnect.py
@@ -72,3 +72,7 @@
         if not task.done():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+        elif not task.cancelled():
+            # If this function is cancelled as the work fails, the loop would log its exception as
+            # never retrieved.
+            task.exception()
--- a/features/connection/disconnect.feature
+++ b/features/connection/disconnect.feature
@@ -30,3 +30,11 @@
     Given work that fails after 0.5 s for a client
     When the client only waits after 0 s and the time limit is 2 s
     Then the result after 0.5 s is "ValueError"
+
+  # Guards against errors in the log that nobody can act on, when a VM ends its connections while a
+  # client leaves.
+  @fixture.virtual_loop
+  Scenario: The work fails while the connection is being ended
+    Given work for a client that fails while it is being cancelled from outside
+    When the client only waits after 0 s and the time limit is 2 s
+    Then no error is reported as never retrieved
--- a/features/steps/disconnect_steps.py
+++ b/features/steps/disconnect_steps.py
@@ -1,6 +1,7 @@
 """Steps for work on behalf of a client that may disconnect."""
 
 import asyncio
+import gc
 from datetime import timedelta
 
 from behave import given, then, when
@@ -38,12 +39,25 @@
     context.work = work
 
 
+@given("work for a client that fails while it is being cancelled from outside")
+def step_work_fails_at_cancel(context):
+    context.reported = reported = []
+    context.loop.set_exception_handler(lambda _loop, report: reported.append(report))
+
+    async def work():
+        context.serving.cancel()
+        raise ValueError
+
+    context.work = work
+
+
 @when("the client {action} after {seconds:g} s and the time limit is {limit:g} s")
 def step_run(context, action, seconds, limit):
     network = MemoryNetwork(lambda _source, _target: DELAY_S)
 
     async def serve(stream):
         context.stream = stream
+        context.serving = asyncio.current_task()
         started = context.loop.time()
         try:
             result = await run_while_connected(context.work(), stream, timedelta(seconds=limit))
@@ -84,3 +98,11 @@
 @then("the bytes can still be read")
 def step_unread(context):
     assert context.unread == b"next request", context.unread
+
+
+@then("no error is reported as never retrieved")
+def step_no_report(context):
+    # The task refers to the work, whose end the loop reports when it is collected.
+    del context.serving
+    gc.collect()
+    assert not context.reported, context.reported
