Enable admission under scarce capacity by a setting, not by reported speeds

Servers that report the speed of their machines switched on admission under scarce capacity for their service. A report of speed says nothing about scarce capacity, so an operator now names the services in camphorspread.scarceServices. Learned run times and speeds still weigh the choice of a server.

New scenarios in codec.feature and server_speed.feature check that speeds enable nothing and that the setting does; both failed before.

--- a/camphorspread/platform/settings_file.py
+++ b/camphorspread/platform/settings_file.py
@@ -25,6 +25,8 @@
 CONTROL_METRICS_PORT = 9465
 ZONE_PREFIX = "network.zones."
 MEGABYTE = 1_000_000
+# The product's own setting, which the platform doesn't write.
+SCARCE_SERVICES = "camphorspread.scarceServices"
 # File descriptors that the platform reserves for files outside the data folder.
 RESERVED_DESCRIPTORS = 200
 
@@ -105,6 +107,14 @@
     return size
 
 
+def parse_names(text: str) -> frozenset[str]:
+    """Parse names that are separated by commas; none of them may be empty."""
+    names = frozenset(item.strip() for item in text.split(","))
+    if "" in names:
+        raise ValueError(text)
+    return names
+
+
 def parse_lines(text: str) -> dict[str, str]:
     """Return the fields of a settings file; lines without `=` are ignored."""
     pairs = (line.partition("=") for line in text.splitlines())
@@ -160,6 +170,7 @@
             reader.read("self.limits.memoryMb", parse_megabytes, "a whole number above 0")
             if has_memory_limit
             else None,
+            reader.read(SCARCE_SERVICES, parse_names, "services separated by commas", frozenset()),
         )
     lookups = reader.fields.get("network.listen.directory")
     return ControlVmSettings(
--- a/camphorspread/process/steering_settings.py
+++ b/camphorspread/process/steering_settings.py
@@ -82,12 +82,15 @@
         probes: Listener for readiness probes, which ask whether the VM accepts callers.
         max_sockets: Sockets that the process may have open.
         memory_bytes: Memory that the process may use; None if no limit is stated.
+        scarce_services: Services with admission under scarce capacity where no organisations are
+            configured.
     """
 
     callers: Address
     probes: Address
     max_sockets: int
     memory_bytes: int | None = None
+    scarce_services: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -188,6 +188,7 @@
         place.region,
         InstanceRegistry(bounds.announcement_lease),
         regions=settings.regions,
+        scarce_services=settings.role.scarce_services,
         region_shares=RegionShares(bounds.region_shift_limit),
     )
 
--- a/camphorspread/request/placement_board.py
+++ b/camphorspread/request/placement_board.py
@@ -195,8 +195,7 @@
         queued_per_service: Number of queued requests that wait for a server, by service.
         has_organisations: True if the configuration has organisations, so that admission under
             scarce capacity is enabled for all services.
-        scarce_services: Services for which it is enabled without organisations, since their servers
-            state the speed of their machines.
+        scarce_services: Services for which the settings enable it without organisations.
         fairness: Recent decisions by organisation.
         return_bookings: Times at which refused callers are to return, by service.
         totals: Cached totals over the servers by service.
@@ -223,7 +222,7 @@
     queued_per_server: QueueCounts = attrs.field(factory=dict)
     queued_per_service: QueueCounts = attrs.field(factory=dict)
     has_organisations: bool = False
-    scarce_services: set[str] = attrs.field(factory=set)
+    scarce_services: frozenset[str] = frozenset()
     fairness: ServiceFairness = attrs.field(factory=ServiceFairness)
     return_bookings: dict[str, ReturnBooking] = attrs.field(factory=dict)
     totals: dict[str, ServiceTotals] = attrs.field(factory=dict)
--- a/camphorspread/request/stated_facts.py
+++ b/camphorspread/request/stated_facts.py
@@ -59,8 +59,6 @@
     match statement:
         case LoadStated(speed=speed):
             record_speed(state.board, instance, speed, now)
-            if speed is not None:
-                state.board.scarce_services.add(instance.report.service)
         case Unreadable(text=text):
             state.metrics.unreadable_loads[(instance.report.service,)] += 1
             fields = {"instance": instance.name, "request": job.call.request_id}
--- a/features/platform/codec.feature
+++ b/features/platform/codec.feature
@@ -75,9 +75,21 @@
       | a memory limit of 152 MB         | read                                         |
       | a memory limit of 0 MB           | refused with "self.limits.memoryMb is"       |
       | a memory limit that is no number | refused with "self.limits.memoryMb is"       |
+      | two scarce services              | read                                         |
+      | a scarce service without a name  | refused with "camphorspread.scarceServices"  |
       | a bound that is no number        | refused with "terms.bounds.drainMs is"       |
       | three faults at once             | refused with three lines                     |
 
+  # Guards against other decisions in deployments whose operators didn't ask for them.
+  Scenario Outline: Services with admission under scarce capacity
+    When the settings file has <change>
+    Then the scarce services are <services>
+
+    Examples:
+      | change              | services       |
+      | nothing unusual     | none           |
+      | two scarce services | filing, status |
+
   # Guards against a bound that no operator asked for, and against one in the wrong unit.
   Scenario Outline: The memory that an entry VM may use
     When the settings file has <change>
--- a/features/platform/server_speed.feature
+++ b/features/platform/server_speed.feature
@@ -13,6 +13,14 @@
     And each entry VM has learned the run times of "status" and no others
     And no entry VM keeps the start of a run
     And the metrics of each entry VM show the mean, the percentiles and the age of the reports
+    And no service has admission under scarce capacity
+
+  # Guards against a setting that is read and used by nothing.
+  @fixture.platform_fleet
+  Scenario: The settings enable admission under scarce capacity
+    Given settings that name "status" as a scarce service
+    And a fleet with an endpoint of each service in each zone
+    Then only "status" has admission under scarce capacity
 
   # Guards against work and metrics for deployments whose endpoints report no speed.
   @fixture.platform_fleet
--- a/features/steps/home_share_steps.py
+++ b/features/steps/home_share_steps.py
@@ -40,7 +40,7 @@
         """Return an entry VM at which the service is scarce or not."""
         vm = super().make_region_vm(region, name, first)
         if self.is_scarce:
-            vm.board.scarce_services.add("status")
+            vm.board.scarce_services = frozenset({"status"})
         return vm
 
     def handle_arrival(self, now):
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -197,6 +197,12 @@
         "a memory limit that is no number": (
             ("self.limits.maxFds=4100\n", "self.limits.maxFds=4100\nself.limits.memoryMb=1.5G\n"),
         ),
+        "two scarce services": (
+            ("self.zone=", "camphorspread.scarceServices=filing, status\nself.zone="),
+        ),
+        "a scarce service without a name": (
+            ("self.zone=", "camphorspread.scarceServices=filing,,status\nself.zone="),
+        ),
         "a bound that is no number": (("drainMs=2500", "drainMs=soon"),),
         "three faults at once": (
             ("self.zone=sofia-a\n", ""),
@@ -229,6 +235,12 @@
     assert found == (None if limit == "none" else int(limit.split()[0])), found
 
 
+@then("the scarce services are {services}")
+def step_scarce_services(context, services):
+    found = context.result.unwrap().role.scarce_services
+    assert (", ".join(sorted(found)) or "none") == services, found
+
+
 @given("a refusal of the kind {kind}")
 def step_refusal(context, kind):
     context.refusal = Refusal(ErrorKind(kind), "text")
--- a/features/steps/server_speed_steps.py
+++ b/features/steps/server_speed_steps.py
@@ -1,8 +1,9 @@
 """Steps for endpoints that report the speed of their machines."""
 
-from behave import then
+from behave import given, then
 
 from camphorspread.process.learned_metrics import format_learned_runs
+from camphorspread.request.placement_board import has_scarce_capacity
 
 
 def list_states(context):
@@ -50,3 +51,24 @@
     for state in list_states(context):
         assert not state.board.work, state.board.work
         assert format_learned_runs(state.board.work, state.clock.monotonic()) == ""
+
+
+@given('settings that name "{service}" as a scarce service')
+def step_scarce_setting(context, service):
+    context.fleet.more_settings = (f"camphorspread.scarceServices={service}",)
+
+
+def list_scarce_services(state):
+    """Return the services with admission under scarce capacity at an entry VM."""
+    return [item for item in ("status", "filing") if has_scarce_capacity(state.board, item)]
+
+
+@then("no service has admission under scarce capacity")
+def step_none_scarce(context):
+    assert not any(map(list_scarce_services, list_states(context)))
+
+
+@then('only "{service}" has admission under scarce capacity')
+def step_only_scarce(context, service):
+    for state in list_states(context):
+        assert list_scarce_services(state) == [service], state.board.scarce_services
