State the round-trip time to the VM that can't measure it

Of two entry VMs one begins the exchanges of summaries, and only it measured the round trip. The other one had 0, so that its forwards in that direction looked up to 0.11 s cheaper, and their deadline wasn't reduced by the time on the way. The summary of the VM that begins now states its measurement (round_trip_ms); values out of range are ignored.

features/platform/whole_path.feature: "Both VMs of each pair know the round-trip time between them" failed before. This changes decisions of all deployments.

--- a/camphorspread/process/entry_vms.py
+++ b/camphorspread/process/entry_vms.py
@@ -53,7 +53,9 @@
         first_alive: Since when it has been alive without interruption.
         loads: Load of its backend servers by service, from its newest summary.
         summary_at: When that summary arrived, None before the first one.
-        round_trip_s: Moving average of the round-trip time, 0 before the first measurement.
+        round_trip_s: Moving average of the round-trip time, measured by the VM that begins the
+            exchanges; 0 before the first value.
+        is_round_trip_measured: True if this VM has measured it, False if the other one stated it.
         suspended_until: Until when no request is forwarded to it, after it didn't respond.
         warm_objects: Objects that its servers handled for requests forwarded by this VM.
         peer_timestamp: Timestamp from its newest summary; the next summary to it echoes this
@@ -77,6 +79,7 @@
     loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
     summary_at: timedelta | None = None
     round_trip_s: float = 0.0
+    is_round_trip_measured: bool = False
     suspended_until: timedelta = timedelta(0)
     warm_objects: OrderedDict[tuple[str, str], bool] = attrs.field(factory=OrderedDict)
     peer_timestamp: str = ""
--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -45,6 +45,7 @@
 LOAN_SLACK = timedelta(milliseconds=200)
 SUMMARY_TIMEOUT = timedelta(milliseconds=1000)
 ROUND_TRIP_WEIGHT = 0.3
+ROUND_TRIP_FIELD = "round_trip_ms"
 
 
 def encode_summary(state: SteeringState, peer: EntryVm | None, now: timedelta) -> dict:
@@ -52,7 +53,9 @@
 
     For VMs of the same region it includes the list of lent servers unless they hold the newest one,
     a timestamp (`stamp`), the newest timestamp of the other VM (`echo`), the version of the list
-    (`tag`) and the version of the other VM's list that this VM holds (`held`).
+    (`tag`) and the version of the other VM's list that this VM holds (`held`). The VM that begins
+    the exchanges also states the round-trip time (`round_trip_ms`), which the other one can't
+    measure.
     """
     is_same_region = peer is not None and peer.region == state.board.region
     if not is_same_region:
@@ -69,6 +72,8 @@
             for service, load in loads.items()
         },
     }
+    if peer is not None and peer.is_round_trip_measured:
+        value[ROUND_TRIP_FIELD] = round(peer.round_trip_s * 1000, 1)
     if not is_same_region:
         return value
     value |= {
@@ -145,12 +150,25 @@
             service: ServiceLoad(int(free), int(slots), int(queued), float(mean))
             for service, (free, slots, queued, mean) in loads.items()
         }
+        stated = read_round_trip(value)
     except (TypeError, ValueError):
         return None
+    if stated is not None and not peer.is_round_trip_measured:
+        peer.round_trip_s = stated
     peer.summary_at = now
     return peer
 
 
+def read_round_trip(value: dict) -> float | None:
+    """Return the stated round-trip time in seconds, None without one or if it is out of range.
+
+    Raises:
+        TypeError, ValueError: It isn't a number.
+    """
+    stated_s = float(value.get(ROUND_TRIP_FIELD, 0.0)) / 1000
+    return stated_s if 0.0 < stated_s <= SUMMARY_TIMEOUT.total_seconds() else None
+
+
 async def serve_summary(state: SteeringState, exchange: Exchange) -> None:
     """Apply another VM's summary and respond with the summary of this one."""
     value = await exchange.read_json()
@@ -250,8 +268,12 @@
     now = state.clock.monotonic()
     if response.status != 200 or apply_vm_summary(state, response.value, now) is None:
         return
-    measured = (now - sent).total_seconds()
-    if peer.round_trip_s:
-        peer.round_trip_s += (measured - peer.round_trip_s) * ROUND_TRIP_WEIGHT
+    record_round_trip(peer, (now - sent).total_seconds())
+
+
+def record_round_trip(peer: EntryVm, measured_s: float) -> None:
+    """Add a measurement to the moving average; the first one replaces a stated value."""
+    if peer.is_round_trip_measured:
+        peer.round_trip_s += (measured_s - peer.round_trip_s) * ROUND_TRIP_WEIGHT
     else:
-        peer.round_trip_s = measured
+        peer.round_trip_s, peer.is_round_trip_measured = measured_s, True
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -83,3 +83,11 @@
       | zone      |
       | sofia-a   |
       | plovdiv-b |
+
+  # Guards against forwards that seem to take no time on the way: only the VM that begins the
+  # exchanges of a pair measures the round trip.
+  @fixture.platform_fleet
+  Scenario: Both VMs of each pair know the round-trip time between them
+    Given a fleet with an endpoint of each service in each zone
+    When 4 s go by on the platform
+    Then each entry VM knows the round-trip time to each other one
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,6 +15,7 @@
     LOOKUP_PORT,
     READY_PORT,
     ZONES,
+    get_delay_s,
     make_configuration,
 )
 
@@ -270,3 +271,13 @@
 def step_cut_control(context, zone):
     fleet = context.fleet
     fleet.network.cut({fleet.host(zone, 1)}, {fleet.host(item, 2) for item in ZONES})
+
+
+@then("each entry VM knows the round-trip time to each other one")
+def step_round_trips(context):
+    vms = context.fleet.entries.values()
+    for state in (vm.state for vm in vms):
+        assert len(state.board.peers) == len(vms) - 1
+        for peer in state.board.peers.values():
+            shortest = 2 * get_delay_s(state.settings.peers.host, peer.peers.host)
+            assert shortest <= peer.round_trip_s <= 3 * shortest, (state.board.vm, peer)
