Let requests wait for their turn while no leader responds

At a VM whose renewals get no response, a request beyond the share was refused at once, though an earlier send may leave the window within 0.4 s; under a saturated limit such requests wait. No renewal can increase the share in this time, so that they wait now too. What a VM sends remains bounded by its share. "A request at a VM without contact waits for its turn" failed before: the request was refused at once.

--- a/camphorspread/request/quota_decision.py
+++ b/camphorspread/request/quota_decision.py
@@ -89,11 +89,14 @@
         case Exceeded(retry_after=retry_after):
             pass
     quota = book.quotas[name]
-    if not is_renewal_useful(quota):
+    is_useful = is_renewal_useful(quota)
+    if quota.share and not (is_useful and can_renew):
+        # No renewal in the next moments increases the share.
         free_at = find_free_time(quota, now)
-        if free_at is None or free_at > arrived + TURN_LIMIT:
-            return Over(retry_after)
-        return WaitForTurn(free_at)
+        if free_at is not None and free_at <= arrived + TURN_LIMIT:
+            return WaitForTurn(free_at)
+    if not is_useful:
+        return Over(retry_after)
     until = arrived + WAIT_LIMIT
     if now < until and can_renew:
         return WaitForRenewal(until)
--- a/features/process/quota_decisions.feature
+++ b/features/process/quota_decisions.feature
@@ -187,6 +187,14 @@
       | the organisation is removed                             | admitted  |
       | the organisation is removed and added with a limit      | undecided |
 
+  # Guards against a refusal at a VM that gets no larger share, since it has no contact, though an
+  # earlier send leaves the window soon.
+  @fixture.virtual_loop
+  Scenario: A request at a VM without contact waits for its turn
+    Given an entry VM with a share of 1 of a usable total of 20
+    And a request that waits for its turn
+    Then the waiting request is admitted
+
   # Guards against requests that wait at another VM and are sent after they have left the window here.
   @fixture.virtual_loop
   Scenario Outline: A forwarded request counts at the end of the forward
