Serve requests after the loss of an entry VM under load

Cause: with the VM the leader of the control VMs is lost, so that leased shares lapse for 2 s; the fleet is still in ramp-up (39 of 78 slots at the instant of the death); and its endpoints are in quarantine for 12 s.

Change: the estimate counts ramp-ups and ends of quarantines (request/queue_time.py); for 4 s after a lapse requests wait for the share; after the loss of a VM of the region, requests that would wait longer than promised go to another region within the shift cap (request/region_overflow.py); a VM of the region that can't be connected to isn't a candidate until it reports again (request/reachability.py). Slots, shares, caps and queue_length bound everything as before. The waits for lapsed shares, the estimate and the memory of failed connections concern all deployments steered by the catalogue.

--- a/camphorspread/process/endpoints.py
+++ b/camphorspread/process/endpoints.py
@@ -177,6 +177,11 @@
         endpoints = self.services.get(service, {})
         return [endpoints[name] for name in sorted(endpoints) if endpoints[name].is_sendable(now)]
 
+    def has_quarantine(self, service: str, now: timedelta) -> bool:
+        """Return True if requests of former owners may still use slots of the service."""
+        endpoints = self.services.get(service, {}).values()
+        return any(item.former_in_use and item.former_until > now for item in endpoints)
+
 
 def record_announcement(
     registry: EndpointRegistry,
--- a/camphorspread/process/entry_state.py
+++ b/camphorspread/process/entry_state.py
@@ -26,6 +26,8 @@
 from camphorspread.request.admission import AdmissionQueue
 from camphorspread.request.lookup import CallerLocation
 from camphorspread.request.once_key import HomeIdentity, OnceKey
+from camphorspread.request.reachability import ConnectFailures
+from camphorspread.request.region_overflow import OverflowLog
 from camphorspread.request.retry import RetryBudget
 from camphorspread.request.window import SlidingWindow
 from camphorspread.version.catalogue import Catalogue
@@ -77,6 +79,8 @@
         shift_plan: Shifts between regions that are under way.
         refused_formats: Hosts and format versions of refused messages.
         offered: Requests of callers of this region in the last second.
+        connect_failures: Entry VMs that couldn't be connected to.
+        overflow: Requests that were sent to other regions because they would have waited long.
         link_bytes_window: Body bytes that were forwarded to other regions in the last second.
     """
 
@@ -116,6 +120,8 @@
     shift_plan: ShiftPlan = attrs.field(factory=ShiftPlan)
     refused_formats: set[tuple[str, str]] = attrs.field(factory=set)
     offered: OfferedRates = attrs.field(factory=OfferedRates)
+    connect_failures: ConnectFailures = attrs.field(factory=ConnectFailures)
+    overflow: OverflowLog = attrs.field(factory=OverflowLog)
     link_bytes_window: SlidingWindow = attrs.field(factory=SlidingWindow)
 
     def __attrs_post_init__(self) -> None:
--- a/camphorspread/request/admission.py
+++ b/camphorspread/request/admission.py
@@ -16,6 +16,7 @@
 from camphorspread.request.candidates import choose_endpoint
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.policy import DEFAULT_POLICY, EndpointPolicy
+from camphorspread.request.queue_time import estimate_queue_time
 from camphorspread.request.reasons import Reason
 from camphorspread.request.window import SlidingWindow, count_recent, try_acquire
 from camphorspread.version.catalogue import ServiceClass
@@ -29,6 +30,7 @@
     "Granted",
     "Refused",
     "admit",
+    "estimate_wait",
     "find_shortage",
     "grant_waiting",
     "release",
@@ -71,16 +73,22 @@
     Attributes:
         region: Region of the owner.
         region_share: Maximum requests in flight over all services, None without a limit.
+        region_queue_length: Maximum requests that wait for the region share, None for as many as
+            the share.
         service_shares: Maximum requests in flight by service.
         shift_shares: Maximum shifted requests per second by service.
         queue_lengths: Maximum queued requests by service.
+        awaited_shift_shares: Services whose shift share is expected back in a moment, so that
+            shifted requests wait for it.
     """
 
     region: str = ""
     region_share: int | None = None
+    region_queue_length: int | None = None
     service_shares: dict[str, int] = attrs.field(factory=dict)
     shift_shares: dict[str, int] = attrs.field(factory=dict)
     queue_lengths: dict[str, int] = attrs.field(factory=dict)
+    awaited_shift_shares: frozenset[str] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -170,7 +178,7 @@
     if all(endpoint.announcement.endpoint in req.excluded for endpoint in live):
         message = f"all endpoints of {req.service} have been tried"
         return Refusal(ErrorKind.NO_BACKEND_SERVER, message, Reason.NO_LIVE_ENDPOINT)
-    if req.is_shifted and is_shift_share_used(queue, limits, req.service, now):
+    if lacks_shift_share(queue, limits, req, now) and not may_await_shift_share(limits, req):
         return record_shift_refusal(queue, req)
     if now + estimate_response_time(queue, req, live, now) > req.deadline:
         message = "the expected response time exceeds the deadline"
@@ -188,8 +196,31 @@
     )
     if not queued_ahead and any(count_free_slots(endpoint, now) for endpoint in live):
         return mean
-    slots = sum(min(endpoint.admitted_slots(now), endpoint.announcement.slots) for endpoint in live)
-    return mean + mean * (queued_ahead + 1) / max(slots, 1)
+    limit = req.deadline - now
+    return mean + estimate_queue_time(live, mean, queued_ahead + 1, now, limit)
+
+
+def estimate_wait(
+    queue: AdmissionQueue, limits: AdmissionLimits, service: str, now: timedelta, limit: timedelta
+) -> timedelta:
+    """Estimate how long a request that arrives now would wait for a slot and the shares.
+
+    Args:
+        queue: Admission state.
+        limits: Current limits.
+        service: Name of the service.
+        now: Current monotonic time.
+        limit: Longest time that matters.
+    """
+    live = queue.registry.list_live(service, now)
+    queued = sum(1 for item in queue.waiting if item.service == service)
+    has_free = any(count_free_slots(endpoint, now) for endpoint in live)
+    if not queued and has_free and find_shortage(queue, limits, service) is None:
+        return timedelta(0)
+    mean = service_time(queue.table, service, now)
+    wait = estimate_queue_time(live, mean, queued + 1, now, limit)
+    share = limits.service_shares.get(service)
+    return wait if share is None else max(wait, mean * (queued + 1) / max(share, 1))
 
 
 def grant_waiting(queue: AdmissionQueue, limits: AdmissionLimits, now: timedelta) -> list[Effect]:
@@ -207,7 +238,8 @@
         if effect is None:
             still_waiting.append(req)
             # A request that excludes endpoints doesn't block its service: the others may use them.
-            if not req.excluded:
+            # One that waits for a shift share doesn't block those that need none.
+            if not req.excluded and not lacks_shift_share(queue, limits, req, now):
                 blocked_services.add(req.service)
         else:
             effects.append(effect)
@@ -224,6 +256,8 @@
         return Refused(req.ticket, no_endpoint_refusal(req))
     if find_shortage(queue, limits, req.service) is not None:
         return None
+    if lacks_shift_share(queue, limits, req, now) and may_await_shift_share(limits, req):
+        return None
     endpoint = choose_endpoint(queue.table, live, now, req.excluded, queue.policy)
     if endpoint is None:
         return None
@@ -272,7 +306,10 @@
     if len(same_service) > limits.queue_lengths.get(req.service, 0):
         return [evict_queued(queue, same_service[-1], req, shortage)]
     is_region_short = shortage is not None and not shortage.service
-    if is_region_short and len(queue.waiting) > (limits.region_share or 0):
+    length = limits.region_queue_length
+    if length is None:
+        length = limits.region_share or 0
+    if is_region_short and len(queue.waiting) > length:
         return [evict_queued(queue, queue.waiting[-1], req, shortage)]
     return []
 
@@ -313,6 +350,18 @@
     return (count_recent(window, now) if window else 0) >= limits.shift_shares.get(service, 0)
 
 
+def lacks_shift_share(
+    queue: AdmissionQueue, limits: AdmissionLimits, req: AdmissionRequest, now: timedelta
+) -> bool:
+    """Return True if a request needs a shift share and this VM has none left."""
+    return req.is_shifted and is_shift_share_used(queue, limits, req.service, now)
+
+
+def may_await_shift_share(limits: AdmissionLimits, req: AdmissionRequest) -> bool:
+    """Return True if a request may wait until this VM has a shift share again."""
+    return req.service in limits.awaited_shift_shares
+
+
 def region_key(limits: AdmissionLimits) -> ShareKey:
     """Return the share key of the region's limit over all services."""
     return ShareKey(ShareKind.REGION_LIMIT, limits.region)
--- a/camphorspread/request/attempt.py
+++ b/camphorspread/request/attempt.py
@@ -28,7 +28,9 @@
 )
 from camphorspread.request.link_rate_limit import LinkRateLimiter, link_share
 from camphorspread.request.once import OnceAttempt
+from camphorspread.request.reachability import record_connect_failure
 from camphorspread.request.reasons import Reason
+from camphorspread.request.region_overflow import record_overflow
 from camphorspread.request.relay import (
     BodyLimitPassed,
     CallerDisconnected,
@@ -113,6 +115,7 @@
         endpoints: Names of the endpoints of this VM that were tried.
         vms: Names of the other VMs that were tried.
         has_own_refused: True once admission at this VM has refused the request.
+        has_overflowed: True once it was sent to another region instead of waiting at this VM.
         is_sent: True once an attempt has at least begun to connect to the next hop.
         is_waiting: True while the request waits for a slot.
         may_have_run: True from the sending of a head until the attempt is known not to have run.
@@ -122,6 +125,7 @@
     endpoints: frozenset[str] = frozenset()
     vms: frozenset[str] = frozenset()
     has_own_refused: bool = False
+    has_overflowed: bool = False
     is_sent: bool = False
     is_waiting: bool = False
     may_have_run: bool = False
@@ -139,8 +143,11 @@
     match candidate:
         case OwnEndpoints(may_wait=may_wait):
             return await attempt_local(state, req, attempts, entry, may_wait)
-        case OtherVm(record=record, reason=reason):
+        case OtherVm(record=record, reason=reason, is_overflow=is_overflow):
             attempts.vms |= {record.vm}
+            if is_overflow:
+                attempts.has_overflowed = True
+                record_overflow(state.overflow, record.vm, req.service, state.clock.monotonic())
             state.log.write(
                 Event.REQUEST_PASSED, service=req.service, to=record.vm, reason=reason.value
             )
@@ -249,6 +256,7 @@
     attempts.is_sent = True
     conn = await connect(state, record.peers)
     if isinstance(conn, Failed):
+        record_connect_failure(state.connect_failures, record.vm, state.clock.monotonic())
         return conn
     extra: Headers = (
         (CALLER_REGION_HEADER, req.caller_region.encode()),
--- a/camphorspread/request/candidates.py
+++ b/camphorspread/request/candidates.py
@@ -8,6 +8,7 @@
 from camphorspread.process.endpoints import Endpoint
 from camphorspread.process.fleet import FleetView, VmRecord, VmState
 from camphorspread.request.policy import DEFAULT_POLICY, EndpointPolicy, pick_endpoint
+from camphorspread.request.reachability import ConnectFailures, is_reachable
 from camphorspread.request.reasons import Reason
 from camphorspread.version.catalogue import Catalogue
 
@@ -30,10 +31,17 @@
 
 @attrs.frozen
 class OtherVm:
-    """Another entry VM that owns endpoints of the service."""
+    """Another entry VM that owns endpoints of the service.
+
+    Attributes:
+        record: The VM.
+        reason: Why it is a candidate.
+        is_overflow: True if it is tried because the request would wait long at this VM.
+    """
 
     record: VmRecord
     reason: Reason
+    is_overflow: bool = False
 
 
 Candidate = OwnEndpoints | OtherVm
@@ -66,32 +74,41 @@
 
 
 def order_candidates(
-    catalogue: Catalogue, fleet: FleetView, service: str, has_own: bool, is_forwarded: bool
+    catalogue: Catalogue,
+    fleet: FleetView,
+    failures: ConnectFailures,
+    service: str,
+    has_own: bool,
+    is_forwarded: bool,
 ) -> list[Candidate]:
     """Return the candidates for the request, in the order in which they are tried.
 
     Args:
         catalogue: The newest catalogue.
         fleet: Known entry VMs.
+        failures: Failed connections to entry VMs.
         service: Name of the service.
         has_own: True if this VM owns a live endpoint of the service.
         is_forwarded: True if another entry VM forwarded the request; it isn't forwarded again.
 
     Returns:
         Endpoints of this VM, then other VMs by tier: same availability zone, same region, other
-        regions. Within a tier, VMs with free slots come first, then the nearer ones.
+        regions. Within a tier, VMs with free slots come first, then the nearer ones. An unreachable
+        VM of this region is left out, since free slots in its last report would keep requests from
+        waiting here.
     """
     if is_forwarded:
         return [OwnEndpoints(may_wait=True)]
+    own_region = fleet.own.region
     others = [
         record
         for record in fleet.vms.values()
         if record.vm != fleet.own_vm
         and record.state is VmState.ALIVE
+        and (record.region != own_region or is_reachable(failures, record))
         and record.total_slots.get(service, 0)
     ]
     others.sort(key=lambda record: rank_vm(catalogue, fleet.own, record, service))
-    own_region = fleet.own.region
     has_free = any(vm.region == own_region and vm.free_slots.get(service, 0) for vm in others)
     other_vms = [OtherVm(record, find_reason(fleet.own, record)) for record in others]
     if not has_own and others:
--- a/camphorspread/request/catalogue_steering.py
+++ b/camphorspread/request/catalogue_steering.py
@@ -11,6 +11,8 @@
 from camphorspread.process.entry_state import EntryState
 from camphorspread.process.events import Event
 from camphorspread.process.offered import record_offered
+from camphorspread.process.region_share import compute_limits
+from camphorspread.request.admission import estimate_wait
 from camphorspread.request.attempt import (
     AttemptHistory,
     AttemptResult,
@@ -30,6 +32,7 @@
     serve_with_once_key,
 )
 from camphorspread.request.reasons import Reason
+from camphorspread.request.region_overflow import choose_overflow, has_lost_vm
 from camphorspread.request.relay import (
     BodyLimitPassed,
     CallerDisconnected,
@@ -37,7 +40,7 @@
     ResponseCut,
     UploadStalled,
 )
-from camphorspread.request.resend import RestUnread, note_read
+from camphorspread.request.resend import RestUnread, may_resend, note_read
 from camphorspread.request.retry import decide_retry, record_request
 from camphorspread.version.catalogue import ServiceEntry
 
@@ -194,18 +197,52 @@
     live = state.registry.list_live(req.service, state.clock.monotonic())
     has_own = any(endpoint.announcement.endpoint not in attempts.endpoints for endpoint in live)
     for candidate in order_candidates(
-        state.catalogue, state.fleet, req.service, has_own, req.is_forwarded
+        state.catalogue,
+        state.fleet,
+        state.connect_failures,
+        req.service,
+        has_own,
+        req.is_forwarded,
     ):
         match candidate:
-            case OwnEndpoints() if not attempts.has_own_refused and (
+            case OwnEndpoints(may_wait=may_wait) if not attempts.has_own_refused and (
                 has_own or not attempts.endpoints
             ):
-                return candidate
+                overflow = find_overflow(state, req, attempts) if may_wait else None
+                return overflow or candidate
             case OtherVm(record=record) if record.vm not in attempts.vms:
                 return candidate
     return None
 
 
+def find_overflow(
+    state: EntryState, req: SteeredRequest, attempts: AttemptHistory
+) -> OtherVm | None:
+    """Return the VM of another region to try before waiting at this VM, or None."""
+    if req.is_forwarded or attempts.has_overflowed:
+        return None
+    now = state.clock.monotonic()
+    if not (
+        has_lost_vm(state.fleet, state.connect_failures)
+        or state.registry.has_quarantine(req.service, now)
+    ):
+        return None
+    limits = compute_limits(state, now, req.service)
+    wait = estimate_wait(state.admission, limits, req.service, now, req.deadline - now)
+    record = choose_overflow(
+        state.catalogue,
+        state.fleet,
+        state.connect_failures,
+        state.overflow,
+        req.service,
+        wait,
+        now,
+    )
+    if record is None or record.vm in attempts.vms:
+        return None
+    return OtherVm(record, Reason.OTHER_REGION, is_overflow=True)
+
+
 def check_retry(
     state: EntryState, req: SteeredRequest, attempts: AttemptHistory, ending: Failed
 ) -> Refusal | None:
@@ -215,16 +252,22 @@
     if not attempts.is_sent:
         # Nothing was sent by this VM yet, so the next candidate isn't a retry.
         return None
-    if next_candidate(state, req, attempts) is None:
+    candidate = next_candidate(state, req, attempts)
+    if candidate is None:
         return ending.refusal
+    # This interface buffers no part of a body.
+    failure = ending.as_attempt_failure(note_read(RestUnread(), req.exchange.received_bytes))
+    is_return = attempts.has_overflowed and isinstance(candidate, OwnEndpoints)
+    if is_return and not attempts.may_have_run and may_resend(failure.body):
+        # The other region has run nothing, so that waiting here isn't a retry.
+        return None
     # The catalogue entry may have changed during the attempt.
     entry: ServiceEntry | None = state.catalogue.find_service(req.service)
     if entry is None:
         return ending.refusal
     now = state.clock.monotonic()
     decision = decide_retry(
-        # This interface buffers no part of a body.
-        ending.as_attempt_failure(note_read(RestUnread(), req.exchange.received_bytes)),
+        failure,
         entry,
         req.method,
         req.path,
--- a/camphorspread/version/shares.py
+++ b/camphorspread/version/shares.py
@@ -127,6 +127,11 @@
         part = self.permanent.get(key)
         return part.amount(now) if part else 0
 
+    def time_since_lapse(self, key: ShareKey, now: timedelta) -> timedelta | None:
+        """Return the time since the lease of a grant ended unrenewed, None if none has."""
+        grant = self.grants.get(key)
+        return now - grant.lease_end if grant and grant.lease_end <= now else None
+
     def total(self, key: ShareKey, now: timedelta) -> int:
         """Return the total amount that this VM may use now."""
         return self.permanent_amount(key, now) + self.amount(key, now)
--- a/features/process/sessions.feature
+++ b/features/process/sessions.feature
@@ -2,7 +2,6 @@
   Each session runs a deployment at its own size and delays under load and injects a failure. It
   guards against guarantees that hold for each component and break when all of them interact.
 
-  @known_red
   Scenario: An entry VM dies in the middle of payments
     Given the deployment "vodna-vrazka" with requests of 1000 ms
     When callers send 60 percent of the slot capacity of "filing-svc, status-svc"
@@ -13,6 +12,29 @@
     And every caller of another VM than "plovdiv-a-1" was served
     And the session matches the golden file "lost_entry_vm.txt"
 
+  # The VM that dies also leads the control VMs, so that leased shares lapse from 2 to 4 s after its
+  # death. Before requests waited for them elsewhere, these draws had the most refused requests, 38
+  # to 42 each.
+  Scenario Outline: An entry VM dies in the middle of payments, with other arrivals
+    Given the deployment "vodna-vrazka" with requests of 1000 ms and the seed <seed>
+    When callers send 60 percent of the slot capacity of "filing-svc, status-svc"
+    And 3 seconds of the session pass
+    And the entry VM "plovdiv-a-1" dies
+    And 10 seconds of the session pass
+    Then the service guarantees held
+    And every caller of another VM than "plovdiv-a-1" was served
+
+    Examples:
+      | seed |
+      | 3    |
+      | 8    |
+
+    # A slot is released when the connection is reset, before the server has noticed it.
+    @known_red
+    Examples: Slots exceeded at the instant of the death
+      | seed |
+      | 2    |
+      | 18   |
 
   Scenario: An availability zone is cut off for 10 minutes and returns
     Given the deployment "le-goff" with only "commandes" on 6 endpoints, with requests of 500 ms
--- a/features/request/admission.feature
+++ b/features/request/admission.feature
@@ -26,6 +26,47 @@
     When requests with the deadlines "1000 150 390 500 590" ms ask for a slot
     Then the decisions are "1 granted; 2 deadline; 3 deadline; 5 deadline" in this order
 
+  # Guards against a queue that is refused although the endpoints gain slots while it is served.
+  Scenario Outline: The estimate of a queue counts the slots that a ramp-up will add
+    Given an owner with 12 slots of which 6 are admitted, and a queue of 64
+    And the measured service time is 1000 ms
+    And 6 requests run and 54 wait
+    When a request with a deadline of <seconds> s asks for a slot
+    Then admission decides that it is <decision>
+
+    # The slots grow by one every 0.5 s up to 12, so that 55 requests take 5.5 s, and a run takes 1 s.
+    Examples:
+      | seconds | decision                 |
+      | 10      | queued                   |
+      | 6       | refused for its deadline |
+
+  # Guards against requests that are refused in the queue at a change of the leader, although the
+  # leased part of the region's limit returns before their deadlines.
+  Scenario: A share that has lapsed for a moment doesn't shorten the queue
+    Given an owner with 4 slots for each of two services and a region share of 2 that has lapsed
+    When requests of the services "low low low low high high" ask for a slot
+    Then the decisions are "1 granted; 2 granted" in this order
+    And released slots are granted to requests "5 6 3 4"
+
+  # Guards against the same refusal of requests from other regions, and against a shift cap that is
+  # exceeded when the share returns.
+  Scenario: Shifted requests wait while their share has lapsed, without blocking others
+    Given an owner with 4 slots for each of two services and a shift share that has lapsed
+    When 2 shifted requests and then one of this region ask for a slot
+    Then the decisions are "3 granted" in this order
+    When a shift share of 1 returns
+    Then the decisions are "3 granted; 1 granted; 2 shift_share_used" in this order
+
+  # Guards against a VM without contact to control VMs that keeps requests for a share which
+  # doesn't return.
+  Scenario: A lapsed share is awaited for 4 s only
+    Then a share is awaited in these cases
+      | case                    | awaited |
+      | never granted           | no      |
+      | its lease lasts         | no      |
+      | its lease ended 1 s ago | yes     |
+      | its lease ended 5 s ago | no      |
+
   Scenario Outline: Any mix of arrivals, releases and withdrawals keeps slots, shares and tickets
     Then <steps> random steps keep the limits of the owner for each of 40 seeds
 
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -3,6 +3,7 @@
 import random
 from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 
 from camphorspread.connection.network import Address
@@ -13,6 +14,7 @@
     LoadReport,
     record_announcement,
 )
+from camphorspread.process.region_share import has_lapsed
 from camphorspread.process.share_demand import ShareDemand
 from camphorspread.request.admission import (
     AdmissionLimits,
@@ -20,12 +22,14 @@
     AdmissionRequest,
     Granted,
     admit,
+    grant_waiting,
     release,
     remove_queued,
 )
 from camphorspread.request.candidates import choose_endpoint
 from camphorspread.request.window import SlidingWindow, try_acquire
 from camphorspread.version.catalogue import ServiceClass
+from camphorspread.version.shares import Grant, HeldShares, ShareKey, ShareKind
 
 NOW = timedelta(seconds=10)
 SECOND = timedelta(seconds=1)
@@ -74,6 +78,79 @@
     make_owner(context, ["high", "low"], slots, region_share=share, queue_lengths=lengths)
 
 
+@given(
+    "an owner with {slots:d} slots of which {admitted:d} are admitted, and a queue of {length:d}"
+)
+def step_ramping_owner(context, slots, admitted, length):
+    make_owner(context, ["plans"], slots, queue_lengths={"plans": length})
+    context.endpoints[0].ramp_slots = admitted
+    context.endpoints[0].ramp_start = NOW
+
+
+@given("{running:d} requests run and {waiting:d} wait")
+def step_full_owner(context, running, waiting):
+    for _ in range(running + waiting):
+        arrive(context, "plans", ServiceClass.UPLOAD, NOW + 60 * SECOND)
+    assert len(context.queue.waiting) == waiting, context.effects
+
+
+@when("a request with a deadline of {seconds:d} s asks for a slot")
+def step_ask_with_deadline(context, seconds):
+    context.effects = []
+    arrive(context, "plans", ServiceClass.UPLOAD, NOW + seconds * SECOND)
+
+
+@then("admission decides that it is {decision}")
+def step_check_queued(context, decision):
+    shown = [describe(effect).partition(" ")[2] for effect in context.effects]
+    assert shown == {"queued": [], "refused for its deadline": ["deadline"]}[decision], shown
+
+
+@given(
+    "an owner with {slots:d} slots for each of two services and a region share of {share:d}"
+    " that has lapsed"
+)
+def step_lapsed_region_share(context, slots, share):
+    lengths = {"high": 8, "low": 8}
+    limits = {"region_share": share, "region_queue_length": 8, "queue_lengths": lengths}
+    make_owner(context, ["high", "low"], slots, **limits)
+
+
+@given("an owner with {slots:d} slots for each of two services and a shift share that has lapsed")
+def step_lapsed_shift_share(context, slots):
+    lengths = {"high": 8, "low": 8}
+    awaited = frozenset({"low"})
+    make_owner(context, ["high", "low"], slots, queue_lengths=lengths, awaited_shift_shares=awaited)
+
+
+@when("{shifted:d} shifted requests and then one of this region ask for a slot")
+def step_ask_shifted(context, shifted):
+    for is_shifted in (*[True] * shifted, False):
+        arrive(context, "low", ServiceClass.DEFERRABLE, is_shifted=is_shifted)
+
+
+@when("a shift share of {share:d} returns")
+def step_shift_share_returns(context, share):
+    context.limits = attrs.evolve(
+        context.limits, shift_shares={"low": share}, awaited_shift_shares=frozenset()
+    )
+    context.effects += grant_waiting(context.queue, context.limits, NOW)
+
+
+@then("a share is awaited in these cases")
+def step_check_awaited(context):
+    key = ShareKey(ShareKind.SHIFT_CAP, service="plans")
+    lease_ends = {
+        "its lease lasts": NOW + SECOND,
+        "its lease ended 1 s ago": NOW - SECOND,
+        "its lease ended 5 s ago": NOW - 5 * SECOND,
+    }
+    for row in context.table:
+        end = lease_ends.get(row["case"])
+        held = HeldShares({key: Grant(3, end)} if end is not None else {})
+        assert has_lapsed(held, key, NOW) == (row["awaited"] == "yes"), row["case"]
+
+
 @given("the measured service time is {milliseconds:d} ms")
 def step_service_time(context, milliseconds):
     elapsed = timedelta(milliseconds=milliseconds)
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -51,11 +51,12 @@
 
 @fixture
 def deployment(context, plan):
-    with open_deployment(context, plan, SEED) as fleet:
+    with open_deployment(context, plan, context.seed) as fleet:
         yield fleet
 
 
-def open_session(context, plan, service_ms):
+def open_session(context, plan, service_ms, seed=SEED):
+    context.seed = seed
     fleet = use_fixture(deployment, context, plan)
     for backend in fleet.backends.values():
         backend.service_time = timedelta(milliseconds=service_ms)
@@ -81,6 +82,11 @@
     open_session(context, DEPLOYMENTS[name], service_ms)
 
 
+@given('the deployment "{name}" with requests of {service_ms:d} ms and the seed {seed:d}')
+def step_deployment_with_seed(context, name, service_ms, seed):
+    open_session(context, DEPLOYMENTS[name], service_ms, seed)
+
+
 @given(
     'the deployment "{name}" with only "{service}" on {count:d} endpoints,'
     " with requests of {service_ms:d} ms"
@@ -100,7 +106,7 @@
     names = services.split(", ")
     slots = {item.entry.name: item.endpoints * item.slots for item in context.plan.services}
     rates = [(KINDS[name], slots[name] * percent / 100 / context.service_s) for name in names]
-    load = send_load(context.callers, rates, LARGE_LOAD_S, SEED)
+    load = send_load(context.callers, rates, LARGE_LOAD_S, context.seed)
     context.load = context.loop.create_task(load)
 
 
