Rename the identifiers for organisations in the soak

draw_tenants, Arrival.tenants and SoakEnvironment.tenants were the last names in the code that differ from the rest of the project, which says organisations except on the wire. They are draw_organisations and organisations now; the configuration keeps its field `tenants`.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -135,17 +135,17 @@
 
 @given("a request reached an endpoint for {names} and {credentials} a key")
 def step_reached(context, names, credentials):
-    tenants = () if names == "nobody" else tuple(names.encode().split(b","))
+    organisations = () if names == "nobody" else tuple(names.encode().split(b","))
     arrival = context.seen.arrivals[0]
     has_key = credentials == "with"
-    context.seen.arrivals[0] = attrs.evolve(arrival, tenants=tenants, has_key=has_key)
+    context.seen.arrivals[0] = attrs.evolve(arrival, organisations=organisations, has_key=has_key)
 
 
 @given("a request with the {key} key that was sent at {at:g} s got {status:d}")
 def step_got(context, key, at, status):
     add_request(context.seen, KEYS[key], at + 0.1, status)
     if status == SUCCESS and key == "unknown":
-        context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], tenants=())
+        context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], organisations=())
 
 
 @given("a request on a public route with the {key} key that was sent at {at:g} s got {status:d}")
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -18,7 +18,7 @@
 from features.fixtures.platform_fleet import make_configuration, make_route
 from soak.fleet import FRONT_PORT, ZONES, SoakFleet
 from soak.guarantees import Arrival, CallerResponse, ConfigurationRead, Observations, StatedPause
-from soak.organisations import KEY_MARK, CallerRequest, draw_request, draw_tenants
+from soak.organisations import KEY_MARK, CallerRequest, draw_organisations, draw_request
 from soak.proxy import FaultProxy
 
 __all__ = ["NORMAL_SPEED", "SoakEndpoint", "SoakEnvironment", "call_operator", "run_callers"]
@@ -120,7 +120,7 @@
         caller_proxies: Proxies between callers and the entry VMs, by zone.
         endpoints: Backend servers, by identifier.
         revision: Revision of the newest configuration sent.
-        tenants: Organisations of the newest configuration sent.
+        organisations: Organisations of the newest configuration sent.
         request_count: Number of requests started so far.
         last_octet: Last octet of the newest backend server's proxy address.
         is_stopped: True once callers must stop.
@@ -133,7 +133,7 @@
     endpoints: dict[str, SoakEndpoint] = attrs.field(factory=dict)
     network: TcpNetwork = attrs.field(factory=TcpNetwork)
     revision: int = 0
-    tenants: list[dict] = attrs.field(factory=list)
+    organisations: list[dict] = attrs.field(factory=list)
     request_count: int = 0
     last_octet: int = 10
     is_stopped: bool = False
@@ -199,8 +199,8 @@
             make_route("open", "/open/", "safe", "status", public=True),
             make_route(f"more-{revision}", f"/more/{revision}/", "safe", "status"),
         ]
-        self.tenants = draw_tenants(self.rng, self.tenants)
-        body = make_configuration(revision, routes, self.tenants)
+        self.organisations = draw_organisations(self.rng, self.organisations)
+        body = make_configuration(revision, routes, self.organisations)
         self.observations.sent[revision] = json.loads(body)
         self.observations.sent_at[revision] = time.monotonic()
         for _ in range(40):
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -58,7 +58,7 @@
         server: The backend server.
         vm: Entry VM that sent it, empty if its process had ended.
         at: When it arrived.
-        tenants: Values of its headers that name an organisation.
+        organisations: Values of its headers that name an organisation.
         has_key: True if it carried credentials or a key.
     """
 
@@ -66,7 +66,7 @@
     server: str
     vm: str
     at: float
-    tenants: tuple[bytes, ...] = ()
+    organisations: tuple[bytes, ...] = ()
     has_key: bool = False
 
 
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -66,8 +66,8 @@
         if request.is_public and owner and request.key not in STEADY_KEYS.values():
             # While its key is withdrawn, a request on a public route is one without a key.
             allowed.append(())
-        if item.tenants not in allowed:
-            violations.append(f"{item.request} reached {item.server} for {item.tenants}")
+        if item.organisations not in allowed:
+            violations.append(f"{item.request} reached {item.server} for {item.organisations}")
     return violations
 
 
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -11,8 +11,8 @@
     "STEADY_KEYS",
     "UNKNOWN_KEY",
     "CallerRequest",
+    "draw_organisations",
     "draw_request",
-    "draw_tenants",
     "find_limit",
     "list_keys",
 ]
@@ -82,36 +82,36 @@
     return CallerRequest("POST", "/file/x", key, False)
 
 
-def draw_tenants(rng: random.Random, previous: list[dict]) -> list[dict]:
+def draw_organisations(rng: random.Random, previous: list[dict]) -> list[dict]:
     """Draw the organisations of the next configuration: keys and limits change now and then.
 
     Args:
         rng: Random source.
         previous: Organisations of the previous configuration, empty for the first one.
     """
-    tenants = []
+    organisations = []
     held = list_keys({"tenants": previous}) or {*CHANGING_KEYS.values()}
     for priority, (name, key) in enumerate(STEADY_KEYS.items()):
         changing = CHANGING_KEYS.get(name)
         has_changing = (changing in held) is not (rng.random() < KEY_CHANGE_PROBABILITY)
         keys = [key, changing] if changing and has_changing else [key]
-        tenant = {"name": name, "apiKeys": keys, "priority": priority}
+        organisation = {"name": name, "apiKeys": keys, "priority": priority}
         if name in RATES:
             is_changed = not previous or rng.random() < LIMIT_CHANGE_PROBABILITY
             rate = rng.choice(RATES[name]) if is_changed else previous[priority]["ratePerS"]
-            tenant |= {"ratePerS": rate, "burst": BURSTS[name]}
-        tenants.append(tenant)
-    return tenants
+            organisation |= {"ratePerS": rate, "burst": BURSTS[name]}
+        organisations.append(organisation)
+    return organisations
 
 
 def list_keys(content: dict) -> set[str]:
     """Return all keys of a configuration."""
-    return {key for tenant in content.get("tenants", ()) for key in tenant["apiKeys"]}
+    return {key for item in content.get("tenants", ()) for key in item["apiKeys"]}
 
 
 def find_limit(content: dict, name: str) -> tuple[float, float] | None:
     """Return the rate and burst of an organisation, None without a limit."""
-    for tenant in content.get("tenants", ()):
-        if tenant["name"] == name and tenant.get("ratePerS"):
-            return tenant["ratePerS"], tenant["burst"]
+    for item in content.get("tenants", ()):
+        if item["name"] == name and item.get("ratePerS"):
+            return item["ratePerS"], item["burst"]
     return None
