Cover allowed regions in the soak

No run had an organisation or a route with allowedRegions, so that nothing checked on real processes where requests run. Two organisations now have lists that change from one configuration to the next, and one route has a list of its own. The check compares the region of each endpoint that a request reached with the regions that its organisation (the name that the endpoint got) and its route allow. A request that arrived 2.5 s after an acknowledgement must follow it unless its VM was disturbed.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -113,6 +113,28 @@
       | 9   | 12    | 76       | 0     |
       | 18  | 20    | 76       | 0     |
 
+  # Guards against requests that run outside their regions unnoticed, and against reports of those
+  # that arrived before a change was in effect.
+  Scenario Outline: Regions of requests
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And the organisation may use <regions> until 10 s, and then <later>
+    And <name> was disturbed from 9 s to 11 s
+    And a request on a route for <route> reached an endpoint in <region> at <at> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | regions     | later         | name    | route       | region  | at   | count |
+      | sofia       | sofia         | front-b | all regions | sofia   | 20   | 0     |
+      | sofia       | sofia         | front-b | all regions | varna   | 20   | 1     |
+      | all regions | all regions   | front-b | all regions | varna   | 20   | 0     |
+      | all regions | all regions   | front-b | sofia       | varna   | 20   | 1     |
+      | sofia       | sofia,plovdiv | front-b | sofia       | plovdiv | 20   | 1     |
+      | sofia       | plovdiv       | front-b | sofia       | sofia   | 20   | 1     |
+      | sofia,varna | sofia         | front-b | all regions | varna   | 12.5 | 0     |
+      | sofia,varna | sofia         | front-b | all regions | varna   | 12.7 | 1     |
+      | sofia,varna | sofia         | front-a | all regions | varna   | 12.7 | 0     |
+      | sofia,varna | sofia         | front-a | all regions | varna   | 15.2 | 1     |
+
   # Guards against pauses that VMs ignore unnoticed, and against reports of pauses that were lost.
   Scenario Outline: Requests in a pause that an endpoint asked for
     Given a soak with an organisation whose key and limit changed at 10 s and 30 s
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -119,7 +119,7 @@
     seen.responses.append(CallerResponse(name, True, status, b"", at + 0.1, **values))
     if status == SUCCESS:
         seen.runs.append((name, "s-1", at))
-        seen.arrivals.append(Arrival(name, "s-1", "front-a", at, (b"coral",)))
+        seen.arrivals.append(Arrival(name, "s-1", "front-a", at, (b"coral",), region="sofia"))
 
 
 @given("a soak with an organisation whose key and limit changed at 10 s and 30 s")
@@ -159,6 +159,20 @@
         add_request(context.seen, KEYS["steady"], start + 4 * number / count)
 
 
+@given("the organisation may use {regions} until 10 s, and then {later}")
+def step_regions(context, regions, later):
+    for revision, listed in ((1, regions), (2, later), (3, later)):
+        organisation = context.seen.sent[revision]["tenants"][0]
+        organisation["allowedRegions"] = [] if listed == "all regions" else listed.split(",")
+
+
+@given("a request on a route for {regions} reached an endpoint in {region} at {at:g} s")
+def step_reached_region(context, regions, region, at):
+    listed = () if regions == "all regions" else tuple(regions.split(","))
+    add_request(context.seen, KEYS["steady"], at, regions=listed)
+    context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], region=region)
+
+
 @given("requests arrived {offsets} s after the endpoint asked for a pause of 2 s")
 def step_paused(context, offsets):
     context.seen.pauses.append(StatedPause("s-1", "front-a", 2.0, 2.0))
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -18,7 +18,13 @@
 from features.fixtures.platform_fleet import make_configuration, make_route
 from soak.fleet import FRONT_PORT, ZONES, SoakFleet
 from soak.guarantees import Arrival, CallerResponse, ConfigurationRead, Observations, StatedPause
-from soak.organisations import KEY_MARK, CallerRequest, draw_organisations, draw_request
+from soak.organisations import (
+    KEY_MARK,
+    NEAR_REGIONS,
+    CallerRequest,
+    draw_organisations,
+    draw_request,
+)
 from soak.proxy import FaultProxy
 
 __all__ = ["NORMAL_SPEED", "SoakEndpoint", "SoakEnvironment", "call_operator", "run_callers"]
@@ -93,6 +99,7 @@
                 name.lower() == b"authorization" or KEY_MARK.encode() in value
                 for name, value in headers
             ),
+            self.zone[:-2],
         )
 
     async def answer(self, exchange: Exchange, request_id: bytes, body_size: int) -> None:
@@ -197,6 +204,7 @@
             make_route("read", "/read/", "safe", "status"),
             make_route("file", "/file/", "unsafe", "filing"),
             make_route("open", "/open/", "safe", "status", public=True),
+            make_route("near", "/near/", "safe", "status", allowedRegions=list(NEAR_REGIONS)),
             make_route(f"more-{revision}", f"/more/{revision}/", "safe", "status"),
         ]
         self.organisations = draw_organisations(self.rng, self.organisations)
@@ -306,4 +314,5 @@
         request.key,
         request.is_public,
         f"front-{zone}",
+        request.regions,
     )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -36,6 +36,7 @@
         key: Key that the request carried, empty for none.
         is_public: True if its route is public.
         vm: Entry VM to which it was sent.
+        regions: Regions that its route lists, empty for none.
     """
 
     request: str
@@ -47,6 +48,7 @@
     key: str = ""
     is_public: bool = True
     vm: str = ""
+    regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -60,6 +62,7 @@
         at: When it arrived.
         organisations: Values of its headers that name an organisation.
         has_key: True if it carried credentials or a key.
+        region: Region of the backend server.
     """
 
     request: str
@@ -68,6 +71,7 @@
     at: float
     organisations: tuple[bytes, ...] = ()
     has_key: bool = False
+    region: str = ""
 
 
 @attrs.frozen
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a soak's observations for keys, limits and pauses that endpoints ask for.
+"""Checks of a soak's observations for keys, limits, regions and pauses that endpoints ask for.
 
 A configuration whose acknowledgement got lost may be in force, so every check allows what the
 newest acknowledged configuration or any later one that was sent allows.
@@ -8,7 +8,7 @@
 from collections import defaultdict
 
 from soak.guarantees import APPLY_LIMIT_S, CallerResponse, Observations
-from soak.organisations import KEY_MARK, OWNERS, STEADY_KEYS, find_limit, list_keys
+from soak.organisations import KEY_MARK, OWNERS, STEADY_KEYS, find_limit, find_regions, list_keys
 
 __all__ = ["find_organisation_violations"]
 
@@ -25,13 +25,14 @@
 
 
 def find_organisation_violations(seen: Observations) -> list[str]:
-    """Return a description of each violated guarantee on keys, limits and pauses."""
+    """Return a description of each violated guarantee on keys, limits, regions and pauses."""
     requests = {answer.request: answer for answer in seen.responses}
     return [
         *find_wrong_identities(seen, requests),
         *find_wrong_refusals(seen),
         *find_withdrawn_runs(seen, requests),
         *find_exceeded_limits(seen, requests),
+        *find_wrong_regions(seen, requests),
         *find_ignored_pauses(seen),
     ]
 
@@ -204,6 +205,28 @@
     return settled
 
 
+def find_wrong_regions(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return requests that reached an endpoint in a region that didn't allow them.
+
+    The VM that gets a request determines its regions; later configurations don't change them.
+    """
+    violations = []
+    for item in seen.arrivals:
+        request = requests.get(item.request)
+        if request is None:
+            continue
+        organisation = b",".join(item.organisations).decode()
+        contents = list_possible_contents(seen, request.sent_at - APPLY_LIMIT_S, item.at)
+        if any(
+            item.region in find_regions(content, organisation, request.regions)
+            for content in contents
+        ):
+            continue
+        if not is_disturbed(seen, request.vm, request.sent_at - CONTACT_WINDOW_S, item.at):
+            violations.append(f"{item.request} reached {item.server} in {item.region}")
+    return violations
+
+
 def find_ignored_pauses(seen: Observations) -> list[str]:
     """Return endpoints that got too many requests of a VM in a pause that they asked for."""
     times = defaultdict(list)
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -4,9 +4,12 @@
 
 import attrs
 
+from soak.fleet import ZONES
+
 __all__ = [
     "CHANGING_KEYS",
     "KEY_MARK",
+    "NEAR_REGIONS",
     "OWNERS",
     "STEADY_KEYS",
     "UNKNOWN_KEY",
@@ -14,6 +17,7 @@
     "draw_organisations",
     "draw_request",
     "find_limit",
+    "find_regions",
     "list_keys",
 ]
 
@@ -29,6 +33,11 @@
 # A lower limit is judged only if it stays for some ten seconds; submissions are about 3 s apart.
 KEY_CHANGE_PROBABILITY = 0.4
 LIMIT_CHANGE_PROBABILITY = 0.4
+REGIONS = tuple(dict.fromkeys(zone[:-2] for zone in ZONES))
+# Regions of the only route that lists some. The organisations with lists may have others.
+NEAR_REGIONS = REGIONS[:1]
+ORGANISATIONS_WITH_REGIONS = ("coral", "tide")
+REGION_CHANGE_PROBABILITY = 0.4
 CALLER_KEYS = (
     *[STEADY_KEYS["kelp"]] * 6,
     *[STEADY_KEYS["coral"]] * 4,
@@ -50,12 +59,14 @@
         target: Its target.
         key: Key that it carries, empty for none.
         is_public: True if its route is public.
+        regions: Regions that its route lists, empty for none.
     """
 
     method: str
     target: str
     key: str
     is_public: bool
+    regions: tuple[str, ...] = ()
 
     @property
     def is_idempotent(self) -> bool:
@@ -77,13 +88,15 @@
     kind = rng.random()
     if kind < 0.1:
         return CallerRequest("GET", "/open/x", key, True)
+    if kind < 0.2:
+        return CallerRequest("GET", "/near/x", key, False, NEAR_REGIONS)
     if kind < 0.7:
         return CallerRequest("GET", "/read/x", key, False)
     return CallerRequest("POST", "/file/x", key, False)
 
 
 def draw_organisations(rng: random.Random, previous: list[dict]) -> list[dict]:
-    """Draw the organisations of the next configuration: keys and limits change now and then.
+    """Draw the organisations of the next configuration: their values change now and then.
 
     Args:
         rng: Random source.
@@ -100,6 +113,11 @@
             is_changed = not previous or rng.random() < LIMIT_CHANGE_PROBABILITY
             rate = rng.choice(RATES[name]) if is_changed else previous[priority]["ratePerS"]
             organisation |= {"ratePerS": rate, "burst": BURSTS[name]}
+        if name in ORGANISATIONS_WITH_REGIONS:
+            is_changed = not previous or rng.random() < REGION_CHANGE_PROBABILITY
+            drawn = rng.sample(REGIONS, rng.randrange(len(REGIONS)))
+            regions = drawn if is_changed else previous[priority]["allowedRegions"]
+            organisation |= {"allowedRegions": regions}
         organisations.append(organisation)
     return organisations
 
@@ -115,3 +133,16 @@
         if item["name"] == name and item.get("ratePerS"):
             return item["ratePerS"], item["burst"]
     return None
+
+
+def find_regions(content: dict, name: str, route_regions: tuple[str, ...]) -> set[str]:
+    """Return the regions in which a request may run.
+
+    Args:
+        content: The configuration.
+        name: Name of its organisation, empty for none.
+        route_regions: Regions that its route lists, empty for none.
+    """
+    own = [item for item in content.get("tenants", ()) if item["name"] == name]
+    lists = [route_regions, *(item.get("allowedRegions", ()) for item in own)]
+    return set(REGIONS).intersection(*(listed for listed in lists if listed))
