Cover swapped keys in the soak

Each key belonged to the same organisation in all configurations, so that the checks of names and limits couldn't find a VM that keeps an earlier owner. Two of the three organisations with low priorities now swap all their keys now and then. A request must reach an endpoint under a name that its key has in a configuration in force in the last 3 s, or had in any one if its VM was disturbed within 4 s. Requests count towards the limit of the organisation whose name the endpoint got; this also counts those with a changing key on the public route, which were left out.

A waiting request that isn't stopped at the swap isn't found: the routes' time limit of 2 s is within the 3 s allowed.

Injected in a scratch copy: find_by_key keeps the first organisation of each key for the life of the process.

Ran: features/process/soak.feature, 70 scenarios passed, among them nine for the check.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -113,6 +113,26 @@
       | 9   | 12    | 76       | 0     |
       | 18  | 20    | 76       | 0     |
 
+  # Guards against requests that run for the organisation that had their key before, unnoticed.
+  Scenario Outline: A key that is given to another organisation
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And the key belongs to reef from 10 s on
+    And <name> was disturbed from 9 s to 11 s
+    And a request reached an endpoint for <organisation> at <at> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | organisation | at   | count |
+      | front-b | coral        | 9.8  | 0     |
+      | front-b | reef         | 9.8  | 1     |
+      | front-b | coral        | 12.9 | 0     |
+      | front-b | reef         | 12.9 | 0     |
+      | front-b | coral        | 13.1 | 1     |
+      | front-b | reef         | 13.1 | 0     |
+      | front-a | coral        | 14.9 | 0     |
+      | front-a | coral        | 15.1 | 1     |
+      | front-a | tide         | 12.9 | 1     |
+
   # Guards against requests that run outside their regions unnoticed, and against reports of those
   # that arrived before a change was in effect.
   Scenario Outline: Regions of requests
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -159,6 +159,19 @@
         add_request(context.seen, KEYS["steady"], start + 4 * number / count)
 
 
+@given("the key belongs to reef from 10 s on")
+def step_swapped(context):
+    for revision in (2, 3):
+        context.seen.sent[revision]["tenants"][0]["name"] = "reef"
+
+
+@given("a request reached an endpoint for {name} at {at:g} s")
+def step_reached_for(context, name, at):
+    add_request(context.seen, KEYS["steady"], at)
+    arrival = context.seen.arrivals[-1]
+    context.seen.arrivals[-1] = attrs.evolve(arrival, organisations=(name.encode(),))
+
+
 @given("the organisation may use {regions} until 10 s, and then {later}")
 def step_regions(context, regions, later):
     for revision, listed in ((1, regions), (2, later), (3, later)):
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -7,8 +7,16 @@
 import itertools
 from collections import defaultdict
 
-from soak.guarantees import APPLY_LIMIT_S, CallerResponse, Observations
-from soak.organisations import KEY_MARK, OWNERS, STEADY_KEYS, find_limit, find_regions, list_keys
+from soak.guarantees import APPLY_LIMIT_S, Arrival, CallerResponse, Observations
+from soak.organisations import (
+    FIRST_OWNERS,
+    KEY_MARK,
+    STEADY_KEYS,
+    find_limit,
+    find_owner,
+    find_regions,
+    list_keys,
+)
 
 __all__ = ["find_organisation_violations"]
 
@@ -62,9 +70,8 @@
         request = requests.get(item.request)
         if request is None:
             continue
-        owner = OWNERS.get(request.key)
-        allowed = [(owner.encode(),)] if owner else [()]
-        if request.is_public and owner and request.key not in STEADY_KEYS.values():
+        allowed = [(owner.encode(),) for owner in list_possible_owners(seen, request, item)]
+        if not allowed or (request.is_public and request.key not in STEADY_KEYS.values()):
             # While its key is withdrawn, a request on a public route is one without a key.
             allowed.append(())
         if item.organisations not in allowed:
@@ -72,12 +79,27 @@
     return violations
 
 
+def list_possible_owners(seen: Observations, request: CallerResponse, item: Arrival) -> set[str]:
+    """Return the organisations for which a request may reach an endpoint.
+
+    Also a request that waits while its key is given to another organisation must stop. Whether it
+    may still run after its key was withdrawn from all organisations is checked separately.
+    """
+    contents = list_possible_contents(seen, item.at - WITHDRAWAL_LIMIT_S, item.at)
+    owners = {find_owner(content, request.key) for content in contents} - {""}
+    since = item.at - CONTACT_WINDOW_S
+    if owners and not any(is_disturbed(seen, vm, since, item.at) for vm in (item.vm, request.vm)):
+        return owners
+    contents = list_possible_contents(seen, 0.0, item.at)
+    return {find_owner(content, request.key) for content in contents} - {""}
+
+
 def find_wrong_refusals(seen: Observations) -> list[str]:
     """Return wrong keys that were accepted, and proper requests that were refused."""
     violations = []
     ran = {request for request, _, _ in seen.runs}
     for answer in seen.responses:
-        if not answer.is_public and answer.key not in OWNERS:
+        if not answer.is_public and answer.key not in FIRST_OWNERS:
             if answer.request in ran or answer.status not in (0, 401, 503):
                 violations.append(f"{answer.request} has no valid key and got {answer.status}")
         elif answer.status in (403, 404) or (answer.status == 401 and is_proper(seen, answer)):
@@ -109,7 +131,7 @@
     violations = []
     for name, server, at in seen.runs:
         request = requests.get(name)
-        if request is None or request.is_public or request.key not in OWNERS:
+        if request is None or request.is_public or request.key not in FIRST_OWNERS:
             continue
         contents = list_possible_contents(seen, at - WITHDRAWAL_LIMIT_S, at)
         if any(request.key in list_keys(content) for content in contents):
@@ -131,13 +153,16 @@
 def find_exceeded_limits(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
     """Return the first window of each organisation in which too many requests ran."""
     spans = defaultdict(list)
-    first_runs: dict[str, float] = {}
-    for name, _, at in seen.runs:
-        first_runs[name] = min(at, first_runs.get(name, at))
-    for name, at in first_runs.items():
+    organisations = {(item.request, item.server): item.organisations for item in seen.arrivals}
+    first_runs: dict[str, tuple[float, str]] = {}
+    for name, server, at in seen.runs:
+        first_runs[name] = min((at, server), first_runs.get(name, (at, server)))
+    for name, (at, server) in first_runs.items():
         request = requests.get(name)
-        if request is not None and request.key in OWNERS and not is_keyless(request):
-            spans[OWNERS[request.key]].append((request.sent_at, at))
+        # Keys may be swapped, so the name that the endpoint got tells whose request it was.
+        for organisation in organisations.get((name, server), ()):
+            if request is not None:
+                spans[organisation.decode()].append((request.sent_at, at))
     return [
         violation
         for organisation, items in spans.items()
@@ -145,11 +170,6 @@
     ]
 
 
-def is_keyless(request: CallerResponse) -> bool:
-    """Return True if a request may have been served as one without a key."""
-    return request.is_public and request.key not in STEADY_KEYS.values()
-
-
 def find_exceeded_limit(
     seen: Observations, organisation: str, spans: list[tuple[float, float]]
 ) -> str | None:
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -8,15 +8,16 @@
 
 __all__ = [
     "CHANGING_KEYS",
+    "FIRST_OWNERS",
     "KEY_MARK",
     "NEAR_REGIONS",
-    "OWNERS",
     "STEADY_KEYS",
     "UNKNOWN_KEY",
     "CallerRequest",
     "draw_organisations",
     "draw_request",
     "find_limit",
+    "find_owner",
     "find_regions",
     "list_keys",
 ]
@@ -26,7 +27,8 @@
 STEADY_KEYS = {name: f"{KEY_MARK}{name}-1" for name in ("kelp", "coral", "reef", "tide")}
 CHANGING_KEYS = {name: f"{KEY_MARK}{name}-2" for name in ("coral", "tide")}
 UNKNOWN_KEY = f"{KEY_MARK}unknown"
-OWNERS = {key: name for keys in (STEADY_KEYS, CHANGING_KEYS) for name, key in keys.items()}
+# The organisation that has each key before any keys are swapped.
+FIRST_OWNERS = {key: name for keys in (STEADY_KEYS, CHANGING_KEYS) for name, key in keys.items()}
 # Callers of coral send about 60 requests per second, those of reef about 20.
 RATES = {"coral": (8.0, 20.0, 40.0), "reef": (2.0, 4.0, 10.0)}
 BURSTS = {"coral": 10, "reef": 2}
@@ -38,6 +40,9 @@
 NEAR_REGIONS = REGIONS[:1]
 ORGANISATIONS_WITH_REGIONS = ("coral", "tide")
 REGION_CHANGE_PROBABILITY = 0.4
+# The callers that must be served again after the repair use the key of the remaining organisation.
+SWAPPED_ORGANISATIONS = ("coral", "reef", "tide")
+SWAP_PROBABILITY = 0.25
 CALLER_KEYS = (
     *[STEADY_KEYS["kelp"]] * 6,
     *[STEADY_KEYS["coral"]] * 4,
@@ -104,8 +109,10 @@
     """
     organisations = []
     held = list_keys({"tenants": previous}) or {*CHANGING_KEYS.values()}
-    for priority, (name, key) in enumerate(STEADY_KEYS.items()):
-        changing = CHANGING_KEYS.get(name)
+    first_owners = draw_swap(rng, previous)
+    for priority, name in enumerate(STEADY_KEYS):
+        key = STEADY_KEYS[first_owners[name]]
+        changing = CHANGING_KEYS.get(first_owners[name])
         has_changing = (changing in held) is not (rng.random() < KEY_CHANGE_PROBABILITY)
         keys = [key, changing] if changing and has_changing else [key]
         organisation = {"name": name, "apiKeys": keys, "priority": priority}
@@ -122,11 +129,33 @@
     return organisations
 
 
+def draw_swap(rng: random.Random, previous: list[dict]) -> dict[str, str]:
+    """Return whose keys each organisation has; two of them swap theirs now and then.
+
+    Args:
+        rng: Random source.
+        previous: Organisations of the previous configuration, empty for the first one.
+    """
+    first_owners = {item["name"]: FIRST_OWNERS[item["apiKeys"][0]] for item in previous}
+    if not previous:
+        return {name: name for name in STEADY_KEYS}
+    if rng.random() < SWAP_PROBABILITY:
+        one, other = rng.sample(SWAPPED_ORGANISATIONS, 2)
+        first_owners[one], first_owners[other] = first_owners[other], first_owners[one]
+    return first_owners
+
+
 def list_keys(content: dict) -> set[str]:
     """Return all keys of a configuration."""
     return {key for item in content.get("tenants", ()) for key in item["apiKeys"]}
 
 
+def find_owner(content: dict, key: str) -> str:
+    """Return the name of the organisation that has a key, empty if none has it."""
+    owners = (item["name"] for item in content.get("tenants", ()) if key in item["apiKeys"])
+    return next(owners, "")
+
+
 def find_limit(content: dict, name: str) -> tuple[float, float] | None:
     """Return the rate and burst of an organisation, None without a limit."""
     for item in content.get("tenants", ()):
