Cover strict revocation and the loss of all control VMs in the soak

All runs had terms.bounds.strictRevoke at its default of false, and all control VMs were down for 1 s at most, so that nothing checked what VMs do with keys after revokeMs. The seed now draws strictRevoke and a revokeMs of 2 or 3 s, and the new fault lose_controls keeps all control VMs down for 1 to 2.5 s longer. With strict revocation no request may reach an endpoint for an organisation after revokeMs and 0.5 s, and one with a known key gets 503 with a retry time. Without it, some requests with a known key must run. A VM that was paused, killed or restarted has its limit from the end of this.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -133,6 +133,27 @@
       | front-a | coral        | 15.1 | 1     |
       | front-a | tide         | 12.9 | 1     |
 
+  # Guards against VMs that accept keys after strict revocation, or refuse them without it, unnoticed.
+  Scenario Outline: Keys without any control VM
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And revocation after 2 s that <kind>, and no control VM from 50 s to 54 s
+    And <name> was disturbed from 49 s to 51 s
+    And a request of <organisation> with the steady key at <at> s got <status> <time> a retry time
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | kind          | name    | organisation | at   | status | time    | count |
+      | is strict     | front-b | coral        | 52.4 | 200    | without | 0     |
+      | is strict     | front-b | coral        | 52.7 | 200    | without | 2     |
+      | is strict     | front-b | coral        | 52.7 | 503    | with    | 0     |
+      | is strict     | front-b | coral        | 52.7 | 503    | without | 1     |
+      | is strict     | front-b | coral        | 52.7 | 429    | with    | 1     |
+      | is strict     | front-a | coral        | 53.4 | 200    | without | 0     |
+      | is strict     | front-a | coral        | 53.7 | 200    | without | 2     |
+      | is strict     | front-b | coral        | 54.1 | 200    | without | 0     |
+      | is not strict | front-b | kelp         | 53.6 | 503    | with    | 1     |
+      | is not strict | front-b | kelp         | 53.6 | 200    | without | 0     |
+
   # Guards against requests that run outside their regions unnoticed, and against reports of those
   # that arrived before a change was in effect.
   Scenario Outline: Regions of requests
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -159,6 +159,24 @@
         add_request(context.seen, KEYS["steady"], start + 4 * number / count)
 
 
+@given("revocation after 2 s that {is_strict}, and no control VM from 50 s to 54 s")
+def step_revocation(context, is_strict):
+    seen = context.seen
+    seen.is_strict, seen.revocation_limit_s = is_strict == "is strict", 2.0
+    for content in seen.sent.values():
+        content["tenants"].append({"name": "kelp", "apiKeys": [STEADY_KEYS["kelp"]]})
+    seen.contact_losses.append((50.0, 54.0))
+    seen.disturbances.append(Disturbance("front-a", 50.0, 55.0, is_contact_loss=True))
+
+
+@given("a request of {name} with the steady key at {at:g} s got {status:d} {time} a retry time")
+def step_got_time(context, name, at, status, time):
+    add_request(context.seen, STEADY_KEYS[name], at, status, has_retry_time=time == "with")
+    if status == SUCCESS:
+        arrival = context.seen.arrivals[-1]
+        context.seen.arrivals[-1] = attrs.evolve(arrival, organisations=(name.encode(),))
+
+
 @given("the key belongs to reef from 10 s on")
 def step_swapped(context):
     for revision in (2, 3):
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -288,7 +288,7 @@
         *(((b"content-length", b"%d" % len(body)),) if body else ()),
     )
     conn = None
-    status, received = 0, b""
+    status, received, has_retry_time = 0, b"", False
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             conn = await pool.acquire(environment.caller_proxies[zone].listen_address)
@@ -300,6 +300,7 @@
             while chunk := await conn.read_body():
                 received += chunk
         status = head.status
+        has_retry_time = find_header(head.headers, b"retry-after") is not None
         pool.release(conn)
     except (OSError, TimeoutError, InvalidResponseError, RequestNotSentError):
         if conn is not None:
@@ -315,4 +316,5 @@
         request.is_public,
         f"front-{zone}",
         request.regions,
+        has_retry_time,
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,14 @@
 from soak.guarantees import Disturbance, Observations
 from soak.proxy import FaultProxy, LinkFault
 
-__all__ = ["FAULTS", "PLANNED_OPERATIONS", "ensure_started", "finish_evacuation", "run_operation"]
+__all__ = [
+    "FAULTS",
+    "PLANNED_OPERATIONS",
+    "ensure_started",
+    "finish_evacuation",
+    "get_max_loss_s",
+    "run_operation",
+]
 
 PLANNED_OPERATIONS = ("put", "read", "evacuate", "drain", "reload")
 FAULTS = (
@@ -21,6 +28,7 @@
     "kill_entry",
     "kill_control",
     "kill_all_controls",
+    *["lose_controls"] * 2,
     "pause_entry",
     "pause_control",
     "stop_entry",
@@ -39,6 +47,8 @@
 # An endpoint gets requests mainly from the VM of its zone, so that one alone asks for few pauses.
 OVERLOADED_ENDPOINTS = 3
 RETRY_AFTER_VALUES = (b"0.8", b"1.5", b"3")
+# For how much longer than the limit of strict revocation all control VMs are lost.
+MIN_EXTRA_LOSS_S, MAX_EXTRA_LOSS_S = 1.0, 2.5
 MISBEHAVIOURS = ("reset", "shed", "cut", "stray")
 
 
@@ -69,10 +79,13 @@
                 await fail_link(proxies[name], rng, duration_s)
         case "endpoint" | "slow" | "overload":
             await fail_endpoints(list(environment.endpoints.values()), kind, rng, duration_s)
-        case "kill_all_controls":
+        case "kill_all_controls" | "lose_controls":
             names = [node.name for node in environment.fleet.list_nodes(is_control=False)]
-            with record_disturbances(environment.observations, names):
-                await fail_all_controls(environment.fleet, duration_s)
+            with record_disturbances(environment.observations, names, is_contact_loss=True):
+                if kind == "kill_all_controls":
+                    await fail_all_controls(environment.fleet, duration_s)
+                else:
+                    await lose_all_controls(environment)
                 # VMs are cut off until a leader is elected.
                 for _ in range(40):
                     if await environment.read_configuration() is not None:
@@ -87,9 +100,12 @@
 
 
 @contextlib.contextmanager
-def record_disturbances(seen: Observations, names: list[str], is_vm: bool = True) -> Iterator[None]:
+def record_disturbances(
+    seen: Observations, names: list[str], is_vm: bool = True, is_contact_loss: bool = False
+) -> Iterator[None]:
     """Record that VMs or links are disturbed while the context is open."""
-    items = [Disturbance(name, time.monotonic(), is_vm=is_vm) for name in names]
+    now = time.monotonic()
+    items = [Disturbance(name, now, is_vm=is_vm, is_contact_loss=is_contact_loss) for name in names]
     seen.disturbances.extend(items)
     yield
     for item in items:
@@ -128,6 +144,29 @@
         ensure_started(fleet, item)
 
 
+async def lose_all_controls(environment: SoakEnvironment) -> None:
+    """Kill all control VMs, and start none until the limit of strict revocation has passed."""
+    fleet, seen = environment.fleet, environment.observations
+    controls = fleet.list_nodes(is_control=True)
+    fleet.is_without_controls = True
+    for item in controls:
+        fleet.kill(item)
+    start = time.monotonic()
+    extra_s = environment.rng.uniform(MIN_EXTRA_LOSS_S, MAX_EXTRA_LOSS_S)
+    await asyncio.sleep(fleet.revocation_limit_s + extra_s)
+    seen.contact_losses.append((start, time.monotonic()))
+    fleet.is_without_controls = False
+    for item in controls:
+        ensure_started(fleet, item)
+    # Changes that weren't in effect before the loss get there only now.
+    seen.fault_times.append(time.monotonic())
+
+
+def get_max_loss_s(fleet: SoakFleet) -> float:
+    """Return the longest time for which all control VMs are lost."""
+    return fleet.revocation_limit_s + MAX_EXTRA_LOSS_S
+
+
 async def fail_process(fleet: SoakFleet, kind: str, node: Node, duration_s: float) -> None:
     """Kill, suspend or stop a process, or damage its data folder while it is down."""
     match kind:
@@ -161,7 +200,12 @@
 
 
 def ensure_started(fleet: SoakFleet, node: Node) -> None:
-    """Start a process that isn't running; another fault may have started it already."""
+    """Start a process that isn't running; another fault may have started it already.
+
+    No control VM is started while all of them are to be lost.
+    """
+    if node.is_control and fleet.is_without_controls:
+        return
     if node.process is None or node.process.poll() is not None:
         fleet.start(node)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -57,12 +57,18 @@
         folder: Folder of the settings, data folders and logs.
         second_octet: Second octet of the loopback addresses; differs so that several soaks can run
             at once.
+        is_strict: True if VMs without contact to control VMs accept no keys.
+        revocation_limit_s: Time without contact after which they don't.
         nodes: The processes, by name.
+        is_without_controls: True while no control VM may be started.
     """
 
     folder: Path
     second_octet: int
+    is_strict: bool = False
+    revocation_limit_s: float = 5.0
     nodes: dict[str, Node] = attrs.field(factory=dict)
+    is_without_controls: bool = False
 
     def add_all(self) -> None:
         """Add a control VM and an entry VM for each zone."""
@@ -105,6 +111,8 @@
             "network.seeds=" + ",".join(f"{seed}:{CONTROL_PORT}" for seed in seeds),
             "provider.heartbeatMs=1500",
             "terms.faultTolerance.machines=2",
+            f"terms.bounds.strictRevoke={'true' if self.is_strict else 'false'}",
+            f"terms.bounds.revokeMs={self.revocation_limit_s * 1000:.0f}",
             *(f"network.zones.{zone}={zone[:-2]}" for zone in ZONES),
         ]
         if node.is_control:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -37,6 +37,7 @@
         is_public: True if its route is public.
         vm: Entry VM to which it was sent.
         regions: Regions that its route lists, empty for none.
+        has_retry_time: True if the response states when to retry.
     """
 
     request: str
@@ -49,6 +50,7 @@
     is_public: bool = True
     vm: str = ""
     regions: tuple[str, ...] = ()
+    has_retry_time: bool = False
 
 
 @attrs.frozen
@@ -86,12 +88,21 @@
 
 @attrs.define(eq=False)
 class Disturbance:
-    """A fault of one VM, or of the link to one backend server; its end is infinite until known."""
+    """A fault of one VM, or of the link to one backend server.
+
+    Attributes:
+        name: The VM, or the server or zone of the link.
+        start: When it began.
+        end: When it ended, infinite until known.
+        is_vm: False for a link.
+        is_contact_loss: True if the VM itself ran on and only lost the control VMs.
+    """
 
     name: str
     start: float
     end: float = math.inf
     is_vm: bool = True
+    is_contact_loss: bool = False
 
 
 @attrs.frozen
@@ -107,6 +118,8 @@
     """Everything observed from outside the processes.
 
     Attributes:
+        is_strict: True if VMs without contact to control VMs accept no keys.
+        revocation_limit_s: Time without contact after which they don't.
         responses: Responses that callers received.
         runs: Requests that backend servers ran, as request, server and arrival time.
         complete_bodies: Complete response body by request and server.
@@ -120,8 +133,11 @@
         arrivals: Requests that reached backend servers.
         pauses: Pauses for which backend servers asked.
         disturbances: Faults of VMs and of the links to backend servers.
+        contact_losses: Periods without any control VM, as start and end.
     """
 
+    is_strict: bool = False
+    revocation_limit_s: float = 5.0
     responses: list[CallerResponse] = attrs.field(factory=list)
     runs: list[tuple[str, str, float]] = attrs.field(factory=list)
     complete_bodies: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
@@ -135,6 +151,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     pauses: list[StatedPause] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
+    contact_losses: list[tuple[float, float]] = attrs.field(factory=list)
 
 
 def find_violations(seen: Observations) -> list[str]:
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -28,7 +28,11 @@
 QUOTA_TOLERANCE = 20
 # All VMs must have had a lower limit for this time before it is binding.
 LIMIT_SETTLING_S = 3.0
+UNAVAILABLE = 503
 PAUSE_GRACE_S = 0.5
+# For the last responses of the control VMs and the last requests, which are on their way.
+CONTACT_GRACE_S = 0.5
+MIN_JUDGED_LOSS_S = 0.4
 MAX_REQUESTS_IN_PAUSE = 2
 
 
@@ -41,6 +45,7 @@
         *find_withdrawn_runs(seen, requests),
         *find_exceeded_limits(seen, requests),
         *find_wrong_regions(seen, requests),
+        *find_wrong_revocations(seen, requests),
         *find_ignored_pauses(seen),
     ]
 
@@ -74,6 +79,10 @@
         if not allowed or (request.is_public and request.key not in STEADY_KEYS.values()):
             # While its key is withdrawn, a request on a public route is one without a key.
             allowed.append(())
+        since = request.sent_at - CONTACT_WINDOW_S
+        if request.is_public and seen.is_strict and is_disturbed(seen, request.vm, since, item.at):
+            # A VM that accepts no keys serves a public route without them.
+            allowed.append(())
         if item.organisations not in allowed:
             violations.append(f"{item.request} reached {item.server} for {item.organisations}")
     return violations
@@ -142,10 +151,23 @@
     return violations
 
 
-def is_disturbed(seen: Observations, name: str, since: float, until: float) -> bool:
-    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known."""
+def is_disturbed(
+    seen: Observations, name: str, since: float, until: float, is_contact_needed: bool = True
+) -> bool:
+    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known.
+
+    Args:
+        seen: All observations.
+        name: The VM or endpoint, empty if it isn't known.
+        since: Start of the period.
+        until: End of the period.
+        is_contact_needed: False if a VM that only lost the control VMs doesn't count.
+    """
     return not name or any(
-        item.name == name and item.start <= until and item.end >= since
+        item.name == name
+        and item.start <= until
+        and item.end >= since
+        and (is_contact_needed or not item.is_contact_loss)
         for item in seen.disturbances
     )
 
@@ -247,6 +269,41 @@
     return violations
 
 
+def find_wrong_revocations(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return keys that were accepted without control VMs under strict revocation, or not otherwise.
+
+    A VM that was paused may take responses that waited meanwhile for new ones, so that its limit
+    begins when it runs again.
+    """
+    grace_s = seen.revocation_limit_s + CONTACT_GRACE_S
+    violations = []
+    for start, end in seen.contact_losses:
+        since = start + grace_s
+        served = [item for item in seen.arrivals if item.organisations and since < item.at < end]
+        if not seen.is_strict:
+            # The organisation whose key is never withdrawn or swapped, and that has no limit.
+            steady = [item for item in served if item.organisations == (b"kelp",)]
+            if not steady and end - since > MIN_JUDGED_LOSS_S:
+                violations.append(f"no request with a key ran without control VMs from {since:.2f}")
+            continue
+        for item in served:
+            request = requests.get(item.request)
+            vms = (item.vm, request.vm) if request else (item.vm,)
+            if not any(is_disturbed(seen, vm, item.at - grace_s, item.at, False) for vm in vms):
+                violations.append(f"{item.request} reached {item.server} after strict revocation")
+        violations += [
+            f"{answer.request} got {answer.status} after strict revocation, not 503 with a time"
+            for answer in seen.responses
+            if since < answer.sent_at < answer.at < end
+            and answer.key in FIRST_OWNERS
+            and not answer.is_public
+            and answer.status not in (0, 401)
+            and not (answer.status == UNAVAILABLE and answer.has_retry_time)
+            and not is_disturbed(seen, answer.vm, answer.sent_at - grace_s, answer.at, False)
+        ]
+    return violations
+
+
 def find_ignored_pauses(seen: Observations) -> list[str]:
     """Return endpoints that got too many requests of a VM in a pause that they asked for."""
     times = defaultdict(list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,9 +14,16 @@
 from pathlib import Path
 
 from soak.environment import SoakEnvironment, run_callers
-from soak.faults import FAULTS, PLANNED_OPERATIONS, ensure_started, finish_evacuation, run_operation
+from soak.faults import (
+    FAULTS,
+    PLANNED_OPERATIONS,
+    ensure_started,
+    finish_evacuation,
+    get_max_loss_s,
+    run_operation,
+)
 from soak.fleet import ZONES, SoakFleet
-from soak.guarantees import find_violations
+from soak.guarantees import Observations, find_violations
 from soak.organisation_checks import find_logged_keys, find_organisation_violations
 from soak.organisations import STEADY_KEYS
 
@@ -28,6 +35,9 @@
 CONSECUTIVE_SUCCESSES = 40
 # Time for a replica with a replaced disk to catch up before the next disk may be lost.
 DISK_LOSS_INTERVAL_S = 8.0
+STRICT_PROBABILITY = 0.5
+# A VM in contact polls several times a second, so that no limit passes without a fault.
+REVOCATION_LIMITS_S = (2.0, 3.0)
 
 
 async def run_seed(
@@ -46,7 +56,10 @@
         recovery_s: Time limit for callers to be served again after the last repair.
         kinds: Faults and planned operations to draw from.
     """
-    environment = SoakEnvironment(SoakFleet(folder, 10 + seed % 200), random.Random(seed))
+    rng = random.Random(seed)
+    is_strict, limit_s = rng.random() < STRICT_PROBABILITY, rng.choice(REVOCATION_LIMITS_S)
+    fleet = SoakFleet(folder, 10 + seed % 200, is_strict, limit_s)
+    environment = SoakEnvironment(fleet, rng, Observations(is_strict, limit_s))
     environment.fleet.add_all()
     try:
         for node in environment.fleet.nodes.values():
@@ -114,11 +127,13 @@
     while time.monotonic() < end:
         await asyncio.sleep(environment.rng.uniform(0.2, 1.2))
         kind = environment.rng.choice(kinds)
-        if kind in ("wipe", "kill_all_controls"):
+        if kind in ("wipe", "kill_all_controls", "lose_controls"):
             # Keeps to the fault tolerance of the settings: replaced disks must catch up first.
             if time.monotonic() < next_disk_loss_at:
                 continue
             next_disk_loss_at = time.monotonic() + DISK_LOSS_INTERVAL_S
+            if kind == "lose_controls":
+                next_disk_loss_at += get_max_loss_s(environment.fleet)
         if kind not in PLANNED_OPERATIONS:
             environment.observations.fault_times.append(time.monotonic())
         tasks.append(asyncio.create_task(run_operation(environment, kind)))
