Check in the soak that servers get requests again after a pause

Pauses were drawn for three servers at once, and the only check was that VMs keep to them: a pause without an end went unnoticed while other servers took the requests. Sometimes all servers of a service now ask for a pause. A server must get a request within 10 s after its last pause, unless it began to leave or its link failed. The loss of the control VMs no longer excuses requests in a pause.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -189,3 +189,20 @@
       | front-b | 1.9   | 0.6 1.0 1.9         | 1     |
       | front-a | 1.9   | 0.6 1.0 1.9         | 0     |
       | s-1     | 1.9   | 0.6 1.0 1.9         | 0     |
+
+  # Guards against pauses without an end that nobody notices while other endpoints serve the requests.
+  Scenario Outline: Requests after a pause
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And <name> was disturbed from 12 s to 13 s
+    And requests arrived <offsets> s after the endpoint asked for a pause of 2 s
+    And the endpoint began to leave at <leaves> s, and the soak ended at <end> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | offsets  | leaves | end  | count |
+      | front-a | 0.1 11.9 | 30     | 20   | 0     |
+      | front-a | 0.1 12.1 | 30     | 20   | 1     |
+      | front-a | 0.1      | 30     | 20   | 1     |
+      | front-a | 0.1      | 30     | 13.9 | 0     |
+      | front-a | 0.1      | 13.9   | 20   | 0     |
+      | s-1     | 0.1      | 30     | 20   | 0     |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -211,6 +211,12 @@
         add_request(context.seen, KEYS["steady"], 2.0 + float(offset))
 
 
+@given("the endpoint began to leave at {at:g} s, and the soak ended at {end:g} s")
+def step_ended(context, at, end):
+    context.seen.draining_at["s-1"] = at
+    add_request(context.seen, UNKNOWN_KEY, end, 401)
+
+
 @then("it reports {count:d} violations for organisations")
 def step_reports_organisations(context, count):
     violations = find_organisation_violations(context.seen)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -187,6 +187,7 @@
         """Replace a backend server: start another one, then drain and deregister this one."""
         await self.add_endpoint(endpoint.service, endpoint.zone)
         endpoint.state = "draining"
+        self.observations.draining_at[endpoint.instance] = time.monotonic()
         for _ in range(5):
             if await endpoint.send_heartbeat():
                 self.observations.left_at[endpoint.instance] = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
 SLOW_SPEED = 300
 # An endpoint gets requests mainly from the VM of its zone, so that one alone asks for few pauses.
 OVERLOADED_ENDPOINTS = 3
+WHOLE_SERVICE_PROBABILITY = 0.3
 RETRY_AFTER_VALUES = (b"0.8", b"1.5", b"3")
 # For how much longer than the limit of strict revocation all control VMs are lost.
 MIN_EXTRA_LOSS_S, MAX_EXTRA_LOSS_S = 1.0, 2.5
@@ -128,6 +129,8 @@
             endpoint.set_speed(NORMAL_SPEED)
         case "overload":
             overloaded = rng.sample(endpoints, OVERLOADED_ENDPOINTS)
+            if rng.random() < WHOLE_SERVICE_PROBABILITY:
+                overloaded = [item for item in endpoints if item.service == endpoint.service]
             for item in overloaded:
                 item.fault, item.retry_after = "shed", rng.choice(RETRY_AFTER_VALUES)
             await asyncio.sleep(duration_s / 2)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -124,6 +124,7 @@
         runs: Requests that backend servers ran, as request, server and arrival time.
         complete_bodies: Complete response body by request and server.
         left_at: Time at which the departure of a backend server was acknowledged, by server.
+        draining_at: Time at which a backend server began to leave, by server.
         accepted_at: Time of acknowledgement by revision.
         sent: Content that was sent, by revision.
         reads: Configurations read back during the run.
@@ -142,6 +143,7 @@
     runs: list[tuple[str, str, float]] = attrs.field(factory=list)
     complete_bodies: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
     left_at: dict[str, float] = attrs.field(factory=dict)
+    draining_at: dict[str, float] = attrs.field(factory=dict)
     accepted_at: dict[int, float] = attrs.field(factory=dict)
     sent: dict[int, dict] = attrs.field(factory=dict)
     reads: list[ConfigurationRead] = attrs.field(factory=list)
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -34,6 +34,8 @@
 CONTACT_GRACE_S = 0.5
 MIN_JUDGED_LOSS_S = 0.4
 MAX_REQUESTS_IN_PAUSE = 2
+# Longer than an evacuation of its zone or a fault of its link, after which a server gets requests.
+RETURN_LIMIT_S = 10.0
 
 
 def find_organisation_violations(seen: Observations) -> list[str]:
@@ -47,6 +49,7 @@
         *find_wrong_regions(seen, requests),
         *find_wrong_revocations(seen, requests),
         *find_ignored_pauses(seen),
+        *find_endless_pauses(seen),
     ]
 
 
@@ -317,7 +320,7 @@
             continue
         # The response may not have arrived if the link failed about that time.
         is_lost = is_disturbed(seen, pause.server, pause.at - 0.5, pause.at + 1.0)
-        if not is_lost and not is_disturbed(seen, pause.vm, pause.at - 0.5, end):
+        if not is_lost and not is_disturbed(seen, pause.vm, pause.at - 0.5, end, False):
             violations.append(
                 f"{len(late)} requests of {pause.vm} reached {pause.server} in a pause of"
                 f" {pause.length_s:g} s from {pause.at:.2f}"
@@ -325,6 +328,24 @@
     return violations
 
 
+def find_endless_pauses(seen: Observations) -> list[str]:
+    """Return endpoints that got no requests for too long after all their pauses."""
+    times = defaultdict(list)
+    for item in seen.arrivals:
+        times[item.server].append(item.at)
+    ends: dict[str, float] = {}
+    for pause in seen.pauses:
+        ends[pause.server] = max(pause.at + pause.length_s, ends.get(pause.server, 0.0))
+    observed_until = max((answer.at for answer in seen.responses), default=0.0)
+    return [
+        f"{server} got no requests within {RETURN_LIMIT_S:g} s after its pause until {end:.2f}"
+        for server, end in ends.items()
+        if end + RETURN_LIMIT_S < min(observed_until, seen.draining_at.get(server, observed_until))
+        and not any(end < at <= end + RETURN_LIMIT_S for at in times[server])
+        and not is_disturbed(seen, server, end, end + RETURN_LIMIT_S)
+    ]
+
+
 def find_logged_keys(text: str) -> bool:
     """Return True if a log contains a key."""
     return KEY_MARK in text
