Print what each run of the soak covered

A seed that ends without a violation says little about strict revocation or swapped keys if its schedule had none. The result of a seed now states the kind of revocation and the numbers of losses of all control VMs, swaps, changes of regions and pauses.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -31,7 +31,7 @@
 def step_soak(context, seed, seconds):
     with tempfile.TemporaryDirectory() as folder:
         work = run_seed(seed, seconds, Path(folder), HANG_LIMIT_S, KINDS_WITHOUT_TIME_LIMIT)
-        context.violations = asyncio.run(work)
+        context.violations = asyncio.run(work).violations
 
 
 @then("no guarantee was violated")
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import itertools
 import random
 import shutil
 import sys
@@ -13,6 +14,8 @@
 import time
 from pathlib import Path
 
+import attrs
+
 from soak.environment import SoakEnvironment, run_callers
 from soak.faults import (
     FAULTS,
@@ -25,9 +28,9 @@
 from soak.fleet import ZONES, SoakFleet
 from soak.guarantees import Observations, find_violations
 from soak.organisation_checks import find_logged_keys, find_organisation_violations
-from soak.organisations import STEADY_KEYS
+from soak.organisations import STEADY_KEYS, find_owner
 
-__all__ = ["main", "run_seed"]
+__all__ = ["SeedResult", "main", "run_seed"]
 
 # Twelve interpreters start at once on a machine that may be busy.
 START_TIMEOUT_S = 60
@@ -40,14 +43,22 @@
 REVOCATION_LIMITS_S = (2.0, 3.0)
 
 
+@attrs.frozen
+class SeedResult:
+    """Result of a run: the violated guarantees, and what it covered."""
+
+    violations: list[str]
+    coverage: str = ""
+
+
 async def run_seed(
     seed: int,
     seconds: float,
     folder: Path,
     recovery_s: float,
     kinds: tuple[str, ...] = FAULTS,
-) -> list[str]:
-    """Run the soak with one seed and return the violated guarantees.
+) -> SeedResult:
+    """Run the soak with one seed.
 
     Args:
         seed: Seed of the schedule.
@@ -68,15 +79,16 @@
         await environment.put_configuration()
         callers = asyncio.create_task(run_callers(environment))
         if not await wait_until_served(environment, max(START_TIMEOUT_S, recovery_s)):
-            return ["no requests were served after the start"]
+            return SeedResult(["no requests were served after the start"])
         tasks = await inject_faults(environment, seconds, kinds)
         await asyncio.gather(*tasks)
         await repair(environment)
         if not await wait_until_served(environment, recovery_s):
-            return [
+            violations = [
                 *list_violations(environment),
                 f"callers weren't served within {recovery_s:g} s after the repair",
             ]
+            return SeedResult(violations, describe_coverage(environment.observations))
         for _ in range(20):
             environment.observations.final_configuration = await environment.read_configuration()
             if environment.observations.final_configuration is not None:
@@ -84,7 +96,8 @@
             await asyncio.sleep(0.5)
         environment.is_stopped = True
         await callers
-        return list_violations(environment)
+        coverage = describe_coverage(environment.observations)
+        return SeedResult(list_violations(environment), coverage)
     finally:
         for endpoint in environment.endpoints.values():
             endpoint.task.cancel()
@@ -92,6 +105,25 @@
             environment.fleet.kill(node)
 
 
+def describe_coverage(seen: Observations) -> str:
+    """Return how often the run had what not every schedule contains."""
+    pairs = list(itertools.pairwise(seen.sent.values()))
+    swaps = sum(
+        any(find_owner(old, key) != find_owner(new, key) for key in STEADY_KEYS.values())
+        for old, new in pairs
+    )
+    lists = [
+        [item.get("allowedRegions") for item in content["tenants"]]
+        for content in seen.sent.values()
+    ]
+    changes = sum(old != new for old, new in itertools.pairwise(lists))
+    revocation = "strict" if seen.is_strict else "not strict"
+    return (
+        f"revocation {revocation}, {len(seen.contact_losses)} losses of control VMs, {swaps} swaps,"
+        f" {changes} changes of regions, {len(seen.pauses)} pauses"
+    )
+
+
 def list_violations(environment: SoakEnvironment) -> list[str]:
     """Return all violated guarantees, also of the logs."""
     logs = environment.fleet.folder.glob("*.log")
@@ -165,9 +197,13 @@
     failed_seeds = 0
     for seed in parse_seeds(args.seeds):
         folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        violations = asyncio.run(run_seed(seed, args.seconds, folder, args.recovery))
+        result = asyncio.run(run_seed(seed, args.seconds, folder, args.recovery))
+        violations = result.violations
         log_note = f" (logs in {folder})" if violations else ""
-        print(f"seed {seed}: {'; '.join(violations[:5]) or 'ok'}{log_note}", flush=True)
+        print(
+            f"seed {seed}: {'; '.join(violations[:5]) or 'ok'}{log_note}; {result.coverage}",
+            flush=True,
+        )
         failed_seeds += bool(violations)
         if not violations:
             shutil.rmtree(folder)
