--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -113,6 +113,69 @@
       | 9   | 12    | 76       | 0     |
       | 18  | 20    | 76       | 0     |
 
+  # Guards against requests that run for the organisation that had their key before, unnoticed.
+  Scenario Outline: A key that is given to another organisation
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And the key belongs to reef from 10 s on
+    And <name> was disturbed from 9 s to 11 s
+    And a request reached an endpoint for <organisation> at <at> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | organisation | at   | count |
+      | front-b | coral        | 9.8  | 0     |
+      | front-b | reef         | 9.8  | 1     |
+      | front-b | coral        | 12.9 | 0     |
+      | front-b | reef         | 12.9 | 0     |
+      | front-b | coral        | 13.1 | 1     |
+      | front-b | reef         | 13.1 | 0     |
+      | front-a | coral        | 14.9 | 0     |
+      | front-a | coral        | 15.1 | 1     |
+      | front-a | tide         | 12.9 | 1     |
+
+  # Guards against VMs that accept keys after strict revocation, or refuse them without it, unnoticed.
+  Scenario Outline: Keys without any control VM
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And revocation after 2 s that <kind>, and no control VM from 50 s to 54 s
+    And <name> was disturbed from 49 s to 51 s
+    And a request of <organisation> with the steady key at <at> s got <status> <time> a retry time
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | kind          | name    | organisation | at   | status | time    | count |
+      | is strict     | front-b | coral        | 52.4 | 200    | without | 0     |
+      | is strict     | front-b | coral        | 52.7 | 200    | without | 2     |
+      | is strict     | front-b | coral        | 52.7 | 503    | with    | 0     |
+      | is strict     | front-b | coral        | 52.7 | 503    | without | 1     |
+      | is strict     | front-b | coral        | 52.7 | 429    | with    | 1     |
+      | is strict     | front-a | coral        | 53.4 | 200    | without | 0     |
+      | is strict     | front-a | coral        | 53.7 | 200    | without | 2     |
+      | is strict     | front-b | coral        | 54.1 | 200    | without | 0     |
+      | is not strict | front-b | kelp         | 53.6 | 503    | with    | 1     |
+      | is not strict | front-b | kelp         | 53.6 | 200    | without | 0     |
+
+  # Guards against requests that run outside their regions unnoticed, and against reports of those
+  # that arrived before a change was in effect.
+  Scenario Outline: Regions of requests
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And the organisation may use <regions> until 10 s, and then <later>
+    And <name> was disturbed from 9 s to 11 s
+    And a request on a route for <route> reached an endpoint in <region> at <at> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | regions     | later         | name    | route       | region  | at   | count |
+      | sofia       | sofia         | front-b | all regions | sofia   | 20   | 0     |
+      | sofia       | sofia         | front-b | all regions | varna   | 20   | 1     |
+      | all regions | all regions   | front-b | all regions | varna   | 20   | 0     |
+      | all regions | all regions   | front-b | sofia       | varna   | 20   | 1     |
+      | sofia       | sofia,plovdiv | front-b | sofia       | plovdiv | 20   | 1     |
+      | sofia       | plovdiv       | front-b | sofia       | sofia   | 20   | 1     |
+      | sofia,varna | sofia         | front-b | all regions | varna   | 12.5 | 0     |
+      | sofia,varna | sofia         | front-b | all regions | varna   | 12.7 | 1     |
+      | sofia,varna | sofia         | front-a | all regions | varna   | 12.7 | 0     |
+      | sofia,varna | sofia         | front-a | all regions | varna   | 15.2 | 1     |
+
   # Guards against pauses that VMs ignore unnoticed, and against reports of pauses that were lost.
   Scenario Outline: Requests in a pause that an endpoint asked for
     Given a soak with an organisation whose key and limit changed at 10 s and 30 s
@@ -126,3 +189,20 @@
       | front-b | 1.9   | 0.6 1.0 1.9         | 1     |
       | front-a | 1.9   | 0.6 1.0 1.9         | 0     |
       | s-1     | 1.9   | 0.6 1.0 1.9         | 0     |
+
+  # Guards against pauses without an end that nobody notices while other endpoints serve the requests.
+  Scenario Outline: Requests after a pause
+    Given a soak with an organisation whose key and limit changed at 10 s and 30 s
+    And <name> was disturbed from 12 s to 13 s
+    And requests arrived <offsets> s after the endpoint asked for a pause of 2 s
+    And the endpoint began to leave at <leaves> s, and the soak ended at <end> s
+    Then it reports <count> violations for organisations
+
+    Examples:
+      | name    | offsets  | leaves | end  | count |
+      | front-a | 0.1 11.9 | 30     | 20   | 0     |
+      | front-a | 0.1 12.1 | 30     | 20   | 1     |
+      | front-a | 0.1      | 30     | 20   | 1     |
+      | front-a | 0.1      | 30     | 13.9 | 0     |
+      | front-a | 0.1      | 13.9   | 20   | 0     |
+      | s-1     | 0.1      | 30     | 20   | 0     |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -31,7 +31,7 @@
 def step_soak(context, seed, seconds):
     with tempfile.TemporaryDirectory() as folder:
         work = run_seed(seed, seconds, Path(folder), HANG_LIMIT_S, KINDS_WITHOUT_TIME_LIMIT)
-        context.violations = asyncio.run(work)
+        context.violations = asyncio.run(work).violations
 
 
 @then("no guarantee was violated")
@@ -119,7 +119,7 @@
     seen.responses.append(CallerResponse(name, True, status, b"", at + 0.1, **values))
     if status == SUCCESS:
         seen.runs.append((name, "s-1", at))
-        seen.arrivals.append(Arrival(name, "s-1", "front-a", at, (b"coral",)))
+        seen.arrivals.append(Arrival(name, "s-1", "front-a", at, (b"coral",), region="sofia"))
 
 
 @given("a soak with an organisation whose key and limit changed at 10 s and 30 s")
@@ -135,17 +135,17 @@
 
 @given("a request reached an endpoint for {names} and {credentials} a key")
 def step_reached(context, names, credentials):
-    tenants = () if names == "nobody" else tuple(names.encode().split(b","))
+    organisations = () if names == "nobody" else tuple(names.encode().split(b","))
     arrival = context.seen.arrivals[0]
     has_key = credentials == "with"
-    context.seen.arrivals[0] = attrs.evolve(arrival, tenants=tenants, has_key=has_key)
+    context.seen.arrivals[0] = attrs.evolve(arrival, organisations=organisations, has_key=has_key)
 
 
 @given("a request with the {key} key that was sent at {at:g} s got {status:d}")
 def step_got(context, key, at, status):
     add_request(context.seen, KEYS[key], at + 0.1, status)
     if status == SUCCESS and key == "unknown":
-        context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], tenants=())
+        context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], organisations=())
 
 
 @given("a request on a public route with the {key} key that was sent at {at:g} s got {status:d}")
@@ -159,6 +159,51 @@
         add_request(context.seen, KEYS["steady"], start + 4 * number / count)
 
 
+@given("revocation after 2 s that {is_strict}, and no control VM from 50 s to 54 s")
+def step_revocation(context, is_strict):
+    seen = context.seen
+    seen.is_strict, seen.revocation_limit_s = is_strict == "is strict", 2.0
+    for content in seen.sent.values():
+        content["tenants"].append({"name": "kelp", "apiKeys": [STEADY_KEYS["kelp"]]})
+    seen.contact_losses.append((50.0, 54.0))
+    seen.disturbances.append(Disturbance("front-a", 50.0, 55.0, is_contact_loss=True))
+
+
+@given("a request of {name} with the steady key at {at:g} s got {status:d} {time} a retry time")
+def step_got_time(context, name, at, status, time):
+    add_request(context.seen, STEADY_KEYS[name], at, status, has_retry_time=time == "with")
+    if status == SUCCESS:
+        arrival = context.seen.arrivals[-1]
+        context.seen.arrivals[-1] = attrs.evolve(arrival, organisations=(name.encode(),))
+
+
+@given("the key belongs to reef from 10 s on")
+def step_swapped(context):
+    for revision in (2, 3):
+        context.seen.sent[revision]["tenants"][0]["name"] = "reef"
+
+
+@given("a request reached an endpoint for {name} at {at:g} s")
+def step_reached_for(context, name, at):
+    add_request(context.seen, KEYS["steady"], at)
+    arrival = context.seen.arrivals[-1]
+    context.seen.arrivals[-1] = attrs.evolve(arrival, organisations=(name.encode(),))
+
+
+@given("the organisation may use {regions} until 10 s, and then {later}")
+def step_regions(context, regions, later):
+    for revision, listed in ((1, regions), (2, later), (3, later)):
+        organisation = context.seen.sent[revision]["tenants"][0]
+        organisation["allowedRegions"] = [] if listed == "all regions" else listed.split(",")
+
+
+@given("a request on a route for {regions} reached an endpoint in {region} at {at:g} s")
+def step_reached_region(context, regions, region, at):
+    listed = () if regions == "all regions" else tuple(regions.split(","))
+    add_request(context.seen, KEYS["steady"], at, regions=listed)
+    context.seen.arrivals[-1] = attrs.evolve(context.seen.arrivals[-1], region=region)
+
+
 @given("requests arrived {offsets} s after the endpoint asked for a pause of 2 s")
 def step_paused(context, offsets):
     context.seen.pauses.append(StatedPause("s-1", "front-a", 2.0, 2.0))
@@ -166,6 +211,12 @@
         add_request(context.seen, KEYS["steady"], 2.0 + float(offset))
 
 
+@given("the endpoint began to leave at {at:g} s, and the soak ended at {end:g} s")
+def step_ended(context, at, end):
+    context.seen.draining_at["s-1"] = at
+    add_request(context.seen, UNKNOWN_KEY, end, 401)
+
+
 @then("it reports {count:d} violations for organisations")
 def step_reports_organisations(context, count):
     violations = find_organisation_violations(context.seen)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -18,7 +18,13 @@
 from features.fixtures.platform_fleet import make_configuration, make_route
 from soak.fleet import FRONT_PORT, ZONES, SoakFleet
 from soak.guarantees import Arrival, CallerResponse, ConfigurationRead, Observations, StatedPause
-from soak.organisations import KEY_MARK, CallerRequest, draw_request, draw_tenants
+from soak.organisations import (
+    KEY_MARK,
+    NEAR_REGIONS,
+    CallerRequest,
+    draw_organisations,
+    draw_request,
+)
 from soak.proxy import FaultProxy
 
 __all__ = ["NORMAL_SPEED", "SoakEndpoint", "SoakEnvironment", "call_operator", "run_callers"]
@@ -93,6 +99,7 @@
                 name.lower() == b"authorization" or KEY_MARK.encode() in value
                 for name, value in headers
             ),
+            self.zone[:-2],
         )
 
     async def answer(self, exchange: Exchange, request_id: bytes, body_size: int) -> None:
@@ -120,7 +127,7 @@
         caller_proxies: Proxies between callers and the entry VMs, by zone.
         endpoints: Backend servers, by identifier.
         revision: Revision of the newest configuration sent.
-        tenants: Organisations of the newest configuration sent.
+        organisations: Organisations of the newest configuration sent.
         request_count: Number of requests started so far.
         last_octet: Last octet of the newest backend server's proxy address.
         is_stopped: True once callers must stop.
@@ -133,7 +140,7 @@
     endpoints: dict[str, SoakEndpoint] = attrs.field(factory=dict)
     network: TcpNetwork = attrs.field(factory=TcpNetwork)
     revision: int = 0
-    tenants: list[dict] = attrs.field(factory=list)
+    organisations: list[dict] = attrs.field(factory=list)
     request_count: int = 0
     last_octet: int = 10
     is_stopped: bool = False
@@ -180,6 +187,7 @@
         """Replace a backend server: start another one, then drain and deregister this one."""
         await self.add_endpoint(endpoint.service, endpoint.zone)
         endpoint.state = "draining"
+        self.observations.draining_at[endpoint.instance] = time.monotonic()
         for _ in range(5):
             if await endpoint.send_heartbeat():
                 self.observations.left_at[endpoint.instance] = time.monotonic()
@@ -197,10 +205,11 @@
             make_route("read", "/read/", "safe", "status"),
             make_route("file", "/file/", "unsafe", "filing"),
             make_route("open", "/open/", "safe", "status", public=True),
+            make_route("near", "/near/", "safe", "status", allowedRegions=list(NEAR_REGIONS)),
             make_route(f"more-{revision}", f"/more/{revision}/", "safe", "status"),
         ]
-        self.tenants = draw_tenants(self.rng, self.tenants)
-        body = make_configuration(revision, routes, self.tenants)
+        self.organisations = draw_organisations(self.rng, self.organisations)
+        body = make_configuration(revision, routes, self.organisations)
         self.observations.sent[revision] = json.loads(body)
         self.observations.sent_at[revision] = time.monotonic()
         for _ in range(40):
@@ -280,7 +289,7 @@
         *(((b"content-length", b"%d" % len(body)),) if body else ()),
     )
     conn = None
-    status, received = 0, b""
+    status, received, has_retry_time = 0, b"", False
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             conn = await pool.acquire(environment.caller_proxies[zone].listen_address)
@@ -292,6 +301,7 @@
             while chunk := await conn.read_body():
                 received += chunk
         status = head.status
+        has_retry_time = find_header(head.headers, b"retry-after") is not None
         pool.release(conn)
     except (OSError, TimeoutError, InvalidResponseError, RequestNotSentError):
         if conn is not None:
@@ -306,4 +316,6 @@
         request.key,
         request.is_public,
         f"front-{zone}",
+        request.regions,
+        has_retry_time,
     )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -36,6 +36,8 @@
         key: Key that the request carried, empty for none.
         is_public: True if its route is public.
         vm: Entry VM to which it was sent.
+        regions: Regions that its route lists, empty for none.
+        has_retry_time: True if the response states when to retry.
     """
 
     request: str
@@ -47,6 +49,8 @@
     key: str = ""
     is_public: bool = True
     vm: str = ""
+    regions: tuple[str, ...] = ()
+    has_retry_time: bool = False
 
 
 @attrs.frozen
@@ -58,16 +62,18 @@
         server: The backend server.
         vm: Entry VM that sent it, empty if its process had ended.
         at: When it arrived.
-        tenants: Values of its headers that name an organisation.
+        organisations: Values of its headers that name an organisation.
         has_key: True if it carried credentials or a key.
+        region: Region of the backend server.
     """
 
     request: str
     server: str
     vm: str
     at: float
-    tenants: tuple[bytes, ...] = ()
+    organisations: tuple[bytes, ...] = ()
     has_key: bool = False
+    region: str = ""
 
 
 @attrs.frozen
@@ -82,12 +88,21 @@
 
 @attrs.define(eq=False)
 class Disturbance:
-    """A fault of one VM, or of the link to one backend server; its end is infinite until known."""
+    """A fault of one VM, or of the link to one backend server.
+
+    Attributes:
+        name: The VM, or the server or zone of the link.
+        start: When it began.
+        end: When it ended, infinite until known.
+        is_vm: False for a link.
+        is_contact_loss: True if the VM itself ran on and only lost the control VMs.
+    """
 
     name: str
     start: float
     end: float = math.inf
     is_vm: bool = True
+    is_contact_loss: bool = False
 
 
 @attrs.frozen
@@ -103,10 +118,13 @@
     """Everything observed from outside the processes.
 
     Attributes:
+        is_strict: True if VMs without contact to control VMs accept no keys.
+        revocation_limit_s: Time without contact after which they don't.
         responses: Responses that callers received.
         runs: Requests that backend servers ran, as request, server and arrival time.
         complete_bodies: Complete response body by request and server.
         left_at: Time at which the departure of a backend server was acknowledged, by server.
+        draining_at: Time at which a backend server began to leave, by server.
         accepted_at: Time of acknowledgement by revision.
         sent: Content that was sent, by revision.
         reads: Configurations read back during the run.
@@ -116,12 +134,16 @@
         arrivals: Requests that reached backend servers.
         pauses: Pauses for which backend servers asked.
         disturbances: Faults of VMs and of the links to backend servers.
+        contact_losses: Periods without any control VM, as start and end.
     """
 
+    is_strict: bool = False
+    revocation_limit_s: float = 5.0
     responses: list[CallerResponse] = attrs.field(factory=list)
     runs: list[tuple[str, str, float]] = attrs.field(factory=list)
     complete_bodies: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
     left_at: dict[str, float] = attrs.field(factory=dict)
+    draining_at: dict[str, float] = attrs.field(factory=dict)
     accepted_at: dict[int, float] = attrs.field(factory=dict)
     sent: dict[int, dict] = attrs.field(factory=dict)
     reads: list[ConfigurationRead] = attrs.field(factory=list)
@@ -131,6 +153,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     pauses: list[StatedPause] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
+    contact_losses: list[tuple[float, float]] = attrs.field(factory=list)
 
 
 def find_violations(seen: Observations) -> list[str]:
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a soak's observations for keys, limits and pauses that endpoints ask for.
+"""Checks of a soak's observations for keys, limits, regions and pauses that endpoints ask for.
 
 A configuration whose acknowledgement got lost may be in force, so every check allows what the
 newest acknowledged configuration or any later one that was sent allows.
@@ -7,8 +7,16 @@
 import itertools
 from collections import defaultdict
 
-from soak.guarantees import APPLY_LIMIT_S, CallerResponse, Observations
-from soak.organisations import KEY_MARK, OWNERS, STEADY_KEYS, find_limit, list_keys
+from soak.guarantees import APPLY_LIMIT_S, Arrival, CallerResponse, Observations
+from soak.organisations import (
+    FIRST_OWNERS,
+    KEY_MARK,
+    STEADY_KEYS,
+    find_limit,
+    find_owner,
+    find_regions,
+    list_keys,
+)
 
 __all__ = ["find_organisation_violations"]
 
@@ -20,19 +28,28 @@
 QUOTA_TOLERANCE = 20
 # All VMs must have had a lower limit for this time before it is binding.
 LIMIT_SETTLING_S = 3.0
+UNAVAILABLE = 503
 PAUSE_GRACE_S = 0.5
+# For the last responses of the control VMs and the last requests, which are on their way.
+CONTACT_GRACE_S = 0.5
+MIN_JUDGED_LOSS_S = 0.4
 MAX_REQUESTS_IN_PAUSE = 2
+# Longer than an evacuation of its zone or a fault of its link, after which a server gets requests.
+RETURN_LIMIT_S = 10.0
 
 
 def find_organisation_violations(seen: Observations) -> list[str]:
-    """Return a description of each violated guarantee on keys, limits and pauses."""
+    """Return a description of each violated guarantee on keys, limits, regions and pauses."""
     requests = {answer.request: answer for answer in seen.responses}
     return [
         *find_wrong_identities(seen, requests),
         *find_wrong_refusals(seen),
         *find_withdrawn_runs(seen, requests),
         *find_exceeded_limits(seen, requests),
+        *find_wrong_regions(seen, requests),
+        *find_wrong_revocations(seen, requests),
         *find_ignored_pauses(seen),
+        *find_endless_pauses(seen),
     ]
 
 
@@ -61,22 +78,40 @@
         request = requests.get(item.request)
         if request is None:
             continue
-        owner = OWNERS.get(request.key)
-        allowed = [(owner.encode(),)] if owner else [()]
-        if request.is_public and owner and request.key not in STEADY_KEYS.values():
+        allowed = [(owner.encode(),) for owner in list_possible_owners(seen, request, item)]
+        if not allowed or (request.is_public and request.key not in STEADY_KEYS.values()):
             # While its key is withdrawn, a request on a public route is one without a key.
             allowed.append(())
-        if item.tenants not in allowed:
-            violations.append(f"{item.request} reached {item.server} for {item.tenants}")
+        since = request.sent_at - CONTACT_WINDOW_S
+        if request.is_public and seen.is_strict and is_disturbed(seen, request.vm, since, item.at):
+            # A VM that accepts no keys serves a public route without them.
+            allowed.append(())
+        if item.organisations not in allowed:
+            violations.append(f"{item.request} reached {item.server} for {item.organisations}")
     return violations
 
 
+def list_possible_owners(seen: Observations, request: CallerResponse, item: Arrival) -> set[str]:
+    """Return the organisations for which a request may reach an endpoint.
+
+    Also a request that waits while its key is given to another organisation must stop. Whether it
+    may still run after its key was withdrawn from all organisations is checked separately.
+    """
+    contents = list_possible_contents(seen, item.at - WITHDRAWAL_LIMIT_S, item.at)
+    owners = {find_owner(content, request.key) for content in contents} - {""}
+    since = item.at - CONTACT_WINDOW_S
+    if owners and not any(is_disturbed(seen, vm, since, item.at) for vm in (item.vm, request.vm)):
+        return owners
+    contents = list_possible_contents(seen, 0.0, item.at)
+    return {find_owner(content, request.key) for content in contents} - {""}
+
+
 def find_wrong_refusals(seen: Observations) -> list[str]:
     """Return wrong keys that were accepted, and proper requests that were refused."""
     violations = []
     ran = {request for request, _, _ in seen.runs}
     for answer in seen.responses:
-        if not answer.is_public and answer.key not in OWNERS:
+        if not answer.is_public and answer.key not in FIRST_OWNERS:
             if answer.request in ran or answer.status not in (0, 401, 503):
                 violations.append(f"{answer.request} has no valid key and got {answer.status}")
         elif answer.status in (403, 404) or (answer.status == 401 and is_proper(seen, answer)):
@@ -108,7 +143,7 @@
     violations = []
     for name, server, at in seen.runs:
         request = requests.get(name)
-        if request is None or request.is_public or request.key not in OWNERS:
+        if request is None or request.is_public or request.key not in FIRST_OWNERS:
             continue
         contents = list_possible_contents(seen, at - WITHDRAWAL_LIMIT_S, at)
         if any(request.key in list_keys(content) for content in contents):
@@ -119,10 +154,23 @@
     return violations
 
 
-def is_disturbed(seen: Observations, name: str, since: float, until: float) -> bool:
-    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known."""
+def is_disturbed(
+    seen: Observations, name: str, since: float, until: float, is_contact_needed: bool = True
+) -> bool:
+    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known.
+
+    Args:
+        seen: All observations.
+        name: The VM or endpoint, empty if it isn't known.
+        since: Start of the period.
+        until: End of the period.
+        is_contact_needed: False if a VM that only lost the control VMs doesn't count.
+    """
     return not name or any(
-        item.name == name and item.start <= until and item.end >= since
+        item.name == name
+        and item.start <= until
+        and item.end >= since
+        and (is_contact_needed or not item.is_contact_loss)
         for item in seen.disturbances
     )
 
@@ -130,13 +178,16 @@
 def find_exceeded_limits(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
     """Return the first window of each organisation in which too many requests ran."""
     spans = defaultdict(list)
-    first_runs: dict[str, float] = {}
-    for name, _, at in seen.runs:
-        first_runs[name] = min(at, first_runs.get(name, at))
-    for name, at in first_runs.items():
+    organisations = {(item.request, item.server): item.organisations for item in seen.arrivals}
+    first_runs: dict[str, tuple[float, str]] = {}
+    for name, server, at in seen.runs:
+        first_runs[name] = min((at, server), first_runs.get(name, (at, server)))
+    for name, (at, server) in first_runs.items():
         request = requests.get(name)
-        if request is not None and request.key in OWNERS and not is_keyless(request):
-            spans[OWNERS[request.key]].append((request.sent_at, at))
+        # Keys may be swapped, so the name that the endpoint got tells whose request it was.
+        for organisation in organisations.get((name, server), ()):
+            if request is not None:
+                spans[organisation.decode()].append((request.sent_at, at))
     return [
         violation
         for organisation, items in spans.items()
@@ -144,11 +195,6 @@
     ]
 
 
-def is_keyless(request: CallerResponse) -> bool:
-    """Return True if a request may have been served as one without a key."""
-    return request.is_public and request.key not in STEADY_KEYS.values()
-
-
 def find_exceeded_limit(
     seen: Observations, organisation: str, spans: list[tuple[float, float]]
 ) -> str | None:
@@ -204,6 +250,63 @@
     return settled
 
 
+def find_wrong_regions(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return requests that reached an endpoint in a region that didn't allow them.
+
+    The VM that gets a request determines its regions; later configurations don't change them.
+    """
+    violations = []
+    for item in seen.arrivals:
+        request = requests.get(item.request)
+        if request is None:
+            continue
+        organisation = b",".join(item.organisations).decode()
+        contents = list_possible_contents(seen, request.sent_at - APPLY_LIMIT_S, item.at)
+        if any(
+            item.region in find_regions(content, organisation, request.regions)
+            for content in contents
+        ):
+            continue
+        if not is_disturbed(seen, request.vm, request.sent_at - CONTACT_WINDOW_S, item.at):
+            violations.append(f"{item.request} reached {item.server} in {item.region}")
+    return violations
+
+
+def find_wrong_revocations(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
+    """Return keys that were accepted without control VMs under strict revocation, or not otherwise.
+
+    A VM that was paused may take responses that waited meanwhile for new ones, so that its limit
+    begins when it runs again.
+    """
+    grace_s = seen.revocation_limit_s + CONTACT_GRACE_S
+    violations = []
+    for start, end in seen.contact_losses:
+        since = start + grace_s
+        served = [item for item in seen.arrivals if item.organisations and since < item.at < end]
+        if not seen.is_strict:
+            # The organisation whose key is never withdrawn or swapped, and that has no limit.
+            steady = [item for item in served if item.organisations == (b"kelp",)]
+            if not steady and end - since > MIN_JUDGED_LOSS_S:
+                violations.append(f"no request with a key ran without control VMs from {since:.2f}")
+            continue
+        for item in served:
+            request = requests.get(item.request)
+            vms = (item.vm, request.vm) if request else (item.vm,)
+            if not any(is_disturbed(seen, vm, item.at - grace_s, item.at, False) for vm in vms):
+                violations.append(f"{item.request} reached {item.server} after strict revocation")
+        violations += [
+            f"{answer.request} got {answer.status} after strict revocation, not 503 with a time"
+            for answer in seen.responses
+            if since < answer.sent_at < answer.at < end
+            and answer.key in FIRST_OWNERS
+            and not answer.is_public
+            and answer.status not in (0, 401)
+            and not (answer.status == UNAVAILABLE and answer.has_retry_time)
+            and not is_disturbed(seen, answer.vm, answer.sent_at - grace_s, answer.at, False)
+        ]
+    return violations
+
+
 def find_ignored_pauses(seen: Observations) -> list[str]:
     """Return endpoints that got too many requests of a VM in a pause that they asked for."""
     times = defaultdict(list)
@@ -217,7 +320,7 @@
             continue
         # The response may not have arrived if the link failed about that time.
         is_lost = is_disturbed(seen, pause.server, pause.at - 0.5, pause.at + 1.0)
-        if not is_lost and not is_disturbed(seen, pause.vm, pause.at - 0.5, end):
+        if not is_lost and not is_disturbed(seen, pause.vm, pause.at - 0.5, end, False):
             violations.append(
                 f"{len(late)} requests of {pause.vm} reached {pause.server} in a pause of"
                 f" {pause.length_s:g} s from {pause.at:.2f}"
@@ -225,6 +328,24 @@
     return violations
 
 
+def find_endless_pauses(seen: Observations) -> list[str]:
+    """Return endpoints that got no requests for too long after all their pauses."""
+    times = defaultdict(list)
+    for item in seen.arrivals:
+        times[item.server].append(item.at)
+    ends: dict[str, float] = {}
+    for pause in seen.pauses:
+        ends[pause.server] = max(pause.at + pause.length_s, ends.get(pause.server, 0.0))
+    observed_until = max((answer.at for answer in seen.responses), default=0.0)
+    return [
+        f"{server} got no requests within {RETURN_LIMIT_S:g} s after its pause until {end:.2f}"
+        for server, end in ends.items()
+        if end + RETURN_LIMIT_S < min(observed_until, seen.draining_at.get(server, observed_until))
+        and not any(end < at <= end + RETURN_LIMIT_S for at in times[server])
+        and not is_disturbed(seen, server, end, end + RETURN_LIMIT_S)
+    ]
+
+
 def find_logged_keys(text: str) -> bool:
     """Return True if a log contains a key."""
     return KEY_MARK in text
