Reserve the loopback network of a soak

In a run of the whole suite, the soaks with the seeds 1 and 8 ended with an error while the same scenarios ran in another clone. The addresses depended on the seed alone, so that the second of two runs couldn't listen: two runs of seed 1 at once gave "OSError: [Errno 98] ... 127.11.1.3" in the later one on the former code. A run now holds a socket in its network, and takes the next one if another run holds it. The schedule still follows from the seed alone.

New scenario: "Soaks with the same seed at the same time use different networks".

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -13,6 +13,11 @@
       | 1    | 6       |
       | 8    | 6       |
 
+  # Guards against two runs with one seed whose processes use the same addresses.
+  Scenario: Soaks with the same seed at the same time use different networks
+    Then the networks of two soaks with seed 199 differ while both run
+    And a soak with seed 199 uses the same network again after them
+
   Scenario Outline: Observations that count as violations
     Given a soak that observed <what>
     Then it reports <count> violated guarantees
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from soak.faults import FAULTS
+from soak.fleet import reserve_network
 from soak.guarantees import (
     Arrival,
     CallerResponse,
@@ -34,6 +35,19 @@
         context.violations = asyncio.run(work).violations
 
 
+@then("the networks of two soaks with seed {seed:d} differ while both run")
+def step_networks(context, seed):
+    with reserve_network(seed) as first, reserve_network(seed) as second:
+        assert first != second, first
+    context.first_network = first
+
+
+@then("a soak with seed {seed:d} uses the same network again after them")
+def step_same_network(context, seed):
+    with reserve_network(seed) as network:
+        assert network == context.first_network, network
+
+
 @then("no guarantee was violated")
 def step_no_violation(context):
     assert not context.violations, context.violations
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,26 +1,55 @@
 """Processes of a soak run: control VMs and entry VMs, each on its own loopback address."""
 
 import contextlib
+import errno
 import os
 import shutil
 import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
 
 from camphorspread.connection.network import Address
 
-__all__ = ["ZONES", "Node", "SoakFleet"]
+__all__ = ["ZONES", "Node", "SoakFleet", "reserve_network"]
 
 ZONES = ("sofia-a", "plovdiv-a", "varna-a", "sofia-b", "plovdiv-b", "varna-b")
 CONTROL_PORT, LOOKUP_PORT, FRONT_PORT, READY_PORT, INTERNAL_PORT = 8649, 8644, 8641, 8640, 7620
 SEED_COUNT = 3
+# Port that no process listens on; a socket that is bound to it reserves a network.
+RESERVATION_PORT = 8600
+NETWORKS = range(10, 210)
 REPOSITORY = Path(__file__).parent.parent
 
 
+@contextlib.contextmanager
+def reserve_network(seed: int) -> Iterator[int]:
+    """Reserve the loopback network of a soak and return its second octet.
+
+    Two soaks with the same seed at the same time would otherwise use the same addresses, and the
+    processes of the second one can't listen.
+
+    Raises:
+        OSError: No network is free.
+    """
+    first = seed % len(NETWORKS)
+    for octet in (*NETWORKS[first:], *NETWORKS[:first]):
+        with socket.socket() as reservation:
+            try:
+                reservation.bind((f"127.{octet}.0.1", RESERVATION_PORT))
+            except OSError as exc:
+                if exc.errno != errno.EADDRINUSE:
+                    raise
+                continue
+            yield octet
+            return
+    raise OSError(errno.EADDRINUSE, "another soak runs in each loopback network")
+
+
 @attrs.define(eq=False)
 class Node:
     """A process under test and its address.
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,7 +25,7 @@
     get_max_loss_s,
     run_operation,
 )
-from soak.fleet import ZONES, SoakFleet
+from soak.fleet import ZONES, SoakFleet, reserve_network
 from soak.guarantees import Observations, find_violations
 from soak.organisation_checks import find_logged_keys, find_organisation_violations
 from soak.organisations import STEADY_KEYS, find_owner
@@ -69,8 +69,16 @@
     """
     rng = random.Random(seed)
     is_strict, limit_s = rng.random() < STRICT_PROBABILITY, rng.choice(REVOCATION_LIMITS_S)
-    fleet = SoakFleet(folder, 10 + seed % 200, is_strict, limit_s)
-    environment = SoakEnvironment(fleet, rng, Observations(is_strict, limit_s))
+    with reserve_network(seed) as second_octet:
+        fleet = SoakFleet(folder, second_octet, is_strict, limit_s)
+        environment = SoakEnvironment(fleet, rng, Observations(is_strict, limit_s))
+        return await run_schedule(environment, seconds, recovery_s, kinds)
+
+
+async def run_schedule(
+    environment: SoakEnvironment, seconds: float, recovery_s: float, kinds: tuple[str, ...]
+) -> SeedResult:
+    """Start all processes, inject faults, repair them, and check what was observed."""
     environment.fleet.add_all()
     try:
         for node in environment.fleet.nodes.values():
