Forward all bodies to the failing VM in the scenarios on forwards

The rows require 502 or 504 of all callers, since all bodies were forwarded to plovdiv while the VMs of sofia took its round trip for 0. The check isn't changed; the scenarios now state what they relied on, that varna is farther.

--- a/features/platform/broken_uploads.feature
+++ b/features/platform/broken_uploads.feature
@@ -116,7 +116,8 @@
   # Guards against a second forward of a body, and against a broken body that a second VM completes.
   @fixture.platform_fleet
   Scenario Outline: The VM to which bodies are forwarded fails
-    Given no endpoint of "sofia" has room
+    Given varna is farther from sofia than plovdiv is
+    And no endpoint of "sofia" has room
     When <event> once the callers have sent <bytes> bytes, with seed <seed>
     Then no endpoint takes a body for whole that isn't its caller's, and no caller is told wrong
     And callers get <statuses>
@@ -140,7 +141,8 @@
   # Guards against the second forward of a body whose first forward has read its rest.
   @fixture.platform_fleet
   Scenario Outline: A second forward
-    Given no endpoint of "sofia" has room
+    Given varna is farther from sofia than plovdiv is
+    And no endpoint of "sofia" has room
     And the first VM to which requests are forwarded is unreachable
     When <event> once the callers have sent <bytes> bytes, with seed <seed>
     Then no endpoint takes a body for whole that isn't its caller's, and no caller is told wrong
--- a/features/steps/broken_upload_steps.py
+++ b/features/steps/broken_upload_steps.py
@@ -18,6 +18,8 @@
 from features.fixtures.platform_fleet import (
     CLIENT_HOST,
     FRONT_PORT,
+    find_zone,
+    get_delay_s,
     make_configuration,
     make_route,
 )
@@ -39,6 +41,10 @@
 SMALL_SIZE = 1000
 LIMIT_S = 25
 SETTLE_S = 3
+# One-way delay that a region is farther, so that warm servers there don't outweigh it, and the time
+# until both VMs of each pair have measured it.
+FARTHER_S = 0.15
+MEASURING_S = 8
 SUCCESS_HEAD = ResponseHead(200)
 REFUSAL_HEAD = ResponseHead(503, ((b"not-executed", b"1"),))
 STOPPING_TIME = timedelta(milliseconds=-1)
@@ -133,6 +139,17 @@
     raise ValueError(fault)
 
 
+@given("varna is farther from sofia than plovdiv is")
+def step_farther(context):
+    # With equal delays, a part of the bodies is forwarded to each of both regions.
+    def get_longer_delay_s(source, target):
+        regions = {find_zone(source)[:-2], find_zone(target)[:-2]}
+        return get_delay_s(source, target) + (FARTHER_S if regions == {"sofia", "varna"} else 0.0)
+
+    context.fleet.network.delay = get_longer_delay_s
+    context.fleet.run(MEASURING_S)
+
+
 @given('no endpoint of "{region}" has room')
 def step_no_room(context, region):
     for node in list_entries(context, region).values():
