Test stated round-trip times that are out of range

The rule had no test of its own: a stated value that isn't above 0 and at most 1 s is ignored, and the first measurement replaces a stated value.

--- a/camphorspread/process/vm_summary.py
+++ b/camphorspread/process/vm_summary.py
@@ -27,6 +27,8 @@
 __all__ = [
     "desired_interval",
     "exchange_summaries",
+    "read_round_trip",
+    "record_round_trip",
     "same_region_interval",
     "serve_summary",
 ]
--- a/features/process/summary_partners.feature
+++ b/features/process/summary_partners.feature
@@ -49,3 +49,24 @@
     Given regions with 24, 24, 25 VMs
     When only 4 VMs of a region are alive
     Then they begin exchanges with 3 VMs of each other region
+
+  # Guards against round trips that a faulty VM states, which would turn forwards to it on or off.
+  Scenario Outline: A stated round-trip time out of range is ignored
+    Given a summary that states a round-trip time of <stated> ms
+    Then the VM reads a round-trip time of <read> s
+
+    Examples:
+      | stated | read   |
+      | 110.5  | 0.1105 |
+      | 0      | none   |
+      | -5     | none   |
+      | 1000.5 | none   |
+      | nan    | none   |
+      | inf    | none   |
+      | no     | none   |
+
+  # Guards against a first value that is averaged with one that the other VM stated.
+  Scenario: The first measured round trip replaces a stated one
+    Given a VM whose partner stated a round trip of 0.9 s
+    When it measures round trips of 0.1 and 0.2 s
+    Then its round-trip time is 0.13 s
--- a/features/steps/summary_partners_steps.py
+++ b/features/steps/summary_partners_steps.py
@@ -1,14 +1,18 @@
 """Steps of the choice of entry VMs that exchange summaries."""
 
 import itertools
+import math
 from collections import Counter
 from datetime import timedelta
 
 from behave import given, then, when
 
+from camphorspread.connection.network import Address
+from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.instances import list_owned_instances, set_lender
 from camphorspread.process.reported_load import RegionLoads, measure_loads, measure_owned_loads
 from camphorspread.process.summary_partners import choose_partners, is_large_region
+from camphorspread.process.vm_summary import read_round_trip, record_round_trip
 from camphorspread.request.placement_queue import PlacementQueue
 from features.fixtures.placement_simulation import make_board
 
@@ -148,3 +152,31 @@
 @then("it reports {slots:d} slots with {free:d} free within its region")
 def step_report_near(context, slots, free):
     check_loads(measure_owned_loads(context.board, PlacementQueue(), timedelta(0)), slots, free)
+
+
+@given("a summary that states a round-trip time of {stated} ms")
+def step_stated(context, stated):
+    context.summary = {} if stated == "no" else {"round_trip_ms": float(stated)}
+
+
+@then("the VM reads a round-trip time of {expected} s")
+def step_read(context, expected):
+    found = read_round_trip(context.summary)
+    assert found == (None if expected == "none" else float(expected)), found
+
+
+@given("a VM whose partner stated a round trip of {stated:g} s")
+def step_partner(context, stated):
+    address = Address("10.2.0.2", 7620)
+    context.peer = EntryVm("vm-1", 1, "varna-a", "varna", address, address, round_trip_s=stated)
+
+
+@when("it measures round trips of {first:g} and {second:g} s")
+def step_measure(context, first, second):
+    record_round_trip(context.peer, first)
+    record_round_trip(context.peer, second)
+
+
+@then("its round-trip time is {expected:g} s")
+def step_round_trip(context, expected):
+    assert math.isclose(context.peer.round_trip_s, expected), context.peer
