--- a/camphorspread/request/home_share.py
+++ b/camphorspread/request/home_share.py
@@ -31,8 +31,8 @@
 
 # Part of the slots that the kept requests may use on average; the rest is for waves of the load.
 TARGET_USE = 0.6
-# Mean use of the slots of all regions from which none of them can take more than its part. With
-# 0.6, a small region was on time less often than without kept shares (simulation, seed 11).
+# Mean use of the slots of all regions from which none of them can take more than its part. Below
+# it, the others have room for the waves of a small region, whose callers are late if it keeps more.
 SHORT_USE = 0.7
 # Part of the kept requests that is assumed to run cold.
 COLD_PART = 0.2
--- a/features/request/region_overflow.feature
+++ b/features/request/region_overflow.feature
@@ -11,6 +11,8 @@
       | plovdiv-a-1 | 2    |
       | varna-a-1   | 5    |
 
+  # Guards against requests that cross regions for a wait that is shorter than the way there, or that
+  # go to a VM which is unreachable, drained, full or unheard.
   Scenario Outline: A request that would wait long goes to the nearest VM with free slots
     Given the VM "<vm>" of the view is <state>
     Then a request at "sofia-a-1" that would wait for <wait> ms goes to <target>
