--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,26 +1,37 @@
-"""An owner is killed after it has acknowledged a departure; a late heartbeat arrives afterwards."""
+"""Two control machines are replaced; the second new one confirms departures and tells nobody."""
 
 import asyncio
-import json
 import signal
 import time
 from pathlib import Path
 
 from stand_ins.endpoint import Endpoint
-from stand_ins.fleet import Fleet, make_route
+from stand_ins.fleet import CONTROL_PORT, Fleet, make_route
 from stand_ins.http import call
 from stand_ins.record import Record
 from stand_ins.script import BROKEN, HELD, NOT_RUN, Client, has_trouble, run_script
 
 DRAIN_S = 2.5
-# The endpoint serves for this long after the acknowledgement, and exits.
-SERVE_S = 4.0
+# The endpoints serve for this long after the acknowledgement, and exit.
+SERVE_S = 3.2
 WORK_S = 0.64
-CONTACT_WINDOW_S = 3.0
-OWNER = "front-paris-a-1"
-RESTART_DELAY_S = 0.3
-# How late the last heartbeat before the departure arrives.
-HEARTBEAT_DELAY_S = 2.2
+FRONTS = {
+    "front-quimper-b-1": "quimper-b",
+    "front-paris-a-1": "paris-a",
+    "front-paris-b-1": "paris-b",
+    "front-londres-a-1": "londres-a",
+    "front-londres-b-1": "londres-b",
+}
+# The machines that are lost, and those that replace them, with the zone of each pair.
+REPLACED = (
+    ("core-paris-b-1", "core-paris-b-2", "paris-b"),
+    ("core-londres-b-1", "core-londres-b-2", "londres-b"),
+)
+REPLACE_DELAY_S = 1.0
+# Time between the two replacements.
+GAP_S = 7.0
+# When the endpoints leave, after the second replacement was started.
+LEAVE_S = 5.0
 
 
 async def run(fleet: Fleet, record: Record) -> int:
@@ -28,79 +39,76 @@
     fleet.add_small_deployment()
     for name in fleet.hosts:
         fleet.start(name)
-    routes = [make_route("orders", "unsafe", "commandes")]
-    if not await fleet.put_configuration(routes, ["commandes"], 1):
+    routes = [make_route(f"orders-{zone}", "unsafe", f"svc-{zone}") for zone in FRONTS.values()]
+    services = [f"svc-{zone}" for zone in FRONTS.values()]
+    if not await fleet.put_configuration(routes, services, 1):
         return NOT_RUN
-    endpoints = [
-        Endpoint(fleet, record, "i-leaving", "commandes", "paris-a", 40, 4, WORK_S),
-        Endpoint(fleet, record, "i-paris", "commandes", "paris-b", 41, 4, WORK_S),
-        Endpoint(fleet, record, "i-londres", "commandes", "londres-a", 42, 4, WORK_S),
-        Endpoint(fleet, record, "i-quimper", "commandes", "quimper-a", 43, 4, WORK_S),
-    ]
-    leaving = endpoints[0]
-    for endpoint in endpoints:
+    endpoints = {
+        name: Endpoint(fleet, record, f"i-{zone}", f"svc-{zone}", zone, 40, 4, WORK_S)
+        for name, zone in FRONTS.items()
+    }
+    for endpoint in endpoints.values():
         await endpoint.start()
-    if not await fleet.wait_until_ready(OWNER):
+    if not all([await fleet.wait_until_ready(name) for name in fleet.list_names("front")]):
         return NOT_RUN
-    await asyncio.sleep(6)
+    await asyncio.sleep(10)
     client = Client(fleet, record)
-    before = [await client.request(OWNER, "POST", "/orders/1", 3000) for _ in range(4)]
-    if any(ending != "200" for _, ending in before):
-        return NOT_RUN
-    # The endpoint sends this heartbeat before it leaves, and the network holds it up.
-    leaving.sequence += 1
-    heartbeat = leaving.make_heartbeat()
-    record.write(f"endpoint {leaving.instance} sends heartbeat {heartbeat['seq']} (ready)")
-    late = asyncio.create_task(deliver_late(fleet, record, leaving.instance, heartbeat))
-    acknowledged = await leaving.leave()
-    if acknowledged is None:
-        return NOT_RUN
-    exiting = asyncio.create_task(exit_later(leaving, acknowledged + SERVE_S))
-    restarted = time.monotonic()
+    node = f"{fleet.hosts[REPLACED[1][0]]}:{CONTROL_PORT}"
+    started = time.monotonic()
     if has_trouble():
-        fleet.send_signal(OWNER, signal.SIGKILL)
-        await fleet.wait_for_exit(OWNER, 2)
-        await asyncio.sleep(RESTART_DELAY_S)
-        fleet.start(OWNER)
-        restarted = time.monotonic()
-    await late
-    if not await fleet.wait_until_ready(OWNER):
+        for number, (lost, new, zone) in enumerate(REPLACED):
+            await asyncio.sleep(max(started + number * GAP_S - time.monotonic(), 0))
+            fleet.send_signal(lost, signal.SIGKILL)
+            await asyncio.sleep(REPLACE_DELAY_S)
+            fleet.add(new, zone, 4)
+            fleet.started.add(new)
+            fleet.start(new)
+        node = f"{fleet.hosts[REPLACED[1][1]]}:{CONTROL_PORT}"
+    await asyncio.sleep(LEAVE_S)
+    acknowledged: dict[str, float] = {}
+    for name, endpoint in endpoints.items():
+        at = await leave(endpoint, node)
+        if at is not None:
+            acknowledged[name] = at
+    if not acknowledged:
         return NOT_RUN
-    in_touch = max(restarted + CONTACT_WINDOW_S, acknowledged + DRAIN_S)
-    await asyncio.sleep(max(in_touch + 0.2 - time.monotonic(), 0))
-    record.write(f"{OWNER} is in touch again; clients send to it")
-    sent = [client.request(OWNER, "POST", f"/orders/{number}", 3000) for number in range(4)]
+    await asyncio.sleep(max(acknowledged.values()) + DRAIN_S + 0.1 - time.monotonic())
+    sent = [
+        client.request(name, "POST", f"/orders-{FRONTS[name]}/1", 3000) for name in acknowledged
+    ]
+    exits = [
+        asyncio.create_task(exit_later(endpoints[name], at + SERVE_S))
+        for name, at in acknowledged.items()
+    ]
     answers = dict(await asyncio.gather(*sent))
-    await exiting
-    reached = [item for item in answers if item in leaving.runs]
-    for item in reached:
-        after_s = leaving.runs[item] - acknowledged
-        record.write(
-            f"DRAIN: {item} reached {leaving.instance} {after_s:.2f} s after its departure was"
-            f" acknowledged; the client has {answers[item]}"
-        )
-    for endpoint in endpoints:
-        await endpoint.stop()
+    await asyncio.gather(*exits)
+    reached = []
+    for name, at in acknowledged.items():
+        for item, begun in endpoints[name].runs.items():
+            if begun > at + DRAIN_S:
+                reached.append(item)
+                record.write(
+                    f"DRAIN: {item} reached {endpoints[name].instance} {begun - at:.2f} s after its"
+                    f" departure was acknowledged; the client has {answers[item]}"
+                )
     return BROKEN if reached else HELD
 
 
+async def leave(endpoint: Endpoint, node: str) -> float | None:
+    """Deregister an endpoint at a node; return when that was acknowledged, None if it wasn't."""
+    endpoint.announcing.cancel()
+    endpoint.state = "draining"
+    answer = await call(node, "POST", f"/-/Instances.Deregister/{endpoint.instance}")
+    status = "no answer" if answer is None else answer.status
+    endpoint.record.write(f"endpoint {endpoint.instance} deregisters at {node}: {status}")
+    return time.monotonic() if status == 200 else None
+
+
 async def exit_later(endpoint: Endpoint, at: float) -> None:
     """Let an endpoint exit once it has served for a while after its departure."""
-    await asyncio.sleep(at - time.monotonic())
+    await asyncio.sleep(max(at - time.monotonic(), 0))
     await endpoint.exit()
 
 
-async def deliver_late(fleet: Fleet, record: Record, instance: str, heartbeat: dict) -> None:
-    """Deliver a heartbeat late, to a node that serves control."""
-    await asyncio.sleep(HEARTBEAT_DELAY_S)
-    target = f"/-/Instances.Heartbeat/{instance}"
-    answer = await call(fleet.controls[0], "POST", target, json.dumps(heartbeat).encode())
-    status = "no answer" if answer is None else answer.status
-    record.write(
-        f"heartbeat {heartbeat['seq']} arrives {HEARTBEAT_DELAY_S} s late at {fleet.controls[0]}:"
-        f" {status}"
-    )
-
-
 if __name__ == "__main__":
     run_script(Path(__file__).parent, run)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,20 +1,26 @@
-"""A process is stopped while requests wait for a slot; it holds them, and cuts them at its exit."""
+"""An owner is killed after it has acknowledged a departure; a late heartbeat arrives afterwards."""
 
 import asyncio
+import json
 import signal
 import time
 from pathlib import Path
 
 from stand_ins.endpoint import Endpoint
 from stand_ins.fleet import Fleet, make_route
+from stand_ins.http import call
 from stand_ins.record import Record
 from stand_ins.script import BROKEN, HELD, NOT_RUN, Client, has_trouble, run_script
 
-STOPPED = "front-paris-a-1"
-DEADLINE_MS = 15000
-SLOTS = 3
-# Work of a request about an object that the endpoints know, and of a long one.
-SHORT_S, LONG_S = 1.0, 6.5
+DRAIN_S = 2.5
+# The endpoint serves for this long after the acknowledgement, and exits.
+SERVE_S = 4.0
+WORK_S = 0.64
+CONTACT_WINDOW_S = 3.0
+OWNER = "front-paris-a-1"
+RESTART_DELAY_S = 0.3
+# How late the last heartbeat before the departure arrives.
+HEARTBEAT_DELAY_S = 2.2
 
 
 async def run(fleet: Fleet, record: Record) -> int:
@@ -22,55 +28,78 @@
     fleet.add_small_deployment()
     for name in fleet.hosts:
         fleet.start(name)
-    routes = [
-        make_route(
-            "sheets",
-            "safe",
-            "glasur",
-            timeoutMs=8000,
-            targetLatencyMs=4000,
-            allowedRegions=["ile-de-france"],
-        )
-    ]
-    if not await fleet.put_configuration(routes, ["glasur"], 1):
+    routes = [make_route("orders", "unsafe", "commandes")]
+    if not await fleet.put_configuration(routes, ["commandes"], 1):
         return NOT_RUN
     endpoints = [
-        Endpoint(fleet, record, "i-a", "glasur", "paris-a", 40, SLOTS, SHORT_S),
-        Endpoint(fleet, record, "i-b", "glasur", "paris-b", 41, SLOTS, SHORT_S),
+        Endpoint(fleet, record, "i-leaving", "commandes", "paris-a", 40, 4, WORK_S),
+        Endpoint(fleet, record, "i-paris", "commandes", "paris-b", 41, 4, WORK_S),
+        Endpoint(fleet, record, "i-londres", "commandes", "londres-a", 42, 4, WORK_S),
+        Endpoint(fleet, record, "i-quimper", "commandes", "quimper-a", 43, 4, WORK_S),
     ]
+    leaving = endpoints[0]
     for endpoint in endpoints:
         await endpoint.start()
-    if not await fleet.wait_until_ready(STOPPED):
+    if not await fleet.wait_until_ready(OWNER):
         return NOT_RUN
-    await asyncio.sleep(5)
+    await asyncio.sleep(6)
     client = Client(fleet, record)
-    for _ in range(4):
-        sent = [client.request(STOPPED, "GET", "/sheets/1", DEADLINE_MS) for _ in range(4)]
-        await asyncio.gather(*sent)
-    for endpoint in endpoints:
-        endpoint.work_s = LONG_S
-    running = [
-        asyncio.create_task(client.request(STOPPED, "GET", "/sheets/2", DEADLINE_MS))
-        for _ in range(2 * SLOTS)
-    ]
-    await asyncio.sleep(0.3)
-    waiting = [
-        asyncio.create_task(client.request(STOPPED, "GET", "/sheets/3", DEADLINE_MS))
-        for _ in range(3)
-    ]
-    await asyncio.sleep(0.3)
-    stopped = time.monotonic()
+    before = [await client.request(OWNER, "POST", "/orders/1", 3000) for _ in range(4)]
+    if any(ending != "200" for _, ending in before):
+        return NOT_RUN
+    # The endpoint sends this heartbeat before it leaves, and the network holds it up.
+    leaving.sequence += 1
+    heartbeat = leaving.make_heartbeat()
+    record.write(f"endpoint {leaving.instance} sends heartbeat {heartbeat['seq']} (ready)")
+    late = asyncio.create_task(deliver_late(fleet, record, leaving.instance, heartbeat))
+    acknowledged = await leaving.leave()
+    if acknowledged is None:
+        return NOT_RUN
+    exiting = asyncio.create_task(exit_later(leaving, acknowledged + SERVE_S))
+    restarted = time.monotonic()
     if has_trouble():
-        fleet.send_signal(STOPPED, signal.SIGTERM)
-    answers = dict(await asyncio.gather(*running, *waiting))
-    ran = {item for endpoint in endpoints for item in endpoint.runs}
-    lost = [item for item, end in answers.items() if end.startswith("closed") and item not in ran]
-    for item in lost:
-        record.write(f"LOST: {item} has no answer; no endpoint has begun to work on it")
-    record.write(f"{time.monotonic() - stopped:.2f} s after the stop")
+        fleet.send_signal(OWNER, signal.SIGKILL)
+        await fleet.wait_for_exit(OWNER, 2)
+        await asyncio.sleep(RESTART_DELAY_S)
+        fleet.start(OWNER)
+        restarted = time.monotonic()
+    await late
+    if not await fleet.wait_until_ready(OWNER):
+        return NOT_RUN
+    in_touch = max(restarted + CONTACT_WINDOW_S, acknowledged + DRAIN_S)
+    await asyncio.sleep(max(in_touch + 0.2 - time.monotonic(), 0))
+    record.write(f"{OWNER} is in touch again; clients send to it")
+    sent = [client.request(OWNER, "POST", f"/orders/{number}", 3000) for number in range(4)]
+    answers = dict(await asyncio.gather(*sent))
+    await exiting
+    reached = [item for item in answers if item in leaving.runs]
+    for item in reached:
+        after_s = leaving.runs[item] - acknowledged
+        record.write(
+            f"DRAIN: {item} reached {leaving.instance} {after_s:.2f} s after its departure was"
+            f" acknowledged; the client has {answers[item]}"
+        )
     for endpoint in endpoints:
         await endpoint.stop()
-    return BROKEN if lost else HELD
+    return BROKEN if reached else HELD
+
+
+async def exit_later(endpoint: Endpoint, at: float) -> None:
+    """Let an endpoint exit once it has served for a while after its departure."""
+    await asyncio.sleep(at - time.monotonic())
+    await endpoint.exit()
+
+
+async def deliver_late(fleet: Fleet, record: Record, instance: str, heartbeat: dict) -> None:
+    """Deliver a heartbeat late, to a node that serves control."""
+    await asyncio.sleep(HEARTBEAT_DELAY_S)
+    target = f"/-/Instances.Heartbeat/{instance}"
+    answer = await call(fleet.controls[0], "POST", target, json.dumps(heartbeat).encode())
+    status = "no answer" if answer is None else answer.status
+    record.write(
+        f"heartbeat {heartbeat['seq']} arrives {HEARTBEAT_DELAY_S} s late at {fleet.controls[0]}:"
+        f" {status}"
+    )
 
 
 if __name__ == "__main__":
