--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from stand_ins.endpoint import HEARTBEAT_S, Endpoint
+from stand_ins.endpoint import HEARTBEAT_S, Endpoint, make_endpoints
 from stand_ins.fleet import Fleet, make_route
 from stand_ins.http import call
 from stand_ins.record import Record
@@ -16,7 +16,11 @@
 # The endpoint serves for this long after the acknowledgement, and exits.
 SERVE_S = 3.2
 WORK_S = 0.64
+# One of twelve endpoints of the service.
+LEAVING = "i-paris-a-1"
 CONTACT_WINDOW_S = 3.0
+# As many at once as reach each of the four endpoints of the region.
+REQUESTS = 12
 FRONTS = ("front-paris-a-1", "front-paris-b-1")
 GAP_S = 1.0
 RESTART_DELAY_S = 0.3
@@ -37,14 +41,9 @@
     routes = [make_route("orders", "unsafe", "commandes")]
     if not await fleet.put_configuration(routes, ["commandes"], 1):
         return NOT_RUN
-    endpoints = [
-        Endpoint(fleet, record, "i-leaving", "commandes", "paris-a", 40, 4, WORK_S),
-        Endpoint(fleet, record, "i-paris", "commandes", "paris-b", 41, 4, WORK_S),
-        Endpoint(fleet, record, "i-londres", "commandes", "londres-a", 42, 4, WORK_S),
-        Endpoint(fleet, record, "i-quimper", "commandes", "quimper-a", 43, 4, WORK_S),
-    ]
-    leaving = endpoints[0]
-    for endpoint in endpoints:
+    endpoints = make_endpoints(fleet, record, WORK_S)
+    leaving = endpoints[LEAVING]
+    for endpoint in endpoints.values():
         await endpoint.start()
     if not all([await fleet.wait_until_ready(name) for name in fleet.list_names("front")]):
         return NOT_RUN
@@ -80,7 +79,9 @@
     in_touch = max(started + CONTACT_WINDOW_S, acknowledged + DRAIN_S)
     await asyncio.sleep(max(in_touch + 0.2 - time.monotonic(), 0))
     record.write(f"{FRONTS[0]} is in touch again; clients send to it")
-    sent = [client.request(FRONTS[0], "POST", f"/orders/{number}", 3000) for number in range(4)]
+    sent = [
+        client.request(FRONTS[0], "POST", f"/orders/{number}", 3000) for number in range(REQUESTS)
+    ]
     answers = dict(await asyncio.gather(*sent))
     await exiting
     reached = [item for item in answers if item in leaving.runs]
@@ -90,7 +91,7 @@
             f"DRAIN: {item} reached {leaving.instance} {after_s:.2f} s after its departure was"
             f" acknowledged; the client has {answers[item]}"
         )
-    for endpoint in endpoints:
+    for endpoint in endpoints.values():
         await endpoint.stop()
     return BROKEN if reached else HELD
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,23 +5,21 @@
 import time
 from pathlib import Path
 
-from stand_ins.endpoint import Endpoint
+from stand_ins.endpoint import Endpoint, make_endpoints
 from stand_ins.fleet import CONTROL_PORT, Fleet, make_route
 from stand_ins.http import call
 from stand_ins.record import Record
 from stand_ins.script import BROKEN, HELD, NOT_RUN, Client, has_trouble, run_script
 
 DRAIN_S = 2.5
-# The endpoints serve for this long after the acknowledgement, and exit.
+# The endpoint serves for this long after the acknowledgement, and exits.
 SERVE_S = 3.2
 WORK_S = 0.64
-FRONTS = {
-    "front-quimper-b-1": "quimper-b",
-    "front-paris-a-1": "paris-a",
-    "front-paris-b-1": "paris-b",
-    "front-londres-a-1": "londres-a",
-    "front-londres-b-1": "londres-b",
-}
+# One of twelve endpoints of the service, and the entry process of its zone.
+LEAVING = "i-paris-a-1"
+OWNER = "front-paris-a-1"
+# As many at once as reach each of the four endpoints of the region.
+REQUESTS = 12
 # The machines that are lost, and those that replace them, with the zone of each pair.
 REPLACED = (
     ("core-paris-b-1", "core-paris-b-2", "paris-b"),
@@ -30,7 +28,7 @@
 REPLACE_DELAY_S = 1.0
 # Time between the two replacements.
 GAP_S = 7.0
-# When the endpoints leave, after the second replacement was started.
+# When the endpoint leaves, after the second replacement was started.
 LEAVE_S = 5.0
 
 
@@ -39,14 +37,11 @@
     fleet.add_small_deployment()
     for name in fleet.hosts:
         fleet.start(name)
-    routes = [make_route(f"orders-{zone}", "unsafe", f"svc-{zone}") for zone in FRONTS.values()]
-    services = [f"svc-{zone}" for zone in FRONTS.values()]
-    if not await fleet.put_configuration(routes, services, 1):
+    routes = [make_route("orders", "unsafe", "commandes")]
+    if not await fleet.put_configuration(routes, ["commandes"], 1):
         return NOT_RUN
-    endpoints = {
-        name: Endpoint(fleet, record, f"i-{zone}", f"svc-{zone}", zone, 40, 4, WORK_S)
-        for name, zone in FRONTS.items()
-    }
+    endpoints = make_endpoints(fleet, record, WORK_S)
+    leaving = endpoints[LEAVING]
     for endpoint in endpoints.values():
         await endpoint.start()
     if not all([await fleet.wait_until_ready(name) for name in fleet.list_names("front")]):
@@ -65,32 +60,23 @@
             fleet.start(new)
         node = f"{fleet.hosts[REPLACED[1][1]]}:{CONTROL_PORT}"
     await asyncio.sleep(LEAVE_S)
-    acknowledged: dict[str, float] = {}
-    for name, endpoint in endpoints.items():
-        at = await leave(endpoint, node)
-        if at is not None:
-            acknowledged[name] = at
-    if not acknowledged:
+    acknowledged = await leave(leaving, node)
+    if acknowledged is None:
         return NOT_RUN
-    await asyncio.sleep(max(acknowledged.values()) + DRAIN_S + 0.1 - time.monotonic())
-    sent = [
-        client.request(name, "POST", f"/orders-{FRONTS[name]}/1", 3000) for name in acknowledged
-    ]
-    exits = [
-        asyncio.create_task(exit_later(endpoints[name], at + SERVE_S))
-        for name, at in acknowledged.items()
-    ]
+    await asyncio.sleep(acknowledged + DRAIN_S + 0.1 - time.monotonic())
+    exiting = asyncio.create_task(exit_later(leaving, acknowledged + SERVE_S))
+    sent = [client.request(OWNER, "POST", f"/orders/{number}", 3000) for number in range(REQUESTS)]
     answers = dict(await asyncio.gather(*sent))
-    await asyncio.gather(*exits)
-    reached = []
-    for name, at in acknowledged.items():
-        for item, begun in endpoints[name].runs.items():
-            if begun > at + DRAIN_S:
-                reached.append(item)
-                record.write(
-                    f"DRAIN: {item} reached {endpoints[name].instance} {begun - at:.2f} s after its"
-                    f" departure was acknowledged; the client has {answers[item]}"
-                )
+    await exiting
+    reached = [item for item in answers if item in leaving.runs]
+    for item in reached:
+        after_s = leaving.runs[item] - acknowledged
+        record.write(
+            f"DRAIN: {item} reached {leaving.instance} {after_s:.2f} s after its departure was"
+            f" acknowledged; the client has {answers[item]}"
+        )
+    for endpoint in endpoints.values():
+        await endpoint.stop()
     return BROKEN if reached else HELD
 
 
--- a/review/stand_ins/endpoint.py
+++ b/review/stand_ins/endpoint.py
@@ -9,11 +9,22 @@
 from stand_ins.http import Message, call, encode_answer, read_message
 from stand_ins.record import Record
 
-__all__ = ["HEARTBEAT_S", "Endpoint"]
+__all__ = ["HEARTBEAT_S", "Endpoint", "make_endpoints"]
 
 ENDPOINT_PORT = 8080
 HEARTBEAT_S = 1.5
 QUEUE_LIMIT = 4
+FIRST_NUMBER = 40
+# Endpoints of the service `commandes` of Le Goff in each zone, and the slots of each.
+COMMANDES = {
+    "quimper-a": 1,
+    "paris-a": 2,
+    "londres-a": 3,
+    "quimper-b": 1,
+    "paris-b": 2,
+    "londres-b": 3,
+}
+COMMANDES_SLOTS = 4
 
 
 class Endpoint:
@@ -227,3 +238,22 @@
         """Return the headers on the load and on the departure."""
         headers = {"Server-Load": f"{self.running},{self.waiting},{self.slots}"}
         return headers | ({"Server-Leaving": "1"} if self.state == "draining" else {})
+
+
+def make_endpoints(fleet: Fleet, record: Record, work_s: float) -> dict[str, Endpoint]:
+    """Return the twelve endpoints of `commandes`, by identifier: `i-ZONE-NUMBER`."""
+    endpoints = {}
+    for zone, count in COMMANDES.items():
+        for number in range(count):
+            name = f"i-{zone}-{number + 1}"
+            endpoints[name] = Endpoint(
+                fleet,
+                record,
+                name,
+                "commandes",
+                zone,
+                FIRST_NUMBER + number,
+                COMMANDES_SLOTS,
+                work_s,
+            )
+    return endpoints
