Record departures at the control VMs before they are acknowledged

Cause: only entry VMs remembered departures, and an owner of long standing told those of its own region only. A control VM passed the late announcement on, and it counted as new.

Change: a departure is recorded at a majority of the control VMs, or, while no majority responds, at every live entry VM, before it is acknowledged. Control VMs reject late announcements. A departure carries the start of the server to which it applies; entry VMs that know the start reply with it, and a departure whose start nobody knows applies to starts before it. It rejected the next start for 10 s before. The departure of an earlier start no longer removes the present one.

The scenario "The departure of a server that isn't known here ..." expected that the next start is rejected for 10 s too. It is replaced by one with the same late announcements and one in which the next start is added at once.

--- a/camphorspread/platform/control_calls.py
+++ b/camphorspread/platform/control_calls.py
@@ -18,6 +18,7 @@
 )
 from camphorspread.platform.routing_codec import decode_document, encode_document
 from camphorspread.process.announcement_messages import NotAccepted
+from camphorspread.process.control_departures import broadcast_departure
 from camphorspread.process.events import Event
 from camphorspread.process.operation_shell import (
     OperationDone,
@@ -28,7 +29,6 @@
 )
 from camphorspread.process.steering_control import (
     SteeringControl,
-    broadcast_departure,
     find_lookup_addresses,
     place_announcement,
 )
@@ -90,7 +90,10 @@
             log.write(Event.ANNOUNCEMENT_REFUSED, instance=instance, cause=str(exc))
             await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(exc)))
             return
-        result = await place_announcement(steering, report)
+        if report.is_leaving:
+            result = await broadcast_departure(steering, instance, report)
+        else:
+            result = await place_announcement(steering, report)
     if isinstance(result, NotAccepted):
         log.write(Event.ANNOUNCEMENT_UNCONFIRMED, instance=instance, cause=result.cause)
     await respond_heartbeat(exchange, result)
--- a/camphorspread/process/announcement_codec.py
+++ b/camphorspread/process/announcement_codec.py
@@ -1,11 +1,19 @@
-"""JSON encoding of announcements that control VMs and entry VMs forward to entry VMs."""
+"""JSON encoding of announcements and departures between control VMs and entry VMs."""
 
 from datetime import timedelta
 
 from camphorspread.connection.network import make_ip_address
+from camphorspread.process.departures import DEPARTURE_TTL, Departure, DepartureNotice
 from camphorspread.process.instances import LAST_SEQUENCE, InstanceReport
 
-__all__ = ["decode_leave", "decode_report", "encode_leave", "encode_report"]
+__all__ = [
+    "decode_departures",
+    "decode_leave",
+    "decode_report",
+    "encode_departures",
+    "encode_leave",
+    "encode_report",
+]
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -52,20 +60,67 @@
     return report
 
 
-def encode_leave(name: str, order: tuple[int, int] | None) -> dict:
-    """Return the JSON of a departure; `order` is None if no announcement reported it."""
-    return {"instance": name, "order": list(order) if order else None}
+def encode_leave(notice: DepartureNotice) -> dict:
+    """Return the JSON of a departure that is told to an entry VM."""
+    start = notice.started_ms
+    return {
+        "instance": notice.instance,
+        "order": None if start is None else [start, LAST_SEQUENCE],
+        "told_at_ms": notice.told_at_ms,
+    }
+
 
+def decode_leave(value: object) -> DepartureNotice:
+    """Decode a departure that is told to an entry VM.
 
-def decode_leave(value: object) -> tuple[str, tuple[int, int] | None]:
-    """Decode a departure.
+    An earlier version of the program states no time.
 
     Raises:
         ValueError: The value is malformed.
     """
     match value:
         case {"instance": str(name), "order": None}:
-            return name, None
-        case {"instance": str(name), "order": [int(started), int(sequence)]}:
-            return name, (started, sequence)
-    raise ValueError("the departure is malformed")
+            start = None
+        case {"instance": str(name), "order": [int(start), int()]} if is_valid_time(start):
+            pass
+        case _:
+            raise ValueError("the departure is malformed")
+    told_at_ms = value.get("told_at_ms", 0)
+    if not is_valid_time(told_at_ms):
+        raise ValueError("the departure is malformed: its time is out of range")
+    return DepartureNotice(name, start, told_at_ms)
+
+
+def encode_departures(departures: list[Departure], now: timedelta) -> list[list]:
+    """Return the JSON of recorded departures, without those that have expired."""
+    return [
+        [item.instance, item.started_ms, (item.until - now) // MILLISECOND]
+        for item in departures
+        if item.until > now
+    ]
+
+
+def decode_departures(values: object, now: timedelta) -> list[Departure]:
+    """Decode recorded departures.
+
+    Raises:
+        ValueError: A value is malformed.
+    """
+    if not isinstance(values, list):
+        raise ValueError("departures aren't a list")
+    departures = []
+    for value in values:
+        match value:
+            case [str(name), int(started_ms), int(left_ms)] if is_valid_time(
+                started_ms
+            ) and is_valid_time(left_ms):
+                left_ms = min(left_ms, DEPARTURE_TTL // MILLISECOND)
+                departures.append(Departure(name, started_ms, now + left_ms * MILLISECOND))
+            case _:
+                raise ValueError("a departure is malformed")
+    return departures
+
+
+def is_valid_time(value: object) -> bool:
+    """Return True if a value is a valid number of milliseconds."""
+    return type(value) is int and 0 <= value < LAST_SEQUENCE
--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -4,13 +4,23 @@
 from datetime import timedelta
 
 from camphorspread.connection.link import LinkError
-from camphorspread.process.announcement_codec import encode_leave, encode_report
+from camphorspread.process.announcement_codec import encode_report
 from camphorspread.process.announcement_messages import (
     ANNOUNCEMENT_PATH,
     FORWARD_TIMEOUT,
     Accepted,
     NotAccepted,
+    NoticeReply,
     notify_departure,
+    record_at_control_vms,
+)
+from camphorspread.process.clock import unix_ms
+from camphorspread.process.departures import (
+    Departure,
+    DepartureNotice,
+    find_departed_start,
+    record_departure,
+    settle_departure,
 )
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
@@ -22,7 +32,7 @@
     drop_instance,
     has_owned_for_lease,
     list_owned_instances,
-    remove_instance,
+    remove_departed,
     restart_ownership,
 )
 from camphorspread.process.owner_rank import rank_owners
@@ -132,12 +142,32 @@
     apply_and_log(state, report)
 
 
-def process_forwarded_departure(
-    state: SteeringState, name: str, order: tuple[int, int] | None
-) -> None:
-    """Stop sending to a backend server whose departure another VM forwarded."""
-    if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
-        log_left(state, name)
+def process_forwarded_departure(state: SteeringState, notice: DepartureNotice) -> int | None:
+    """Stop sending to a backend server whose departure another VM forwarded.
+
+    Returns:
+        The start of the server as far as this VM knows it.
+    """
+    known_start = find_known_start(state, notice.instance)
+    known_starts = [] if known_start is None else [known_start]
+    now = state.clock.monotonic()
+    apply_departure(state, settle_departure(notice, known_starts, now, is_own=False))
+    return known_start
+
+
+def find_known_start(state: SteeringState, name: str) -> int | None:
+    """Return the start of a backend server that is known here or has left, None if unknown."""
+    known = state.board.registry.instances.get(name)
+    if known is not None:
+        return known.report.started_ms
+    return find_departed_start(state.departures, name)
+
+
+def apply_departure(state: SteeringState, departure: Departure) -> None:
+    """Record a departure and stop sending to the backend server."""
+    record_departure(state.departures, departure)
+    if remove_departed(state.board.registry, departure):
+        log_left(state, departure.instance)
 
 
 async def process_departure(
@@ -152,20 +182,51 @@
         state.board.registry, known, state.clock.monotonic()
     )
     last_report = report or (known.report if known else None)
-    # The other VMs need the start of the server to reject its late announcements.
-    order = last_report.departure_order if last_report else None
-    if remove_instance(state.board.registry, name, state.clock.monotonic(), order):
-        log_left(state, name)
-    message = encode_leave(name, order)
+    start = report.started_ms if report else find_known_start(state, name)
+    notice = DepartureNotice(name, start, unix_ms(state.clock))
     # If the lease of any other owner has ended, only borrowers in the region may send to it, and
     # their loans end in time without a message.
     peers = find_region_peers(state) if is_only_owner else find_senders(state, last_report)
-    results = await asyncio.gather(
-        *(notify_departure(state.link, peer.peers, message) for peer in peers)
+    notifying = notify_entry_vms(state, peers, notice)
+    if start is None:
+        replies = await notifying
+        starts = [reply.started_ms for reply in replies if reply.started_ms is not None]
+        departure = settle_departure(notice, starts, state.clock.monotonic())
+        apply_departure(state, departure)
+        is_kept = await keep_departure(state, departure)
+    else:
+        departure = settle_departure(notice, [], state.clock.monotonic())
+        apply_departure(state, departure)
+        replies, is_kept = await asyncio.gather(notifying, keep_departure(state, departure))
+    if not is_only_owner and not all(reply.is_confirmed for reply in replies):
+        return NotAccepted("another VM that may send to it didn't respond")
+    return Accepted() if is_kept else NotAccepted("too few VMs recorded the departure")
+
+
+async def notify_entry_vms(
+    state: SteeringState, peers: list[EntryVm], notice: DepartureNotice
+) -> list[NoticeReply]:
+    """Notify other entry VMs of a departure."""
+    return await asyncio.gather(
+        *(notify_departure(state.link, peer.peers, notice) for peer in peers)
     )
-    if all(results) or is_only_owner:
-        return Accepted()
-    return NotAccepted("another VM that may send to it didn't respond")
+
+
+async def keep_departure(state: SteeringState, departure: Departure) -> bool:
+    """Let other VMs record a departure, which this one may lose; return True if enough did.
+
+    A majority of the control VMs suffices: one of them passes it to each entry VM that is in
+    contact with the control VMs. Without a majority every live entry VM has to confirm; they send
+    it to the control VMs that return.
+    """
+    addresses = list(state.controls)
+    now = state.clock.monotonic()
+    recorded = await record_at_control_vms(state.link, addresses, departure, now)
+    if recorded > len(addresses) // 2:
+        return True
+    notice = DepartureNotice(departure.instance, departure.started_ms, unix_ms(state.clock))
+    replies = await notify_entry_vms(state, list_live_peers(state), notice)
+    return bool(replies) and all(reply.is_confirmed for reply in replies)
 
 
 def find_senders(state: SteeringState, report: InstanceReport | None) -> list[EntryVm]:
--- a/camphorspread/process/clock.py
+++ b/camphorspread/process/clock.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "ManualClock", "SystemClock", "unix_ms"]
 
 
 class Clock(Protocol):
@@ -16,7 +16,7 @@
         """Return the time since an arbitrary origin; it never decreases."""
 
     def wall_time(self) -> datetime:
-        """Return the date and time in UTC, for display only."""
+        """Return the date and time in UTC; it may jump, and differs between VMs."""
 
 
 @attrs.frozen
@@ -61,3 +61,8 @@
     def advance(self, duration: timedelta) -> None:
         """Move the clock forward."""
         self.elapsed += duration
+
+
+def unix_ms(clock: Clock) -> int:
+    """Return the date and time in Unix milliseconds."""
+    return int(clock.wall_time().timestamp() * 1000)
--- a/camphorspread/process/instances.py
+++ b/camphorspread/process/instances.py
@@ -7,6 +7,7 @@
 import attrs
 
 from camphorspread.connection.network import Address
+from camphorspread.process.departures import DEPARTURE_TTL, Departure
 from camphorspread.process.run import Run
 from camphorspread.process.server_statements import (
     ServerStatements,
@@ -31,6 +32,7 @@
     "list_owned_instances",
     "mark_leaving",
     "mark_zone_cold",
+    "remove_departed",
     "remove_instance",
     "restart_ownership",
     "set_lender",
@@ -38,11 +40,6 @@
     "take_over_address",
 ]
 
-# Late announcements of a backend server that has left are rejected for this long.
-TOMBSTONE_TTL = timedelta(seconds=60)
-# The departure of a server whose start isn't known here rejects all of its announcements for this
-# long, also those of its next start. Announcements arrive some seconds late at most.
-UNKNOWN_START_TTL = timedelta(seconds=10)
 # A server that states that it leaves exits within this time. One that still announces itself
 # afterwards is used again.
 LEAVING_TTL = timedelta(seconds=60)
@@ -87,15 +84,6 @@
         """Sort key of the announcements of one identifier, oldest first."""
         return self.started_ms, self.sequence
 
-    @property
-    def departure_order(self) -> tuple[int, int]:
-        """Order of the departure that this announcement reports.
-
-        A server that has begun to leave doesn't return before its next start, so the departure
-        also follows announcements that were sent after it.
-        """
-        return self.started_ms, LAST_SEQUENCE
-
 
 @attrs.define(eq=False)
 class Instance:
@@ -219,7 +207,8 @@
     if known is not None and report.order < known.report.order:
         return ReportOutcome.OUTDATED
     if report.is_leaving:
-        remove_instance(registry, report.instance, now, report.departure_order)
+        departure = Departure(report.instance, report.started_ms, now + DEPARTURE_TTL)
+        remove_departed(registry, departure)
         return ReportOutcome.LEFT
     if not take_over_address(registry, report, now):
         return ReportOutcome.OUTDATED
@@ -295,37 +284,37 @@
     return True
 
 
-def remove_instance(
-    registry: InstanceRegistry,
-    name: str,
-    now: timedelta,
-    order: tuple[int, int] | None = None,
-) -> bool:
-    """Remove a backend server and leave a tombstone that rejects its late announcements.
-
-    Args:
-        registry: Known backend servers.
-        name: Identifier of the backend server.
-        now: The present instant.
-        order: Order of its departure; None rejects all announcements of its present start, or of
-            any start for a short time if it isn't known.
+def remove_instance(registry: InstanceRegistry, name: str, now: timedelta) -> bool:
+    """Remove a backend server and reject the announcements of its present start.
 
     Returns:
         True if it was known.
     """
     known = registry.instances.get(name)
+    if known is None:
+        return False
+    return remove_departed(registry, Departure(name, known.report.started_ms, now + DEPARTURE_TTL))
+
+
+def remove_departed(registry: InstanceRegistry, departure: Departure) -> bool:
+    """Remove a backend server that has left and leave a tombstone.
+
+    A server that has begun to leave doesn't return before its next start, so the tombstone also
+    rejects announcements that were sent after the departure.
+
+    Returns:
+        True if it was known; False also if it has started again.
+    """
+    name = departure.instance
+    order = (departure.started_ms, LAST_SEQUENCE)
     previous = registry.tombstones.get(name)
-    if order is None and known is not None:
-        order = known.report.departure_order
-    if order is not None:
-        if previous is not None:
-            order = max(order, previous.order)
-        registry.tombstones[name] = Tombstone(order, now + TOMBSTONE_TTL)
-    elif previous is None:
-        order = (LAST_SEQUENCE, LAST_SEQUENCE)
-        registry.tombstones[name] = Tombstone(order, now + UNKNOWN_START_TTL)
+    if previous is None or previous.order <= order:
+        registry.tombstones[name] = Tombstone(order, departure.until)
+    known = registry.instances.get(name)
+    if known is None or known.report.order > order:
+        return False
     drop_instance(registry, name)
-    return known is not None
+    return True
 
 
 def drop_instance(registry: InstanceRegistry, name: str) -> None:
--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -8,21 +8,20 @@
 
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
-from camphorspread.process.announcement_codec import encode_leave, encode_report
+from camphorspread.process.announcement_codec import encode_report
 from camphorspread.process.announcement_messages import (
     ANNOUNCEMENT_PATH,
     FORWARD_TIMEOUT,
     Accepted,
     NotAccepted,
-    notify_departure,
 )
 from camphorspread.process.caller_spread import CallerSpread, choose_entry_vms, update_fractions
 from camphorspread.process.control_state import ControlState
+from camphorspread.process.departures import DepartureLog, expire_departures, is_departed
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import InstanceReport
 from camphorspread.process.owner_rank import rank_owners
-from camphorspread.process.possible_senders import SenderVm, list_possible_senders
 from camphorspread.process.quota_allocator import QuotaAllocator, record_stop
 from camphorspread.process.replica_shell import ReplicaShell
 from camphorspread.process.steering_settings import SteeringSettings
@@ -30,7 +29,6 @@
 __all__ = [
     "ListedVm",
     "SteeringControl",
-    "broadcast_departure",
     "find_lookup_addresses",
     "is_current",
     "mark_dead",
@@ -85,6 +83,7 @@
         quotas: Division of the limits of organisations while this replica leads.
         vms: Entry VMs by name.
         list_revision: Incremented with each change of `vms`.
+        departures: Recent departures of backend servers.
         caller_spread: Callers of each zone that use the VMs of other zones.
         polled: Event that is set, and replaced by a new one, at each poll and loss of an entry VM.
     """
@@ -96,6 +95,7 @@
     quotas: QuotaAllocator
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     list_revision: int = 0
+    departures: DepartureLog = attrs.field(factory=DepartureLog)
     caller_spread: CallerSpread = attrs.field(factory=CallerSpread)
     polled: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -220,6 +220,7 @@
         for item in steering.vms.values():
             if item.is_alive and now - item.last_poll_at > item.hold + POLL_DELAY_LIMIT:
                 mark_dead(steering, item.record)
+        expire_departures(steering.departures, now)
         update_fractions(steering.caller_spread, list_accepting(steering), WATCH_INTERVAL)
 
 
@@ -243,9 +244,18 @@
 async def place_announcement(
     steering: SteeringControl, report: InstanceReport
 ) -> Accepted | NotAccepted:
-    """Forward an announcement to the entry VM that should own the backend server."""
-    if report.is_leaving:
-        return await broadcast_departure(steering, report.instance, report)
+    """Forward an announcement to the entry VM that should own the backend server.
+
+    An announcement that the server sent before its departure goes no further.
+    """
+    if is_departed(steering.departures, report.instance, report.started_ms):
+        steering.control.log.write(
+            Event.INSTANCE_OUTDATED,
+            instance=report.instance,
+            started_ms=report.started_ms,
+            sequence=report.sequence,
+        )
+        return Accepted()
     region = steering.settings.regions.get(report.availability_zone, "")
     candidates = {
         name: (item.record.availability_zone, item.record.region)
@@ -265,49 +275,3 @@
         if response.status == 200:
             return Accepted(peers)
     return NotAccepted("no entry VM accepted the announcement")
-
-
-def find_senders(steering: SteeringControl, region: str | None, lease: timedelta) -> list[ListedVm]:
-    """Return the entry VMs that may send to a backend server of a region, dead ones included."""
-    vms = [
-        SenderVm(
-            name,
-            item.record.region,
-            item.record.is_leaving,
-            item.alive_since if item.is_alive else None,
-        )
-        for name, item in steering.vms.items()
-    ]
-    now = steering.control.clock.monotonic()
-    return [steering.vms[name] for name in list_possible_senders(vms, region, lease, now)]
-
-
-async def broadcast_departure(
-    steering: SteeringControl, name: str, report: InstanceReport | None
-) -> Accepted | NotAccepted:
-    """Stop all entry VMs from sending to a backend server that leaves.
-
-    `report` is None if the departure came without a valid report.
-
-    Acceptance applies to the whole fleet, so each entry VM that may know the server must confirm,
-    or must have been silent for longer than the lease of an announcement.
-    """
-    clock = steering.control.clock
-    lease = steering.settings.bounds.announcement_lease
-    if not is_current(steering) or clock.monotonic() - steering.started_at < lease:
-        return NotAccepted("this control VM may not know all entry VMs")
-    message = encode_leave(name, report.departure_order if report else None)
-    region = None
-    if report is not None:
-        region = steering.settings.regions.get(report.availability_zone)
-    items = find_senders(steering, region, lease)
-
-    async def confirm_departure(item: ListedVm) -> bool:
-        if not item.is_alive:
-            return clock.monotonic() - item.last_poll_at >= lease
-        return await notify_departure(steering.control.link, item.record.peers, message)
-
-    results = await asyncio.gather(*(confirm_departure(item) for item in items))
-    if all(results):
-        return Accepted()
-    return NotAccepted("an entry VM that may send to the backend server didn't confirm")
--- a/camphorspread/process/steering_node.py
+++ b/camphorspread/process/steering_node.py
@@ -18,6 +18,7 @@
     process_forwarded_announcement,
     process_forwarded_departure,
 )
+from camphorspread.process.departures import expire_departures
 from camphorspread.process.events import Event
 from camphorspread.process.explain_listener import EXPLAIN_PATH, serve_explanation
 from camphorspread.process.held_memory import HeldKind, take_pressure_change
@@ -148,7 +149,9 @@
             case path if path == ANNOUNCEMENT_PATH:
                 process_forwarded_announcement(state, decode_report(value))
             case path if path == LEAVE_PATH:
-                process_forwarded_departure(state, *decode_leave(value))
+                known_start = process_forwarded_departure(state, decode_leave(value))
+                await exchange.respond_json(200, {"started_ms": known_start})
+                return
             case _:
                 refusal = Refusal(ErrorKind.NOT_FOUND, "there is nothing at this path")
                 await exchange.refuse(refusal)
@@ -192,6 +195,7 @@
         "control_age_seconds": ("Time since a control VM was last heard.", age),
         "instances": ("Backend servers that announce here.", owned_count),
         "lent_instances": ("Backend servers that other entry VMs lend.", known_count - owned_count),
+        "departures": ("Recent departures of backend servers.", len(state.departures.by_instance)),
         "limited_instances": ("Backend servers that state a limit on requests.", limited_count),
         "paused_instances": ("Backend servers in a pause for this VM.", paused_count),
         "entry_vms": ("Other entry VMs that are alive.", live_count),
@@ -225,6 +229,7 @@
             state.log.write(
                 Event.INSTANCE_EXPIRED, instance=instance.name, service=instance.report.service
             )
+        expire_departures(state.departures, state.clock.monotonic())
         report_pressure(state)
         if state.table is not None:
             limits = state.table.limits
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -11,6 +11,7 @@
 from camphorspread.connection.network import Address, Network
 from camphorspread.connection.pool import ConnectionPool
 from camphorspread.process.clock import Clock
+from camphorspread.process.departures import DepartureLog
 from camphorspread.process.events import EventLog
 from camphorspread.process.held_memory import HeldMemory, Urgency, find_bound
 from camphorspread.process.instances import InstanceRegistry
@@ -84,6 +85,7 @@
         board: State of servers and VMs on which placement depends.
         quotas: This VM's shares of the limits of organisations.
         quota_contact: State of the renewals of these shares.
+        departures: Recent departures of backend servers.
         lent_instances: Backend servers that the other VMs of the region may use.
         region_loads: Load of the servers of the region, as reported to other regions.
         waiting: Requests that wait for a placement.
@@ -127,6 +129,7 @@
     retry_budget: FleetRetryBudget
     quotas: QuotaBook
     quota_contact: QuotaContact
+    departures: DepartureLog = attrs.field(factory=DepartureLog)
     lent_instances: LentList = attrs.field(factory=LentList)
     region_loads: RegionLoads = attrs.field(factory=RegionLoads)
     waiting: PlacementQueue = attrs.field(factory=PlacementQueue)
--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -1,4 +1,4 @@
-Feature: Departures of endpoints while entry VMs are restarted
+Feature: Departures of endpoints while other processes fail or are restarted
   Guards against requests that reach an endpoint after its departure was acknowledged.
 
   Background:
@@ -36,3 +36,19 @@
     When the endpoint "status-varna-b" says that it is draining to its owner in another region
     Then its call is acknowledged
     And no request of a client runs at it from 0.1 s to 5 s later
+
+  # Guards against a late announcement that brings an endpoint back at VMs that don't know that it
+  # has left, because an owner in another region has confirmed that (review/6).
+  @fixture.platform_fleet
+  Scenario: A late announcement follows a departure that an owner in another region confirmed
+    Given 10 s go by on the platform
+    And the entry VM of "varna-a" is killed
+    And the entry VM of "varna-b" is killed
+    And 8 s go by on the platform
+    And the entry VM of "varna-b" starts
+    And 1 s go by on the platform
+    And the endpoint "status-varna-b" sends an announcement that is held up
+    When the endpoint "status-varna-b" says that it is draining to its present owner
+    Then its call is acknowledged
+    When the announcement arrives 0.5 s later at the control VM of "sofia-a"
+    Then no request of a client runs at it from 0 s to 5 s later
--- a/features/process/instances.feature
+++ b/features/process/instances.feature
@@ -33,15 +33,32 @@
     Then the announcement i-1 10:1 100 99 ready is outdated
     And the announcement i-1 10:1 101 1 ready is added
 
-  Scenario: The departure of a server that isn't known here overrides late announcements for a while
+  Scenario: The departure of a server that nobody knows overrides late announcements for a while
     Given an entry VM that knows these announcements
       | instance | address | started | sequence | state |
       | i-1      | 10:1    | 100     | 5        | ready |
-    When "i-9" departs
+    When "i-9", whose start nobody knows, departs at 500
     Then the announcement i-9 10:9 100 4 ready is outdated
     And the announcement i-9 10:9 500 1 ready is outdated
     And 10 s later the announcement i-9 10:9 500 2 ready is added
 
+  # Guards against a server that is refused for 10 s after its next start.
+  Scenario: A server that left while nobody knew it may start again at once
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 100     | 5        | ready |
+    When "i-9", whose start nobody knows, departs at 500
+    Then the announcement i-9 10:9 501 1 ready is added
+
+  # Guards against a departure that arrives late and removes the next start of the server.
+  Scenario: The departure of an earlier start doesn't concern the present one
+    Given an entry VM that knows these announcements
+      | instance | address | started | sequence | state |
+      | i-1      | 10:1    | 200     | 5        | ready |
+    When the start 100 of "i-1" departs
+    Then the announcement i-1 10:1 100 99 ready is outdated
+    And the announcement i-1 10:1 200 6 ready is renewed
+
   Scenario: A backend server is used only during the lease of its announcement
     Given an entry VM that knows these announcements
       | instance | address | started | sequence | state |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -8,7 +8,7 @@
 from camphorspread.process.announcements import forward_to_owner
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.steering_node import stop_gracefully
-from features.fixtures.platform_fleet import PEER_PORT
+from features.fixtures.platform_fleet import CONTROL_PORT, PEER_PORT
 
 SEND_INTERVAL_S = 0.5
 REQUESTS_AT_ONCE = 12
@@ -79,6 +79,34 @@
     context.departed = name
 
 
+@given('the endpoint "{name}" sends an announcement that is held up')
+def step_hold_up(context, name):
+    endpoint = context.fleet.endpoints[name]
+    endpoint.task.cancel()
+    endpoint.seq += 1
+    context.late = (name, endpoint.make_heartbeat())
+    context.owner = endpoint.owner_address
+
+
+@when('the endpoint "{name}" says that it is draining to its present owner')
+def step_drain_at_present_owner(context, name):
+    drain_at(context, name, context.fleet.endpoints[name].owner_address)
+
+
+@when('the announcement arrives {seconds:g} s later at the control VM of "{zone}"')
+def step_arrive_at_control(context, seconds, zone):
+    context.fleet.run(seconds)
+    deliver_late(context, zone, CONTROL_PORT, 1)
+
+
+def deliver_late(context, zone, port, number):
+    """Deliver the announcement that was held up; its sender no longer waits for the response."""
+    name, body = context.late
+    target = f"/-/Instances.Heartbeat/{name}"
+    answer = context.fleet.call(zone, port, "POST", target, body, number)
+    assert answer is not None, name
+
+
 @then("no request of a client runs at it from {start:g} s to {end:g} s later")
 def step_no_runs(context, start, end):
     fleet = context.fleet
--- a/features/steps/instances_steps.py
+++ b/features/steps/instances_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from camphorspread.connection.network import Address
+from camphorspread.process.departures import DepartureNotice, settle_departure
 from camphorspread.process.instances import (
     InstanceRegistry,
     InstanceReport,
@@ -12,6 +13,7 @@
     expire_instances,
     is_usable,
     mark_zone_cold,
+    remove_departed,
     remove_instance,
     suspend_instance,
 )
@@ -75,6 +77,18 @@
     remove_instance(context.registry, name, NOW)
 
 
+@when('the start {started:d} of "{name}" departs')
+def step_depart_start(context, started, name):
+    departure = settle_departure(DepartureNotice(name, started, 0), [], NOW)
+    remove_departed(context.registry, departure)
+
+
+@when('"{name}", whose start nobody knows, departs at {told:d}')
+def step_depart_unknown(context, name, told):
+    departure = settle_departure(DepartureNotice(name, None, told), [], NOW)
+    remove_departed(context.registry, departure)
+
+
 @when('a connection to "{name}" is refused')
 def step_refuse(context, name):
     suspend_instance(context.registry, context.registry.instances[name], NOW)
