Send departures to control VMs that may have lost them

Orders ran at the endpoint 3.5 s after its departure.

Cause: departures were remembered in the memory of entry VMs alone, and a new process knew of none.

Change: an entry VM sends the departures that it knows with its first poll of a control VM, after a failed poll and after a restart of the control VM, and those that a server told it with the next poll. So a departure is forgotten only if all processes that know it end within the same second.

--- a/camphorspread/process/departures.py
+++ b/camphorspread/process/departures.py
@@ -20,6 +20,7 @@
     "find_departed_start",
     "is_departed",
     "list_departures",
+    "list_unsent",
     "record_departure",
     "settle_departure",
 ]
@@ -128,6 +129,20 @@
     return [item for item in log.by_instance.values() if item.revision > after]
 
 
+def list_unsent(log: DepartureLog, sent: int) -> list[Departure]:
+    """Return the departures that a VM sends to a control VM.
+
+    A control VM gets those of the servers that told this VM. One that has none from this VM may
+    have been restarted or out of contact, and gets all.
+
+    Args:
+        log: The departures that this VM knows.
+        sent: Revision up to which the control VM has them, 0 if it has none.
+    """
+    unsent = list_departures(log, sent)
+    return unsent if sent == 0 else [item for item in unsent if item.is_own]
+
+
 def expire_departures(log: DepartureLog, now: timedelta) -> None:
     """Forget the departures whose late announcements no longer arrive."""
     for name in [name for name, item in log.by_instance.items() if item.until <= now]:
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -14,8 +14,9 @@
 
 from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
-from camphorspread.process.announcement_codec import decode_departures
+from camphorspread.process.announcement_codec import decode_departures, encode_departures
 from camphorspread.process.announcements import apply_departure
+from camphorspread.process.departures import list_unsent
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.instances import mark_zone_cold
@@ -87,6 +88,7 @@
     while address in state.controls:
         control = state.controls[address]
         hold = poll_hold(len(state.controls))
+        revision = state.departures.revision
         try:
             response = await state.link.call(
                 address,
@@ -101,11 +103,14 @@
             was_reachable = False
             control.listed_vms = frozenset()
             control.fleet_list_version = ""
+            control.departures_sent = 0
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
             continue
         if not was_reachable:
             state.log.write(Event.CONTROL_REGAINED, control=str(address))
         was_reachable = True
+        if response.status == 200:
+            control.departures_sent = revision
         apply_poll_response(state, control, response.value, decode_table)
         if state.announced_version > state.catalogue_version and not is_source(state, control):
             await asyncio.sleep(FETCH_TIMEOUT.total_seconds())
@@ -171,6 +176,7 @@
         state.is_leaving,
         count_recent(state.arrivals, state.clock.monotonic()) / RATE_WINDOW.total_seconds(),
     )
+    departures = list_unsent(state.departures, control.departures_sent)
     return {
         **encode_vm(own_record),
         "version": state.catalogue_version,
@@ -179,6 +185,7 @@
         "fleet": control.fleet_list_version,
         "takes_changes": True,
         "departures": control.departure_version,
+        "departed": encode_departures(departures, state.clock.monotonic()),
         "hold_ms": hold // MILLISECOND,
     }
 
@@ -206,6 +213,8 @@
     match value.get("departures"):
         case {"version": str(version), "recorded": list(recorded)}:
             apply_recorded_departures(state, recorded, now)
+            if is_other_process(control.departure_version, version):
+                control.departures_sent = 0
             control.departure_version = version
     announced = value.get("version")
     if type(announced) is int and announced > state.announced_version:
@@ -217,6 +226,11 @@
             apply_catalogue(state, version, routing, frozenset(zones), decode_table)
 
 
+def is_other_process(known: str, stated: str) -> bool:
+    """Return True if two versions of recorded departures are from different processes."""
+    return bool(known) and known.partition(".")[0] != stated.partition(".")[0]
+
+
 def apply_recorded_departures(state: SteeringState, values: list, now: timedelta) -> None:
     """Apply the departures that a control VM has recorded."""
     try:
--- a/camphorspread/process/vm_poll_listener.py
+++ b/camphorspread/process/vm_poll_listener.py
@@ -6,7 +6,8 @@
 
 from camphorspread.connection.disconnect import Disconnected, run_while_connected
 from camphorspread.connection.exchange import Exchange
-from camphorspread.process.announcement_codec import encode_departures
+from camphorspread.process.announcement_codec import decode_departures, encode_departures
+from camphorspread.process.control_departures import record_departures
 from camphorspread.process.departures import list_departures
 from camphorspread.process.steering_control import (
     SteeringControl,
@@ -35,6 +36,14 @@
         message = "a poll needs the record of an entry VM, its catalogue version and a hold time"
         await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, message))
         return
+    try:
+        departures = decode_departures(
+            value.get("departed", []), steering.control.clock.monotonic()
+        )
+    except ValueError as exc:
+        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(exc)))
+        return
+    record_departures(steering, departures)
     record_poll(steering, record, hold, value["version"])
     if hold and not has_update(steering, value):
         waiting = wait_for_update(steering, value)
--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -65,3 +65,24 @@
     When the entry VM of "varna-b" is reachable again
     And it reads an earlier announcement of "status-varna-b" that was forwarded to it
     Then no request of a client runs at it from 0.5 s to 5 s later
+
+  # Guards against a departure that is forgotten when the processes that confirmed and recorded it
+  # are killed and started again (review/9).
+  @fixture.platform_fleet
+  Scenario Outline: A late announcement follows a restart of the processes that know of a departure
+    Given 10 s go by on the platform
+    And the endpoint "status-varna-b" sends an announcement that is held up
+    When the endpoint "status-varna-b" says that it is draining to its present owner
+    Then its call is acknowledged
+    When <first> killed and started again 0.3 s later
+    And <second> killed and started again 0.3 s later
+    And the announcement arrives 0.5 s later at the <receiver>
+    Then no request of a client runs at it from 0.5 s to 5 s later
+
+    Examples:
+      | first                        | second                       | receiver                    |
+      | no process is                | the entry VM of "varna-b" is | control VM of "sofia-a"     |
+      | no process is                | the entry VM of "varna-b" is | entry VM of "varna-b"       |
+      | the entry VM of "varna-a" is | the entry VM of "varna-b" is | entry VM of "varna-a"       |
+      | all control VMs are          | the entry VM of "varna-b" is | control VM of "sofia-a"     |
+      | the entry VM of "varna-b" is | all control VMs are          | control VM of "sofia-a"     |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -11,7 +11,7 @@
 )
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.steering_node import stop_gracefully
-from features.fixtures.platform_fleet import CONTROL_PORT, PEER_PORT
+from features.fixtures.platform_fleet import CONTROL_PORT, PEER_PORT, ZONES
 
 SEND_INTERVAL_S = 0.5
 REQUESTS_AT_ONCE = 12
@@ -102,6 +102,35 @@
     deliver_late(context, zone, CONTROL_PORT, 1)
 
 
+@when('the announcement arrives {seconds:g} s later at the entry VM of "{zone}"')
+def step_arrive_at_entry(context, seconds, zone):
+    context.fleet.run(seconds)
+    deliver_late(context, zone, PEER_PORT, 2)
+
+
+@when("no process is killed and started again {seconds:g} s later")
+def step_restart_none(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when('the entry VM of "{zone}" is killed and started again {seconds:g} s later')
+def step_restart_entry(context, zone, seconds):
+    context.fleet.kill(f"front-{zone}-2")
+    context.fleet.run(seconds)
+    context.fleet.start_entry(zone)
+    context.fleet.run(1)
+
+
+@when("all control VMs are killed and started again {seconds:g} s later")
+def step_restart_controls(context, seconds):
+    for zone in ZONES:
+        context.fleet.kill(f"core-{zone}-1")
+    context.fleet.run(seconds)
+    for zone in ZONES:
+        context.fleet.start_control(zone, is_first=False)
+    context.fleet.run(1)
+
+
 def deliver_late(context, zone, port, number):
     """Deliver the announcement that was held up; its sender no longer waits for the response."""
     name, body = context.late
