Tell entry VMs of a control VM that replaces another one

Cause: the version of the lists that entry VMs poll had only the number of members. One member left and one joined between two polls, so the version was the same and no entry VM heard of the new control VM.

The new scenario "The replacement of a control VM between two polls is reported" fails before the change, as the response has no list of control VMs.

Change: the version has a digest of the members.

Result: vm_poll.feature passes.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import functools
+import hashlib
 from datetime import timedelta
 
 import attrs
@@ -25,6 +27,7 @@
 from camphorspread.process.quota_allocator import QuotaAllocator, record_stop
 from camphorspread.process.replica_shell import ReplicaShell
 from camphorspread.process.steering_settings import SteeringSettings
+from camphorspread.version.replica_messages import Member
 
 __all__ = [
     "ListedVm",
@@ -102,7 +105,7 @@
     @property
     def fleet_list_version(self) -> str:
         """Version of the lists of entry VMs and control VMs, unique to this process."""
-        members = len(self.shell.state.members)
+        members = digest_members(self.shell.state.members)
         return f"{self.shell.state.incarnation:x}.{self.list_revision}.{members}"
 
     @property
@@ -122,6 +125,13 @@
         self.control.wake_polls()
 
 
+@functools.lru_cache(maxsize=2)
+def digest_members(members: tuple[Member, ...]) -> str:
+    """Return a digest of the members of the group."""
+    names = ",".join(sorted(member.member_id for member in members))
+    return hashlib.blake2b(names.encode(), digest_size=8).hexdigest()
+
+
 def is_current(steering: SteeringControl) -> bool:
     """Return True if this replica holds all changes that were accepted until shortly before."""
     now = steering.control.clock.monotonic()
--- a/features/process/vm_poll.feature
+++ b/features/process/vm_poll.feature
@@ -38,3 +38,11 @@
     Given a fleet with an endpoint of each service in each zone
     When an entry VM that takes no changes polls with an outdated list
     Then the response lists all 6 entry VMs
+
+  # Guards against entry VMs that don't poll a new control VM, because it joined the group and
+  # another one left between two polls.
+  @fixture.platform_fleet
+  Scenario: The replacement of a control VM between two polls is reported
+    Given a fleet with an endpoint of each service in each zone
+    When a control VM leaves the group and another one joins it between two polls of an entry VM
+    Then the response lists the new control VM
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -3,11 +3,15 @@
 from datetime import timedelta
 from unittest import mock
 
+import attrs
 from behave import then, when
 
+from camphorspread.connection.network import Address
 from camphorspread.process import vm_poll_listener
 from camphorspread.process.live_vms import ALIVE_TTL
 from camphorspread.process.vm_poll import encode_poll, poll_hold
+from camphorspread.process.vm_record_codec import encode_address
+from features.fixtures.platform_fleet import PEER_PORT
 
 
 @then(
@@ -64,8 +68,8 @@
     assert max(context.listed) == count, context.listed
 
 
-@when("an entry VM that takes no changes polls with an outdated list")
-def step_old_poll(context):
+def make_poll(context):
+    """Return the state of a control VM and an entry VM's poll of it."""
     state = context.fleet.entries["front-sofia-a-2"].state
     control = next(iter(state.controls.values()))
     steering = next(
@@ -73,7 +77,27 @@
         for node in context.fleet.controls.values()
         if node.steering.settings.peers == control.peers
     )
-    poll = encode_poll(state, control, timedelta(0))
+    return steering, encode_poll(state, control, timedelta(0))
+
+
+@when("a control VM leaves the group and another one joins it between two polls of an entry VM")
+def step_replace_member(context):
+    steering, poll = make_poll(context)
+    *members, last = steering.shell.state.members
+    context.joined = Address("10.9.0.1", PEER_PORT)
+    new = attrs.evolve(last, vm="core-new", peers=context.joined)
+    steering.shell.state.members = (*members, new)
+    context.response = vm_poll_listener.encode_poll_response(steering, poll)
+
+
+@then("the response lists the new control VM")
+def step_lists_new(context):
+    assert encode_address(context.joined) in context.response["controls"], context.response
+
+
+@when("an entry VM that takes no changes polls with an outdated list")
+def step_old_poll(context):
+    steering, poll = make_poll(context)
     del poll["takes_changes"]
     incarnation, revision, members = poll["fleet"].split(".")
     poll["fleet"] = f"{incarnation}.{int(revision) - 1}.{members}"
