Let another control VM confirm a departure at a new one

Cause: a control VM counted as knowing all entry VMs once it had run for a lease, whether they knew it or not; before that it refused. No VM to ask counted as confirmed by all.

Change: a control VM that isn't current, has run for less than a lease or that no entry VM has polled lets the other control VMs confirm the departure. If none does, one that is current confirms it itself: a majority of the control VMs records it, and passes it to every entry VM in contact.

--- a/camphorspread/process/control_departures.py
+++ b/camphorspread/process/control_departures.py
@@ -4,8 +4,13 @@
 from datetime import timedelta
 
 from camphorspread.connection.exchange import Exchange
+from camphorspread.connection.link import LinkError
 from camphorspread.connection.network import Address
-from camphorspread.process.announcement_codec import decode_departures
+from camphorspread.process.announcement_codec import (
+    decode_departures,
+    decode_report,
+    encode_report,
+)
 from camphorspread.process.announcement_messages import (
     Accepted,
     NotAccepted,
@@ -27,7 +32,17 @@
 from camphorspread.process.steering_control import ListedVm, SteeringControl, is_current
 from camphorspread.request.errors import ErrorKind, Refusal
 
-__all__ = ["broadcast_departure", "record_departures", "serve_departures"]
+__all__ = [
+    "CONFIRM_PATH",
+    "broadcast_departure",
+    "record_departures",
+    "serve_confirmation",
+    "serve_departures",
+]
+
+CONFIRM_PATH = "/v1/control/departure"
+# A backend server waits a second; the confirmation itself needs up to two forwards.
+CONFIRM_TIMEOUT = timedelta(milliseconds=900)
 
 
 def record_departures(steering: SteeringControl, departures: list[Departure]) -> None:
@@ -79,7 +94,82 @@
 ) -> Accepted | NotAccepted:
     """Stop all entry VMs from sending to a backend server that leaves.
 
-    `report` is None if the departure came without a valid report.
+    A control VM that may not know the entry VMs yet lets another one confirm the departure.
+
+    Args:
+        steering: State of this control VM.
+        name: Identifier of the backend server.
+        report: Its last announcement; None if the departure came without a valid one.
+    """
+    if knows_entry_vms(steering):
+        return await confirm_departure(steering, name, report)
+    if await ask_other_control_vms(steering, name, report):
+        return Accepted()
+    if is_current(steering):
+        return await confirm_departure(steering, name, report)
+    return NotAccepted("this control VM may not know all entry VMs, and no other one confirmed")
+
+
+def knows_entry_vms(steering: SteeringControl) -> bool:
+    """Return True if all entry VMs in contact with the control VMs have polled this one."""
+    uptime = steering.control.clock.monotonic() - steering.started_at
+    lease = steering.settings.bounds.announcement_lease
+    return is_current(steering) and uptime >= lease and bool(steering.vms)
+
+
+async def ask_other_control_vms(
+    steering: SteeringControl, name: str, report: InstanceReport | None
+) -> bool:
+    """Let the other control VMs confirm a departure; return True as soon as one has."""
+    value = {"instance": name, "report": report and encode_report(report)}
+
+    async def ask(address: Address) -> bool:
+        try:
+            response = await steering.control.link.call(
+                address, "POST", CONFIRM_PATH, value, CONFIRM_TIMEOUT
+            )
+        except LinkError:
+            return False
+        return response.status == 200
+
+    tasks = [asyncio.create_task(ask(item)) for item in list_other_control_vms(steering)]
+    try:
+        for task in asyncio.as_completed(tasks):
+            if await task:
+                return True
+    finally:
+        for task in tasks:
+            task.cancel()
+    return False
+
+
+async def serve_confirmation(steering: SteeringControl, exchange: Exchange) -> None:
+    """Confirm a departure that another control VM can't confirm."""
+    try:
+        match await exchange.read_json():
+            case {"instance": str(name), "report": None}:
+                report = None
+            case {"instance": str(name), "report": value}:
+                report = decode_report(value)
+            case _:
+                raise ValueError("the departure is malformed")
+    except ValueError as exc:
+        await exchange.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(exc)))
+        return
+    result: Accepted | NotAccepted = NotAccepted("this control VM may not know all entry VMs")
+    if knows_entry_vms(steering):
+        result = await confirm_departure(steering, name, report)
+    match result:
+        case Accepted():
+            await exchange.respond_json(200, {})
+        case NotAccepted(cause=cause):
+            await exchange.respond_json(503, {"error": cause})
+
+
+async def confirm_departure(
+    steering: SteeringControl, name: str, report: InstanceReport | None
+) -> Accepted | NotAccepted:
+    """Stop the entry VMs that this control VM knows from sending to a backend server.
 
     Acceptance applies to the whole fleet, so each entry VM that may know the server must confirm,
     or must have been silent for longer than the lease of an announcement, and a majority of the
@@ -87,8 +177,6 @@
     """
     clock = steering.control.clock
     lease = steering.settings.bounds.announcement_lease
-    if not is_current(steering) or clock.monotonic() - steering.started_at < lease:
-        return NotAccepted("this control VM may not know all entry VMs")
     start = report.started_ms if report else None
     region = None
     if report is not None:
@@ -136,6 +224,9 @@
 
 
 def list_other_control_vms(steering: SteeringControl) -> list[Address]:
-    """Return the addresses of the other members of the group."""
-    own = steering.settings.peers
-    return [member.peers for member in steering.shell.state.members if member.peers != own]
+    """Return the addresses of the other members of the group, or the seeds if it has none yet."""
+    settings = steering.settings
+    addresses = [member.peers for member in steering.shell.state.members]
+    if not addresses:
+        addresses = [Address(seed.host, settings.control_peer_port) for seed in settings.seeds]
+    return [address for address in addresses if address != settings.peers]
--- a/camphorspread/process/steering_control_node.py
+++ b/camphorspread/process/steering_control_node.py
@@ -17,7 +17,11 @@
 from camphorspread.connection.server import HttpServer
 from camphorspread.process.announcement_messages import RECORD_PATH
 from camphorspread.process.clock import Clock
-from camphorspread.process.control_departures import serve_departures
+from camphorspread.process.control_departures import (
+    CONFIRM_PATH,
+    serve_confirmation,
+    serve_departures,
+)
 from camphorspread.process.control_metrics import format_control_metrics
 from camphorspread.process.control_node import handle_peer
 from camphorspread.process.control_state import ControlState
@@ -245,6 +249,8 @@
             await serve_quota(steering, decode_table, exchange)
         case b"POST", path if path == RECORD_PATH:
             await serve_departures(steering, exchange)
+        case b"POST", path if path == CONFIRM_PATH:
+            await serve_confirmation(steering, exchange)
         case b"POST", path if path == JOIN_PATH:
             await serve_join(group, exchange)
         case _:
--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -86,3 +86,25 @@
       | the entry VM of "varna-a" is | the entry VM of "varna-b" is | entry VM of "varna-a"       |
       | all control VMs are          | the entry VM of "varna-b" is | control VM of "sofia-a"     |
       | the entry VM of "varna-b" is | all control VMs are          | control VM of "sofia-a"     |
+
+  # Guards against a new control VM that confirms a departure and tells nobody, because the entry
+  # VMs haven't heard of it (review/8).
+  @fixture.platform_fleet
+  Scenario Outline: An endpoint leaves at the second of two new control VMs
+    Given 10 s go by on the platform
+    And the control VM of "plovdiv-b" is replaced by a new one after 1 s
+    And <gap> s go by on the platform
+    And the control VM of "varna-b" is replaced by a new one after 1 s
+    And <wait> s go by on the platform
+    When the endpoint "status-varna-b" deregisters without a body at the new control VM of "varna-b"
+    Then its call is acknowledged
+    And no request of a client runs at it from 2.5 s to 6 s later
+
+    Examples:
+      | gap | wait |
+      | 3   | 5    |
+      | 5   | 5    |
+      | 6   | 5    |
+      | 7   | 5    |
+      | 6   | 1    |
+      | 6   | 3    |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -15,6 +15,7 @@
 
 SEND_INTERVAL_S = 0.5
 REQUESTS_AT_ONCE = 12
+NEW_CONTROL_NUMBER = 4
 
 
 @given('the entry VM of "{zone}" has been restarted and ready for {seconds:g} s')
@@ -160,11 +161,28 @@
     process_forwarded_announcement(context.reader.state, context.reports[name])
 
 
+@given('the control VM of "{zone}" is replaced by a new one after {seconds:g} s')
+def step_replace_control(context, zone, seconds):
+    context.fleet.kill(f"core-{zone}-1")
+    context.fleet.run(seconds)
+    context.fleet.start_control(zone, is_first=False, number=NEW_CONTROL_NUMBER)
+
+
 @when('the endpoint "{name}" deregisters without a body at the control VM of "{zone}"')
 def step_deregister(context, name, zone):
+    deregister(context, name, zone, 1)
+
+
+@when('the endpoint "{name}" deregisters without a body at the new control VM of "{zone}"')
+def step_deregister_new(context, name, zone):
+    deregister(context, name, zone, NEW_CONTROL_NUMBER)
+
+
+def deregister(context, name, zone, number):
+    """Deregister an endpoint at one control VM; it goes on serving."""
     context.fleet.endpoints[name].task.cancel()
     target = f"/-/Instances.Deregister/{name}"
-    answer = context.fleet.call(zone, CONTROL_PORT, "POST", target)
+    answer = context.fleet.call(zone, CONTROL_PORT, "POST", target, number=number)
     context.acknowledged = answer is not None and answer[0] == 200
     context.departed = name
 
