Reject responses with a status code above 599

A client got the status 600 or 999 of an endpoint in trouble as an answer, with the endpoint's signature.

Cause: `h11` rejects codes below 100, so that 000 has never been relayed, but accepts every other one of three digits. RFC 9110 ends at 599.

In relay.feature the new row with 600 fails, the one with 000 doesn't.

Change: a code above 599 is an invalid response. The outcome is unknown, so the caller gets 502, and an idempotent request is repeated.

--- a/camphorspread/connection/client.py
+++ b/camphorspread/connection/client.py
@@ -20,6 +20,8 @@
 ]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
+# RFC 9110, section 15; `h11` rejects codes below 100 only.
+LAST_STATUS = 599
 CONTINUE_STATUS = 100
 # A server may send several informational responses before the final one; one that sends them
 # without end would otherwise keep the loop busy until the deadline.
@@ -112,6 +114,8 @@
                     if status == CONTINUE_STATUS:
                         return ResponseHead(status, tuple(headers))
                 case h11.Response(status_code=status, headers=headers):
+                    if status > LAST_STATUS:
+                        raise InvalidResponseError(f"{status} isn't a valid status code")
                     return ResponseHead(status, tuple(headers))
                 case _:
                     raise InvalidResponseError("the connection was closed before the response")
--- a/features/connection/relay.feature
+++ b/features/connection/relay.feature
@@ -4,7 +4,7 @@
   their caller has disconnected.
 
   @fixture.session
-  Scenario Outline: A truncated response is visible to the caller
+  Scenario Outline: A truncated or invalid response is never relayed as complete
     Given a backend server that sends "<response>" and then <end> the connection
     When a caller of HTTP/<version> requests it
     Then the caller received <seen> and no complete response
@@ -17,6 +17,8 @@
       | HTTP/1.1 200 OK;transfer-encoding: chunked;;5;12345;      | closes | 1.0     | a reset     |
       | HTTP/1.1 200 OK;;12345                                    | closes | 1.1     | status 502  |
       | HTTP/1.1 200 OK;content-le                                | closes | 1.1     | status 502  |
+      | HTTP/1.1 000 OK;content-length: 5;;12345                  | closes | 1.1     | status 502  |
+      | HTTP/1.1 600 OK;content-length: 5;;12345                  | closes | 1.1     | status 502  |
 
   @fixture.session
   Scenario Outline: A late or duplicate response is never taken for the response to another request
