Compute the digest of the members once for each change

Cause: the version of the lists is compared for each waiting poll at each wake, and hashing the members each time takes time that grows with their number.

Change: the digest is kept until the group has other members. No measurement was made.

Result: vm_poll.feature passes.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import hashlib
 from datetime import timedelta
 
@@ -88,6 +87,8 @@
         list_revision: Incremented with each change of `vms`.
         departures: Recent departures of backend servers.
         caller_spread: Callers of each zone that use the VMs of other zones.
+        digested_members: Members of the group whose digest is `members_digest`.
+        members_digest: Part of the version of the lists.
         polled: Event that is set, and replaced by a new one, at each poll and loss of an entry VM.
     """
 
@@ -100,13 +101,17 @@
     list_revision: int = 0
     departures: DepartureLog = attrs.field(factory=DepartureLog)
     caller_spread: CallerSpread = attrs.field(factory=CallerSpread)
+    digested_members: tuple[Member, ...] | None = None
+    members_digest: str = ""
     polled: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def fleet_list_version(self) -> str:
         """Version of the lists of entry VMs and control VMs, unique to this process."""
-        members = digest_members(self.shell.state.members)
-        return f"{self.shell.state.incarnation:x}.{self.list_revision}.{members}"
+        members = self.shell.state.members
+        if members is not self.digested_members:
+            self.digested_members, self.members_digest = members, digest_members(members)
+        return f"{self.shell.state.incarnation:x}.{self.list_revision}.{self.members_digest}"
 
     @property
     def departure_version(self) -> str:
@@ -125,7 +130,6 @@
         self.control.wake_polls()
 
 
-@functools.lru_cache(maxsize=2)
 def digest_members(members: tuple[Member, ...]) -> str:
     """Return a digest of the members of the group."""
     names = ",".join(sorted(member.member_id for member in members))
