Deliver late announcements of servers that left in the soak

Change: a server that leaves reports that it drains, or deregisters without a body, and an announcement that it sent before arrives up to 3 s later at its owner or a control VM. A late request is excused only if the VM that sent it, the one that got it, the link to the server or a control VM was disturbed within the contact window of 4 s. `--kinds` chooses the faults.

--- a/features/process/soak.feature
+++ b/features/process/soak.feature
@@ -35,6 +35,23 @@
       | a revision in force with other content       | 1     |
       | a read of an older revision                  | 1     |
 
+  # Guards against requests after a departure that a fault elsewhere excuses.
+  Scenario Outline: A request at a server that left while processes were disturbed
+    Given a soak that observed a request at a server that left 3 s before
+    And <name> was disturbed until <seconds> s before it
+    Then it reports <count> violated guarantees
+
+    Examples:
+      | name    | seconds | count |
+      | front-a | 3.9     | 0     |
+      | front-a | 4.1     | 1     |
+      | front-b | 3.9     | 0     |
+      | front-c | 3.9     | 1     |
+      | core-a  | 3.9     | 0     |
+      | core-a  | 4.1     | 1     |
+      | s-1     | 3.9     | 0     |
+      | s-2     | 3.9     | 1     |
+
   # Guards against endpoints that see a key, or the name of another organisation, unnoticed.
   Scenario Outline: Identities that endpoints see
     Given a soak with an organisation whose key and limit changed at 10 s and 30 s
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -91,6 +91,17 @@
             seen.reads.append(ConfigurationRead(9.0, 1))
 
 
+@given("{name} was disturbed until {seconds:g} s before it")
+def step_disturbed_before(context, name, seconds):
+    seen = context.seen
+    request, server, at = seen.runs[0]
+    seen.responses[0] = attrs.evolve(seen.responses[0], vm="front-a")
+    seen.arrivals.append(Arrival(request, server, "front-b", at))
+    is_control = name.startswith("core-")
+    end = at - seconds
+    seen.disturbances.append(Disturbance(name, end - 1, end, is_control=is_control))
+
+
 @then("it reports {count:d} violated guarantees")
 def step_reports(context, count):
     assert len(find_violations(context.seen)) == count, find_violations(context.seen)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -37,6 +37,11 @@
 REQUEST_TIMEOUT_S = 3.0
 OBJECT_COUNT = 30
 SERVICE_TIME_S = 0.05
+MAX_ANNOUNCEMENT_DELAY_S = 3.0
+# How long an endpoint serves after a late announcement, at least and at most.
+SERVE_AFTER_DEPARTURE_S = (2.6, 5.0)
+# Some endpoints never report that they are draining.
+DEREGISTERS_FIRST_PROBABILITY = 0.5
 # The speed that an endpoint states while work takes as long as usual.
 NORMAL_SPEED = 100
 
@@ -184,16 +189,31 @@
         await self.endpoints[name].start()
 
     async def replace_endpoint(self, endpoint: SoakEndpoint) -> None:
-        """Replace a backend server: start another one, then drain and deregister this one."""
+        """Replace a backend server: start another one, then let this one leave.
+
+        An announcement that it sent before arrives late, at its owner or a control VM.
+        """
         await self.add_endpoint(endpoint.service, endpoint.zone)
-        endpoint.state = "draining"
+        endpoint.seq += 1
+        late = endpoint.make_heartbeat()
+        receiver = self.rng.choice([endpoint.owner_address, *endpoint.controls])
+        delay_s = self.rng.uniform(0.1, MAX_ANNOUNCEMENT_DELAY_S)
+        serve_s = self.rng.uniform(*SERVE_AFTER_DEPARTURE_S)
         self.observations.draining_at[endpoint.instance] = time.monotonic()
-        for _ in range(5):
-            if await endpoint.send_heartbeat():
-                self.observations.left_at[endpoint.instance] = time.monotonic()
-                break
-        await asyncio.sleep(3.5)
-        await endpoint.send_heartbeat("/-/Instances.Deregister/")
+        if self.rng.random() < DEREGISTERS_FIRST_PROBABILITY:
+            endpoint.task.cancel()
+            is_acknowledged = await deregister(endpoint)
+        else:
+            endpoint.state = "draining"
+            is_acknowledged = await endpoint.send_heartbeat()
+        if is_acknowledged:
+            self.observations.left_at[endpoint.instance] = time.monotonic()
+        await asyncio.sleep(delay_s)
+        if receiver is not None:
+            target = f"/-/Instances.Heartbeat/{endpoint.instance}"
+            await call_address(self.network, receiver, "POST", target, late)
+        await asyncio.sleep(serve_s)
+        await deregister(endpoint)
         del self.endpoints[endpoint.instance]
         await endpoint.stop()
 
@@ -232,6 +252,16 @@
         return value
 
 
+async def deregister(endpoint: SoakEndpoint) -> bool:
+    """Deregister a backend server without a body; return True if a control VM acknowledged it."""
+    target = f"/-/Instances.Deregister/{endpoint.instance}"
+    for address in endpoint.controls:
+        answer = await call_address(endpoint.network, address, "POST", target)
+        if answer is not None and answer[0] == 200:
+            return True
+    return False
+
+
 async def call_operator(environment: SoakEnvironment, method: str, target: str, body: bytes = b""):
     """Send an operator request to a random control VM and follow redirects to the leader."""
     node = environment.rng.choice(environment.fleet.list_nodes(is_control=True))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -95,18 +95,25 @@
         case _:
             is_entry = kind in ("kill_entry", "pause_entry", "stop_entry")
             node = rng.choice(environment.fleet.list_nodes(is_control=not is_entry))
-            names = [node.name] if is_entry else []
-            with record_disturbances(environment.observations, names):
+            names = [] if kind == "reload" else [node.name]
+            with record_disturbances(environment.observations, names, is_entry, not is_entry):
                 await fail_process(environment.fleet, kind, node, duration_s)
 
 
 @contextlib.contextmanager
 def record_disturbances(
-    seen: Observations, names: list[str], is_vm: bool = True, is_contact_loss: bool = False
+    seen: Observations,
+    names: list[str],
+    is_vm: bool = True,
+    is_control: bool = False,
+    is_contact_loss: bool = False,
 ) -> Iterator[None]:
-    """Record that VMs or links are disturbed while the context is open."""
+    """Record that processes or links are disturbed while the context is open."""
     now = time.monotonic()
-    items = [Disturbance(name, now, is_vm=is_vm, is_contact_loss=is_contact_loss) for name in names]
+    items = [
+        Disturbance(name, now, is_vm=is_vm, is_contact_loss=is_contact_loss, is_control=is_control)
+        for name in names
+    ]
     seen.disturbances.extend(items)
     yield
     for item in items:
@@ -161,8 +168,6 @@
     fleet.is_without_controls = False
     for item in controls:
         ensure_started(fleet, item)
-    # Changes that weren't in effect before the loss get there only now.
-    seen.fault_times.append(time.monotonic())
 
 
 def get_max_loss_s(fleet: SoakFleet) -> float:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "APPLY_LIMIT_S",
+    "CONTACT_WINDOW_S",
     "Arrival",
     "CallerResponse",
     "ConfigurationRead",
@@ -14,12 +15,14 @@
     "Observations",
     "StatedPause",
     "find_violations",
+    "is_disturbed",
 ]
 
 NOT_RUN_STATUSES = (401, 408, 421, 429, 503)
 # Limits of the users' deployments until a departure and a change must be in effect.
 DRAIN_LIMIT_S = 2.5
 APPLY_LIMIT_S = 2.5
+CONTACT_WINDOW_S = 4.0
 
 
 @attrs.frozen
@@ -88,14 +91,15 @@
 
 @attrs.define(eq=False)
 class Disturbance:
-    """A fault of one VM, or of the link to one backend server.
+    """A fault of one process, or of the link to one backend server.
 
     Attributes:
-        name: The VM, or the server or zone of the link.
+        name: The process, or the server or zone of the link.
         start: When it began.
         end: When it ended, infinite until known.
-        is_vm: False for a link.
+        is_vm: True for an entry VM.
         is_contact_loss: True if the VM itself ran on and only lost the control VMs.
+        is_control: True for a control VM.
     """
 
     name: str
@@ -103,6 +107,7 @@
     end: float = math.inf
     is_vm: bool = True
     is_contact_loss: bool = False
+    is_control: bool = False
 
 
 @attrs.frozen
@@ -129,11 +134,10 @@
         sent: Content that was sent, by revision.
         reads: Configurations read back during the run.
         final_configuration: Configuration read back at the end of the run.
-        fault_times: Times at which faults other than planned operations were injected.
         sent_at: Time at which a revision was first sent, by revision.
         arrivals: Requests that reached backend servers.
         pauses: Pauses for which backend servers asked.
-        disturbances: Faults of VMs and of the links to backend servers.
+        disturbances: Faults of processes and of the links to backend servers.
         contact_losses: Periods without any control VM, as start and end.
     """
 
@@ -148,7 +152,6 @@
     sent: dict[int, dict] = attrs.field(factory=dict)
     reads: list[ConfigurationRead] = attrs.field(factory=list)
     final_configuration: dict | None = None
-    fault_times: list[float] = attrs.field(factory=list)
     sent_at: dict[int, float] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     pauses: list[StatedPause] = attrs.field(factory=list)
@@ -181,16 +184,44 @@
 def find_late_runs(seen: Observations) -> list[str]:
     """Return requests that reached a server too long after its departure was acknowledged.
 
-    The limit applies only while the processes can reach each other, so runs within 10 s after a
-    fault don't count.
+    The limit applies to requests that VMs in contact with each other and with the control VMs
+    have taken and sent: a run doesn't count within the contact window after a disturbance of the
+    VM that sent the request, of the one that got it from the caller, of the link to the server
+    or of a control VM.
     """
-    return [
-        f"{request} reached {server} {at - seen.left_at[server]:.1f} s after it had left"
-        for request, server, at in seen.runs
-        if server in seen.left_at
-        and at > seen.left_at[server] + DRAIN_LIMIT_S
-        and not any(at - 10 < instant < at for instant in seen.fault_times)
-    ]
+    vms = {answer.request: answer.vm for answer in seen.responses if answer.vm}
+    senders = {(item.request, item.server): item.vm for item in seen.arrivals}
+    late = []
+    for request, server, at in seen.runs:
+        if at <= seen.left_at.get(server, math.inf) + DRAIN_LIMIT_S:
+            continue
+        names = {server, senders.get((request, server)), vms.get(request)} - {None}
+        names |= {item.name for item in seen.disturbances if item.is_control}
+        if not any(is_disturbed(seen, name, at - CONTACT_WINDOW_S, at) for name in names):
+            after_s = at - seen.left_at[server]
+            late.append(f"{request} reached {server} {after_s:.1f} s after it had left")
+    return late
+
+
+def is_disturbed(
+    seen: Observations, name: str, since: float, until: float, is_contact_needed: bool = True
+) -> bool:
+    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known.
+
+    Args:
+        seen: All observations.
+        name: The VM or endpoint, empty if it isn't known.
+        since: Start of the period.
+        until: End of the period.
+        is_contact_needed: False if a VM that only lost the control VMs doesn't count.
+    """
+    return not name or any(
+        item.name == name
+        and item.start <= until
+        and item.end >= since
+        and (is_contact_needed or not item.is_contact_loss)
+        for item in seen.disturbances
+    )
 
 
 def find_lost_changes(seen: Observations) -> list[str]:
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -7,7 +7,14 @@
 import itertools
 from collections import defaultdict
 
-from soak.guarantees import APPLY_LIMIT_S, Arrival, CallerResponse, Observations
+from soak.guarantees import (
+    APPLY_LIMIT_S,
+    CONTACT_WINDOW_S,
+    Arrival,
+    CallerResponse,
+    Observations,
+    is_disturbed,
+)
 from soak.organisations import (
     FIRST_OWNERS,
     KEY_MARK,
@@ -22,7 +29,6 @@
 
 # Limits of the users' deployments, and the bounds that the settings leave at their defaults.
 WITHDRAWAL_LIMIT_S = 3.0
-CONTACT_WINDOW_S = 4.0
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERAGE = 0.1
 QUOTA_TOLERANCE = 20
@@ -154,27 +160,6 @@
     return violations
 
 
-def is_disturbed(
-    seen: Observations, name: str, since: float, until: float, is_contact_needed: bool = True
-) -> bool:
-    """Return True if a VM or endpoint was disturbed in a period, or if it isn't known.
-
-    Args:
-        seen: All observations.
-        name: The VM or endpoint, empty if it isn't known.
-        since: Start of the period.
-        until: End of the period.
-        is_contact_needed: False if a VM that only lost the control VMs doesn't count.
-    """
-    return not name or any(
-        item.name == name
-        and item.start <= until
-        and item.end >= since
-        and (is_contact_needed or not item.is_contact_loss)
-        for item in seen.disturbances
-    )
-
-
 def find_exceeded_limits(seen: Observations, requests: dict[str, CallerResponse]) -> list[str]:
     """Return the first window of each organisation in which too many requests ran."""
     spans = defaultdict(list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,7 +19,6 @@
 from soak.environment import SoakEnvironment, run_callers
 from soak.faults import (
     FAULTS,
-    PLANNED_OPERATIONS,
     ensure_started,
     finish_evacuation,
     get_max_loss_s,
@@ -128,7 +127,7 @@
     revocation = "strict" if seen.is_strict else "not strict"
     return (
         f"revocation {revocation}, {len(seen.contact_losses)} losses of control VMs, {swaps} swaps,"
-        f" {changes} changes of regions, {len(seen.pauses)} pauses"
+        f" {changes} changes of regions, {len(seen.pauses)} pauses, {len(seen.left_at)} departures"
     )
 
 
@@ -174,8 +173,6 @@
             next_disk_loss_at = time.monotonic() + DISK_LOSS_INTERVAL_S
             if kind == "lose_controls":
                 next_disk_loss_at += get_max_loss_s(environment.fleet)
-        if kind not in PLANNED_OPERATIONS:
-            environment.observations.fault_times.append(time.monotonic())
         tasks.append(asyncio.create_task(run_operation(environment, kind)))
     return tasks
 
@@ -200,12 +197,16 @@
     parser = argparse.ArgumentParser(prog="soak", description="Randomized fault soak.")
     parser.add_argument("--seeds", default="1", help="one seed or a range, such as 1-50")
     parser.add_argument("--seconds", type=float, default=20.0, help="seconds with faults")
+    parser.add_argument("--kinds", default="", help="kinds of faults, such as drain,kill_entry")
     parser.add_argument("--recovery", type=float, default=15.0, help="limit until served again")
     args = parser.parse_args()
+    kinds = tuple(args.kinds.split(",")) if args.kinds else FAULTS
+    if unknown := set(kinds) - set(FAULTS):
+        parser.error(f"unknown kinds of faults: {', '.join(sorted(unknown))}")
     failed_seeds = 0
     for seed in parse_seeds(args.seeds):
         folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        result = asyncio.run(run_seed(seed, args.seconds, folder, args.recovery))
+        result = asyncio.run(run_seed(seed, args.seconds, folder, args.recovery, kinds))
         violations = result.violations
         log_note = f" (logs in {folder})" if violations else ""
         print(
