--- a/soak/faults.py
+++ b/soak/faults.py
@@ -68,8 +68,9 @@
             await asyncio.sleep(duration_s)
             await finish_evacuation(environment, zone)
         case "drain":
-            ready = [item for item in environment.endpoints.values() if item.state == "ready"]
-            await environment.replace_endpoint(rng.choice(ready))
+            leaving = environment.observations.draining_at
+            staying = [item for name, item in environment.endpoints.items() if name not in leaving]
+            await environment.replace_endpoint(rng.choice(staying))
         case "proxy":
             proxies = {
                 **environment.caller_proxies,
