Refuse waiting requests that may not end before the process exits

Cause: only requests that arrive after SIGTERM were checked against the exit.

Change: a waiting request whose deadline is after the exit is refused at the next review of the queue, and not sent if it waits for a connection, nor repeated. A forwarded one goes back to its VM, which may place it elsewhere.

--- a/camphorspread/request/route_attempt.py
+++ b/camphorspread/request/route_attempt.py
@@ -64,6 +64,7 @@
     "Served",
     "attempt_forward",
     "attempt_local",
+    "may_start",
 ]
 
 PEER_SUSPENSION = timedelta(milliseconds=700)
@@ -123,8 +124,7 @@
         now = state.clock.monotonic()
         if now >= job.req.deadline or not may_send_to(state, instance, now):
             return None
-        # The key may have been withdrawn while the request waited for a slot or a connection.
-        if not is_still_identified(state, job) or not may_hold_response(state, job, may_have_run):
+        if not may_start(state, job) or not may_hold_response(state, job, may_have_run):
             return None
         expect_response(state.held, job.holding)
         was_sent = True
@@ -189,6 +189,15 @@
         grant_freed_slots(state, instance)
 
 
+def may_start(state: SteeringState, job: RoutedRequest) -> bool:
+    """Return True if a request that waited for a slot or a connection may still be sent.
+
+    Meanwhile its key may have been withdrawn, or the process may have been told to stop before the
+    request is certain to end.
+    """
+    return state.can_end_before_exit(job.deadline) and is_still_identified(state, job)
+
+
 def may_send_to(state: SteeringState, instance: Instance, now: timedelta) -> bool:
     """Return True if a backend server that was chosen earlier may still be sent a request."""
     board = state.board
@@ -250,7 +259,7 @@
     def prepare() -> RequestHead | None:
         nonlocal was_prepared
         now = state.clock.monotonic()
-        if now >= job.req.deadline or not is_still_identified(state, job):
+        if now >= job.req.deadline or not may_start(state, job):
             return None
         if not may_hold_response(state, job, may_have_run):
             return None
--- a/camphorspread/request/route_forwarded.py
+++ b/camphorspread/request/route_forwarded.py
@@ -21,7 +21,6 @@
 from camphorspread.request.caller_identity import (
     check_identity,
     identify_forwarded,
-    is_still_identified,
 )
 from camphorspread.request.errors import ErrorKind, Outcome, Refusal
 from camphorspread.request.memory_limit import check_memory, check_unsent, drop_body
@@ -41,7 +40,13 @@
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused
 from camphorspread.request.reply import send_reply
-from camphorspread.request.route_attempt import Failed, Rejected, Served, attempt_local
+from camphorspread.request.route_attempt import (
+    Failed,
+    Rejected,
+    Served,
+    attempt_local,
+    may_start,
+)
 from camphorspread.request.routed_request import Denied, RoutedRequest
 from camphorspread.request.send import Reply, RequestBody, StreamedReply
 from camphorspread.version.routing import Route
@@ -174,13 +179,15 @@
     if denied is not None:
         return make_denied_result(denied), None
     place = await wait_for_placement(
-        state, job.req, job.route.promised, lambda: is_still_identified(state, job)
+        state, job.req, job.route.promised, lambda: may_start(state, job)
     )
     match place:
         case Refused(retry_after=return_delay, has_server=has_server):
             denied = check_identity(state, job)
             if denied is not None:
                 return make_denied_result(denied), None
+            if not state.can_end_before_exit(job.deadline):
+                return ForwardResult(Outcome.NOT_RUN, ErrorKind.LEAVING, 0), None
             kind = ErrorKind.OVERLOADED if has_server else ErrorKind.NO_BACKEND_SERVER
             return ForwardResult(Outcome.NOT_RUN, kind, 0, retry_after=return_delay), None
         case ForwardPlacement():
--- a/camphorspread/request/route_steering.py
+++ b/camphorspread/request/route_steering.py
@@ -17,14 +17,18 @@
 )
 from camphorspread.process.live_vms import find_retry_share
 from camphorspread.process.steering_state import SteeringState
-from camphorspread.request.caller_identity import check_identity, is_still_identified
+from camphorspread.request.caller_identity import check_identity
 from camphorspread.request.errors import ErrorKind, Refusal
 from camphorspread.request.fleet_retry_budget import try_fleet_retry
 from camphorspread.request.memory_limit import check_unsent, drop_response
 from camphorspread.request.placement_board import ForwardPlacement, LocalPlacement, find_region
 from camphorspread.request.placement_driver import wait_for_placement
 from camphorspread.request.placement_queue import Refused, withdraw_grant
-from camphorspread.request.refusals import PROMPT_RETRY_DELAY, refuse_placement
+from camphorspread.request.refusals import (
+    PROMPT_RETRY_DELAY,
+    refuse_before_exit,
+    refuse_placement,
+)
 from camphorspread.request.region_shift import record_region
 from camphorspread.request.resend import may_resend
 from camphorspread.request.route_attempt import (
@@ -35,6 +39,7 @@
     Served,
     attempt_forward,
     attempt_local,
+    may_start,
 )
 from camphorspread.request.routed_request import RESPONSE_MARGIN, Denied, RoutedRequest
 from camphorspread.request.send import Reply, StreamedReply
@@ -78,7 +83,7 @@
     """Attempt a request at successive placements until it is served or no retry is allowed."""
     while True:
         place = await wait_for_placement(
-            state, job.req, job.route.promised, lambda: is_still_identified(state, job)
+            state, job.req, job.route.promised, lambda: may_start(state, job)
         )
         if job.waited is None:
             job.waited = state.clock.monotonic() - job.arrived
@@ -88,6 +93,8 @@
                 denied = check_identity(state, job)
                 if denied is not None:
                     return denied
+                if not state.can_end_before_exit(job.deadline):
+                    return refuse_stopping(job)
                 if job.may_have_run:
                     return Denied(Refusal(ErrorKind.BACKEND_FAILED, "no attempt got a response"))
                 return refuse_placement(has_server or job.forwards > 0, return_delay)
@@ -134,7 +141,7 @@
     """Return the final result after a failed attempt, or None if another one follows."""
     now = state.clock.monotonic()
     match result:
-        case Rejected(was_sent=False) if denied := check_unsent(state, job):
+        case Rejected(was_sent=False) if denied := check_next_attempt(state, job):
             return denied
         case Rejected(was_sent=was_sent, retry_after=return_delay):
             if not was_sent and may_resend(job.body.progress):
@@ -156,7 +163,7 @@
             final = reply
     if not may_resend(job.body.progress) or job.sends >= job.route.max_attempts:
         return final
-    if now + MIN_ATTEMPT_TIME >= job.deadline:
+    if now + MIN_ATTEMPT_TIME >= job.deadline or not state.can_end_before_exit(job.deadline):
         return final
     # Before the retry is counted in the budget.
     denied = check_identity(state, job)
@@ -168,6 +175,21 @@
     return None
 
 
+def check_next_attempt(state: SteeringState, job: RoutedRequest) -> Denied | None:
+    """Return the refusal of a request whose last attempt wasn't sent, None if it may continue."""
+    denied = check_unsent(state, job)
+    if denied is None and not state.can_end_before_exit(job.deadline):
+        return refuse_stopping(job)
+    return denied
+
+
+def refuse_stopping(job: RoutedRequest) -> Denied:
+    """Return the result of a request that this VM doesn't send any more before it stops."""
+    if job.may_have_run:
+        return Denied(Refusal(ErrorKind.BACKEND_FAILED, "no attempt got a response"))
+    return refuse_before_exit()
+
+
 def deny_late(job: RoutedRequest) -> Denied:
     """Return the result of a request whose deadline has passed."""
     return Denied(make_deadline_refusal(job))
--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -198,6 +198,20 @@
     And those with 503 never ran
     And some of them got 200, and some of them 503
 
+  # Guards against requests that wait for a slot when the process is told to stop, are sent although
+  # they may not end before its exit, and are cut there (review/10).
+  @fixture.platform_fleet
+  Scenario Outline: A stopping entry VM refuses requests that wait and might not end in time
+    Given configuration 2 with a time limit of 8000 ms in "sofia", and endpoints that take 6.5 s
+    And 8 "read" requests of "sofia-a" and then 3 of "<zone>" have been sent 0.3 s ago
+    When the entry VM of "sofia-a" stops
+    Then those of the last 3 that no endpoint ran by then get <status> within <seconds> s
+
+    Examples:
+      | zone    | status     | seconds |
+      | sofia-a | 503        | 0.2     |
+      | varna-a | 503 or 200 | 7       |
+
   @fixture.platform_fleet
   Scenario: An evacuated zone gets no requests until the evacuation ends
     When the operator evacuates "sofia-a"
--- a/features/steps/platform_fault_steps.py
+++ b/features/steps/platform_fault_steps.py
@@ -50,6 +50,7 @@
 # A head with the shortest identifiers, without framing and the empty line at its end.
 SHORTEST_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Signature: s.q\r\n"
 GROUP_SIZE = 12
+LONG_DEADLINE_MS = 15000
 # At this interval the whole head exceeds every time limit, although no single wait does.
 BYTE_INTERVAL_S = 0.9
 
@@ -685,3 +686,67 @@
 @then("some of them got 200, and some of them 503")
 def step_both(context):
     assert {answer[0] for _, answer, _ in context.results} == {200, 503}
+
+
+@given(
+    'configuration 2 with a time limit of {limit:d} ms in "{region}", and endpoints that take '
+    "{seconds:g} s"
+)
+def step_long_runs(context, limit, region, seconds):
+    route = make_route("read", "/read/", "safe", "status", timeoutMs=limit, allowedRegions=[region])
+    assert context.fleet.send_operator_call("/-/Config.Put", make_configuration(2, [route]))
+    context.fleet.run(3)
+    for endpoint in context.fleet.endpoints.values():
+        endpoint.service_time_s = seconds
+
+
+@given(
+    '{running:d} "read" requests of "{first}" and then {waiting:d} of "{zone}" have been sent '
+    "{seconds:g} s ago"
+)
+def step_running_and_waiting(context, running, first, waiting, zone, seconds):
+    fleet = context.fleet
+
+    async def send(number, sender):
+        request = fleet.request(
+            sender, "/read/x", key=f"k{number}", left=LONG_DEADLINE_MS, limit_s=NEVER_S
+        )
+        name = f"q{fleet.next_request + 1}"
+        answer = await request
+        return name, answer, fleet.clock.monotonic()
+
+    async def start():
+        tasks = []
+        for count, sender in ((running, first), (waiting, zone)):
+            for number in range(count):
+                tasks.append(asyncio.create_task(send(number, sender)))
+                await asyncio.sleep(0)
+            await asyncio.sleep(seconds)
+        return tasks
+
+    context.sent = fleet.run_coroutine(start())
+
+
+@when('the entry VM of "{zone}" stops')
+def step_stops(context, zone):
+    fleet = context.fleet
+    context.signalled = fleet.clock.monotonic()
+    context.begun = {name for item in fleet.endpoints.values() for name in item.runs}
+    fleet.run_coroutine(stop_gracefully(fleet.entries.pop(f"front-{zone}-2")))
+
+
+@then(
+    "those of the last {count:d} that no endpoint ran by then get {statuses} within {seconds:g} s"
+)
+def step_waiting_answered(context, count, statuses, seconds):
+    results = context.fleet.run_coroutine(asyncio.wait_for(asyncio.gather(*context.sent), NEVER_S))
+    waited = [item for item in results[-count:] if item[0] not in context.begun]
+    assert waited, results
+    ran = {name for item in context.fleet.endpoints.values() for name in item.runs}
+    for name, answer, ended in waited:
+        assert answer is not None, (name, name in ran)
+        assert str(answer[0]) in statuses.split(" or "), (name, answer)
+        spent = (ended - context.signalled).total_seconds()
+        assert 0 <= spent <= seconds, (name, spent)
+        if answer[0] == 503:
+            assert name not in ran and float(answer[1][b"retry-after"]) > 0, (name, answer)
