--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -108,3 +108,21 @@
       | 7   | 5    |
       | 6   | 1    |
       | 6   | 3    |
+
+  # Guards against a server that is refused after its next start, because of its departure.
+  @fixture.platform_fleet
+  Scenario Outline: An endpoint starts again under its identifier
+    Given 10 s go by on the platform
+    When the endpoint "status-varna-b" <departure>
+    Then its call is acknowledged
+    When <restart> killed and started again 0.3 s later
+    And it ends and starts again under its identifier
+    Then a request of a client of "varna-b" runs at it within 1 s
+
+    Examples:
+      | departure                                                  | restart                      |
+      | says that it is draining to its present owner              | no process is                |
+      | says that it is draining to its present owner              | the entry VM of "varna-b" is |
+      | says that it is draining to its present owner              | all control VMs are          |
+      | deregisters without a body at the control VM of "sofia-a"  | no process is                |
+      | deregisters without a body at the control VM of "sofia-a"  | the entry VM of "varna-b" is |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -9,6 +9,7 @@
     forward_to_owner,
     process_forwarded_announcement,
 )
+from camphorspread.process.clock import unix_ms
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.steering_node import stop_gracefully
 from features.fixtures.platform_fleet import CONTROL_PORT, PEER_PORT, ZONES
@@ -210,3 +211,31 @@
     late = [at - told_at for at in endpoint.run_times if at - told_at > start]
     assert served > len(answers) / 2, (served, len(answers))
     assert not late, late
+
+
+@when("it ends and starts again under its identifier")
+def step_start_again(context):
+    fleet = context.fleet
+    former = fleet.endpoints[context.departed]
+    fleet.run_coroutine(former.stop())
+    fleet.add_endpoint(former.instance, former.service, former.zone, born=unix_ms(fleet.clock))
+
+
+@then('a request of a client of "{zone}" runs at it within {seconds:g} s')
+def step_runs_again(context, zone, seconds):
+    fleet = context.fleet
+    endpoint = fleet.endpoints[context.departed]
+
+    async def send_until_run():
+        requests = []
+        end = fleet.clock.monotonic().total_seconds() + seconds
+        while not endpoint.run_times and fleet.clock.monotonic().total_seconds() < end:
+            requests += [
+                asyncio.create_task(fleet.request(zone, "/read/x", key=f"n{len(requests)}"))
+                for _ in range(REQUESTS_AT_ONCE)
+            ]
+            await asyncio.sleep(SEND_INTERVAL_S / 10)
+        await asyncio.gather(*requests)
+
+    fleet.run_coroutine(send_until_run())
+    assert endpoint.run_times, seconds
