--- a/soak/environment.py
+++ b/soak/environment.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from functools import partial
 
 import attrs
 
@@ -37,6 +38,7 @@
 REQUEST_TIMEOUT_S = 3.0
 OBJECT_COUNT = 30
 SERVICE_TIME_S = 0.05
+MAX_DEPARTURE_CALLS = 5
 MAX_ANNOUNCEMENT_DELAY_S = 3.0
 # How long an endpoint serves after a late announcement, at least and at most.
 SERVE_AFTER_DEPARTURE_S = (2.6, 5.0)
@@ -200,14 +202,15 @@
         delay_s = self.rng.uniform(0.1, MAX_ANNOUNCEMENT_DELAY_S)
         serve_s = self.rng.uniform(*SERVE_AFTER_DEPARTURE_S)
         self.observations.draining_at[endpoint.instance] = time.monotonic()
+        leave = endpoint.send_heartbeat
         if self.rng.random() < DEREGISTERS_FIRST_PROBABILITY:
             endpoint.task.cancel()
-            is_acknowledged = await deregister(endpoint)
-        else:
-            endpoint.state = "draining"
-            is_acknowledged = await endpoint.send_heartbeat()
-        if is_acknowledged:
-            self.observations.left_at[endpoint.instance] = time.monotonic()
+            leave = partial(deregister, endpoint)
+        endpoint.state = "draining"
+        for _ in range(MAX_DEPARTURE_CALLS):
+            if await leave():
+                self.observations.left_at[endpoint.instance] = time.monotonic()
+                break
         await asyncio.sleep(delay_s)
         if receiver is not None:
             target = f"/-/Instances.Heartbeat/{endpoint.instance}"
