Apply a notice of a departure to the start that it names only

Cause: since departures are recorded at the control VMs, a notice of an earlier start that arrived late at the owner of the next start was applied to that one, which then got no requests for a minute. Found by reading the change.

Change: starts that other VMs know count only if the notice has none. A first departure is no longer sent to each control VM by all entry VMs, as none sent and nothing to send were the same. At most three control VMs are asked to confirm a departure, each of which notifies all senders. Some names are the usual terms.

--- a/camphorspread/process/announcement_codec.py
+++ b/camphorspread/process/announcement_codec.py
@@ -61,17 +61,17 @@
 
 
 def encode_leave(notice: DepartureNotice) -> dict:
-    """Return the JSON of a departure that is told to an entry VM."""
+    """Return the JSON of a notice to an entry VM."""
     start = notice.started_ms
     return {
         "instance": notice.instance,
         "order": None if start is None else [start, LAST_SEQUENCE],
-        "told_at_ms": notice.told_at_ms,
+        "received_at_ms": notice.received_at_ms,
     }
 
 
 def decode_leave(value: object) -> DepartureNotice:
-    """Decode a departure that is told to an entry VM.
+    """Decode a notice to an entry VM.
 
     An earlier version of the program states no time.
 
@@ -85,10 +85,10 @@
             pass
         case _:
             raise ValueError("the departure is malformed")
-    told_at_ms = value.get("told_at_ms", 0)
-    if not is_valid_time(told_at_ms):
+    received_at_ms = value.get("received_at_ms", 0)
+    if not is_valid_time(received_at_ms):
         raise ValueError("the departure is malformed: its time is out of range")
-    return DepartureNotice(name, start, told_at_ms)
+    return DepartureNotice(name, start, received_at_ms)
 
 
 def encode_departures(departures: list[Departure], now: timedelta) -> list[list]:
--- a/camphorspread/process/announcements.py
+++ b/camphorspread/process/announcements.py
@@ -20,7 +20,7 @@
     DepartureNotice,
     find_departed_start,
     record_departure,
-    settle_departure,
+    resolve_departure,
 )
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
@@ -152,7 +152,7 @@
     known_start = find_known_start(state, notice.instance)
     known_starts = [] if known_start is None else [known_start]
     now = state.clock.monotonic()
-    apply_departure(state, settle_departure(notice, known_starts, now, is_own=False))
+    apply_departure(state, resolve_departure(notice, known_starts, now, is_own=False))
     return known_start
 
 
@@ -192,16 +192,18 @@
     if start is None:
         replies = await notifying
         starts = [reply.started_ms for reply in replies if reply.started_ms is not None]
-        departure = settle_departure(notice, starts, state.clock.monotonic())
+        departure = resolve_departure(notice, starts, state.clock.monotonic())
         apply_departure(state, departure)
-        is_kept = await keep_departure(state, departure)
+        is_replicated = await replicate_departure(state, departure)
     else:
-        departure = settle_departure(notice, [], state.clock.monotonic())
+        departure = resolve_departure(notice, [], state.clock.monotonic())
         apply_departure(state, departure)
-        replies, is_kept = await asyncio.gather(notifying, keep_departure(state, departure))
+        replies, is_replicated = await asyncio.gather(
+            notifying, replicate_departure(state, departure)
+        )
     if not is_only_owner and not all(reply.is_confirmed for reply in replies):
         return NotAccepted("another VM that may send to it didn't respond")
-    return Accepted() if is_kept else NotAccepted("too few VMs recorded the departure")
+    return Accepted() if is_replicated else NotAccepted("too few VMs recorded the departure")
 
 
 async def notify_entry_vms(
@@ -213,7 +215,7 @@
     )
 
 
-async def keep_departure(state: SteeringState, departure: Departure) -> bool:
+async def replicate_departure(state: SteeringState, departure: Departure) -> bool:
     """Let other VMs record a departure, which this one may lose; return True if enough did.
 
     A majority of the control VMs suffices: one of them passes it to each entry VM that is in
--- a/camphorspread/process/control_departures.py
+++ b/camphorspread/process/control_departures.py
@@ -24,7 +24,7 @@
     DepartureNotice,
     find_departed_start,
     record_departure,
-    settle_departure,
+    resolve_departure,
 )
 from camphorspread.process.events import Event
 from camphorspread.process.instances import InstanceReport
@@ -40,9 +40,11 @@
     "serve_departures",
 ]
 
-CONFIRM_PATH = "/v1/control/departure"
+CONFIRM_PATH = "/v1/control/departure-confirmation"
 # A backend server waits a second; the confirmation itself needs up to two forwards.
 CONFIRM_TIMEOUT = timedelta(milliseconds=900)
+# Each of them notifies all entry VMs that may send to the server.
+MAX_CONFIRMING_VMS = 3
 
 
 def record_departures(steering: SteeringControl, departures: list[Departure]) -> None:
@@ -120,8 +122,10 @@
 async def ask_other_control_vms(
     steering: SteeringControl, name: str, report: InstanceReport | None
 ) -> bool:
-    """Let the other control VMs confirm a departure; return True as soon as one has."""
+    """Let some other control VMs confirm a departure; return True as soon as one has."""
     value = {"instance": name, "report": report and encode_report(report)}
+    others = list_other_control_vms(steering)
+    asked = steering.control.rng.sample(others, min(len(others), MAX_CONFIRMING_VMS))
 
     async def ask(address: Address) -> bool:
         try:
@@ -132,7 +136,7 @@
             return False
         return response.status == 200
 
-    tasks = [asyncio.create_task(ask(item)) for item in list_other_control_vms(steering)]
+    tasks = [asyncio.create_task(ask(item)) for item in asked]
     try:
         for task in asyncio.as_completed(tasks):
             if await task:
@@ -188,15 +192,19 @@
         starts = [reply.started_ms for reply in replies if reply.started_ms is not None]
         if not starts and (departed := find_departed_start(steering.departures, name)) is not None:
             starts = [departed]
-        is_kept = await keep_departure(
-            steering, settle_departure(notice, starts, clock.monotonic())
+        is_replicated = await replicate_departure(
+            steering, resolve_departure(notice, starts, clock.monotonic())
         )
     else:
-        departure = settle_departure(notice, [], clock.monotonic())
-        replies, is_kept = await asyncio.gather(notifying, keep_departure(steering, departure))
+        departure = resolve_departure(notice, [], clock.monotonic())
+        replies, is_replicated = await asyncio.gather(
+            notifying, replicate_departure(steering, departure)
+        )
     if not all(reply.is_confirmed for reply in replies):
         return NotAccepted("an entry VM that may send to the backend server didn't confirm")
-    return Accepted() if is_kept else NotAccepted("too few control VMs recorded the departure")
+    return (
+        Accepted() if is_replicated else NotAccepted("too few control VMs recorded the departure")
+    )
 
 
 async def notify_senders(
@@ -214,7 +222,7 @@
     return await asyncio.gather(*(notify(item) for item in items))
 
 
-async def keep_departure(steering: SteeringControl, departure: Departure) -> bool:
+async def replicate_departure(steering: SteeringControl, departure: Departure) -> bool:
     """Record a departure here and at the other control VMs; return True if a majority did."""
     record_departures(steering, [departure])
     others = list_other_control_vms(steering)
--- a/camphorspread/process/departures.py
+++ b/camphorspread/process/departures.py
@@ -22,7 +22,7 @@
     "list_departures",
     "list_unsent",
     "record_departure",
-    "settle_departure",
+    "resolve_departure",
 ]
 
 # Late announcements of a backend server that has left are rejected for this long.
@@ -34,18 +34,18 @@
 
 @attrs.frozen
 class DepartureNotice:
-    """A departure as a VM first tells it to others.
+    """Notice of a departure, which the VM that received it from the server sends to entry VMs.
 
     Attributes:
         instance: Identifier of the backend server.
         started_ms: When the server started, in Unix milliseconds on its own clock; None if the VM
             doesn't know.
-        told_at_ms: When the server told the VM, in Unix milliseconds.
+        received_at_ms: When the VM received it, in Unix milliseconds on its own clock.
     """
 
     instance: str
     started_ms: int | None
-    told_at_ms: int
+    received_at_ms: int
 
 
 @attrs.frozen
@@ -56,7 +56,7 @@
         instance: Identifier of the backend server.
         started_ms: When the server started, in Unix milliseconds on its own clock.
         until: Until when its late announcements are rejected.
-        is_own: True if the server told this VM.
+        is_own: True if this VM received it from the server.
         revision: Revision of the log at which this departure was recorded.
     """
 
@@ -80,23 +80,24 @@
     revision: int = 0
 
 
-def settle_departure(
+def resolve_departure(
     notice: DepartureNotice, known_starts: list[int], now: timedelta, is_own: bool = True
 ) -> Departure:
     """Return the departure that a notice stands for.
 
-    If nobody knows the start of the server, it is one before the notice.
+    A notice without a start concerns the newest known one or, if none is known, all before it.
 
     Args:
         notice: The notice.
-        known_starts: Starts of the server that other VMs know, in Unix milliseconds.
+        known_starts: Starts of the server that VMs know, in Unix milliseconds.
         now: The present instant.
-        is_own: True if the server told this VM.
+        is_own: True if this VM received it from the server.
     """
-    starts = known_starts if notice.started_ms is None else [notice.started_ms, *known_starts]
-    if starts:
-        return Departure(notice.instance, max(starts), now + DEPARTURE_TTL, is_own)
-    return Departure(notice.instance, notice.told_at_ms, now + UNKNOWN_START_TTL, is_own)
+    if notice.started_ms is not None:
+        known_starts = [notice.started_ms]
+    if known_starts:
+        return Departure(notice.instance, max(known_starts), now + DEPARTURE_TTL, is_own)
+    return Departure(notice.instance, notice.received_at_ms, now + UNKNOWN_START_TTL, is_own)
 
 
 def record_departure(log: DepartureLog, departure: Departure) -> bool:
@@ -129,18 +130,19 @@
     return [item for item in log.by_instance.values() if item.revision > after]
 
 
-def list_unsent(log: DepartureLog, sent: int) -> list[Departure]:
-    """Return the departures that a VM sends to a control VM.
+def list_unsent(log: DepartureLog, sent: int | None) -> list[Departure]:
+    """Return the departures that an entry VM sends to a control VM.
 
-    A control VM gets those of the servers that told this VM. One that has none from this VM may
-    have been restarted or out of contact, and gets all.
+    A control VM gets all departures at first, since it may have been restarted or out of contact,
+    and then those that the entry VM receives from servers.
 
     Args:
-        log: The departures that this VM knows.
-        sent: Revision up to which the control VM has them, 0 if it has none.
+        log: The departures that the entry VM knows.
+        sent: Revision up to which it has sent them, None if it has sent none.
     """
-    unsent = list_departures(log, sent)
-    return unsent if sent == 0 else [item for item in unsent if item.is_own]
+    if sent is None:
+        return list_departures(log)
+    return [item for item in list_departures(log, sent) if item.is_own]
 
 
 def expire_departures(log: DepartureLog, now: timedelta) -> None:
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -57,7 +57,7 @@
         fleet_list_version: Version of the list of entry VMs that it sent last.
         listed_vms: Entry VMs in that list.
         departure_version: Version of its recorded departures that this VM has.
-        departures_sent: Revision of this VM's departures up to which it has them.
+        departures_sent: Revision up to which it has this VM's departures; None if it may lack all.
         round_trip: Measured time of a message and its response; None before the first one.
     """
 
@@ -66,7 +66,7 @@
     fleet_list_version: str = ""
     listed_vms: frozenset[str] = frozenset()
     departure_version: str = ""
-    departures_sent: int = 0
+    departures_sent: int | None = None
     round_trip: timedelta | None = None
 
 
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -103,7 +103,7 @@
             was_reachable = False
             control.listed_vms = frozenset()
             control.fleet_list_version = ""
-            control.departures_sent = 0
+            control.departures_sent = None
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
             continue
         if not was_reachable:
@@ -214,7 +214,7 @@
         case {"version": str(version), "recorded": list(recorded)}:
             apply_recorded_departures(state, recorded, now)
             if is_other_process(control.departure_version, version):
-                control.departures_sent = 0
+                control.departures_sent = None
             control.departure_version = version
     announced = value.get("version")
     if type(announced) is int and announced > state.announced_version:
--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -109,6 +109,15 @@
       | 6   | 1    |
       | 6   | 3    |
 
+  # Guards against a late notice of an earlier start that removes the present one at another VM.
+  @fixture.platform_fleet
+  Scenario: The entry VM that owns the next start of an endpoint gets a notice of the earlier one
+    Given 10 s go by on the platform
+    And the endpoint "status-varna-b" ends and starts again under its identifier
+    And 3 s go by on the platform
+    When a notice of the earlier start arrives at the entry VM of "varna-b"
+    Then a request of a client of "varna-b" runs at it within 1 s
+
   # Guards against a server that is refused after its next start, because of its departure.
   @fixture.platform_fleet
   Scenario Outline: An endpoint starts again under its identifier
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -1,15 +1,19 @@
 """Steps of departures while entry VMs are restarted."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 
 from camphorspread.connection.network import Address
+from camphorspread.process.announcement_codec import encode_leave
+from camphorspread.process.announcement_messages import LEAVE_PATH
 from camphorspread.process.announcements import (
     forward_to_owner,
     process_forwarded_announcement,
 )
 from camphorspread.process.clock import unix_ms
+from camphorspread.process.departures import DepartureNotice
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.steering_node import stop_gracefully
 from features.fixtures.platform_fleet import CONTROL_PORT, PEER_PORT, ZONES
@@ -213,6 +217,22 @@
     assert not late, late
 
 
+@given('the endpoint "{name}" ends and starts again under its identifier')
+def step_start_again_named(context, name):
+    context.departed = name
+    context.earlier_start = context.fleet.endpoints[name].born
+    step_start_again(context)
+
+
+@when('a notice of the earlier start arrives at the entry VM of "{zone}"')
+def step_late_notice(context, zone):
+    notice = DepartureNotice(context.departed, context.earlier_start, 0)
+    body = json.dumps(encode_leave(notice)).encode()
+    answer = context.fleet.call(zone, PEER_PORT, "POST", LEAVE_PATH, body, 2)
+    assert answer is not None and answer[0] == 200, answer
+    context.fleet.endpoints[context.departed].run_times.clear()
+
+
 @when("it ends and starts again under its identifier")
 def step_start_again(context):
     fleet = context.fleet
--- a/features/steps/instances_steps.py
+++ b/features/steps/instances_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from camphorspread.connection.network import Address
-from camphorspread.process.departures import DepartureNotice, settle_departure
+from camphorspread.process.departures import DepartureNotice, resolve_departure
 from camphorspread.process.instances import (
     InstanceRegistry,
     InstanceReport,
@@ -79,13 +79,13 @@
 
 @when('the start {started:d} of "{name}" departs')
 def step_depart_start(context, started, name):
-    departure = settle_departure(DepartureNotice(name, started, 0), [], NOW)
+    departure = resolve_departure(DepartureNotice(name, started, 0), [], NOW)
     remove_departed(context.registry, departure)
 
 
 @when('"{name}", whose start nobody knows, departs at {told:d}')
 def step_depart_unknown(context, name, told):
-    departure = settle_departure(DepartureNotice(name, None, told), [], NOW)
+    departure = resolve_departure(DepartureNotice(name, None, told), [], NOW)
     remove_departed(context.registry, departure)
 
 
