Send malformed departures to the processes in the tests

Cause: the messages between control VMs and entry VMs on departures are new.

Change: random changes of lists of departures, of those to confirm, and of polls and responses with them.

--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -17,6 +17,7 @@
       | endpoint's response        | 6    | ignores it                    |
       | forwarded announcement     | 7    | raises ValueError             |
       | forwarded departure        | 8    | raises ValueError             |
+      | list of departures         | 16   | raises ValueError             |
       | forwarded request          | 9    | raises ValueError             |
       | response to a forward      | 10   | finds no result               |
       | record of an entry VM      | 11   | finds no record               |
@@ -41,6 +42,8 @@
       | summary                | the entry VM of "sofia-a"    | 60    | 23   |
       | forwarded announcement | the entry VM of "sofia-a"    | 60    | 24   |
       | forwarded departure    | the entry VM of "sofia-a"    | 60    | 25   |
+      | list of departures     | the control VM of "sofia-a"  | 60    | 28   |
+      | departure to confirm   | the control VM of "sofia-a"  | 60    | 29   |
       | heartbeat              | the entry VM of "sofia-a"    | 60    | 26   |
 
   @fixture.platform_fleet
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+from datetime import timedelta
 from io import BytesIO
 from pathlib import Path
 
@@ -20,7 +21,14 @@
 )
 from camphorspread.platform.routing_codec import decode_document, decode_table
 from camphorspread.platform.settings_file import decode_settings
-from camphorspread.process.announcement_codec import decode_leave, decode_report, encode_report
+from camphorspread.process.announcement_codec import (
+    decode_departures,
+    decode_leave,
+    decode_report,
+    encode_report,
+)
+from camphorspread.process.announcement_messages import RECORD_PATH
+from camphorspread.process.control_departures import CONFIRM_PATH
 from camphorspread.process.events import Event
 from camphorspread.process.quota_codec import decode_quota_request, decode_quota_response
 from camphorspread.process.vm_poll import apply_poll_response, encode_poll
@@ -70,7 +78,16 @@
     "leaving": False,
     "rate": 1.5,
 }
-POLL = VM_RECORD | {"version": 1, "announced": 1, "fetches": True, "fleet": "", "hold_ms": 0}
+DEPARTURES = [["i-8", 1000, 50000], ["i-9", 2000, 9000]]
+POLL = VM_RECORD | {
+    "version": 1,
+    "announced": 1,
+    "fetches": True,
+    "fleet": "",
+    "hold_ms": 0,
+    "departures": "a.3",
+    "departed": DEPARTURES,
+}
 POLL_RESPONSE = {
     "current": True,
     "fleet": "a.1.6",
@@ -82,6 +99,7 @@
         "routing": {"revision": 1, "text": make_configuration(1).decode()},
         "evacuated": ["sofia-b"],
     },
+    "departures": {"version": "a.4", "recorded": DEPARTURES},
 }
 SUMMARY = {
     "vm": "front-sofia-b-2",
@@ -92,7 +110,7 @@
     "tag": "2a.4",
     "lent": [REPORT],
 }
-LEAVE = {"instance": "i-1", "order": [1000, 4]}
+LEAVE = {"instance": "i-1", "order": [1000, 4], "received_at_ms": 5000}
 JOIN = {
     "vm": "core-x",
     "identity": "abc",
@@ -215,6 +233,9 @@
         ),
         "forwarded announcement": lambda: decode_report(mutate_value(rng, REPORT)),
         "forwarded departure": lambda: decode_leave(mutate_value(rng, LEAVE)),
+        "list of departures": lambda: decode_departures(
+            mutate_value(rng, DEPARTURES), timedelta(0)
+        ),
         "forwarded request": lambda: decode_forward(
             RequestHead(b"GET", b"/x", (mutate_header_value(rng, FORWARD_HEADER, FORWARD),))
         ),
@@ -263,6 +284,8 @@
     "summary": ("/v1/entry/summary", SUMMARY),
     "forwarded announcement": ("/v1/entry/announcement", REPORT),
     "forwarded departure": ("/v1/entry/leave", LEAVE),
+    "list of departures": (RECORD_PATH, {"departures": DEPARTURES}),
+    "departure to confirm": (CONFIRM_PATH, {"instance": "i-9", "report": REPORT}),
     "heartbeat": ("/-/Instances.Heartbeat/i-9", HEARTBEAT),
 }
 
