--- a/camphorspread/process/steering_metrics.py
+++ b/camphorspread/process/steering_metrics.py
@@ -34,6 +34,7 @@
         unreadable_departures: Responses whose statement on the server's departure can't be read, by
             service.
         key_refusals: Requests that were refused for their key, by reason.
+        missing_routes: Requests for which this VM has no route, by reason.
         unreadable_loads: Responses whose stated load can't be read, by service.
         pauses: Pauses that servers have asked for, by service.
         memory_refusals: Requests that were refused since too much was held, by what would have
@@ -51,6 +52,7 @@
     unreadable_limits: Counter = attrs.field(factory=Counter)
     unreadable_departures: Counter = attrs.field(factory=Counter)
     key_refusals: Counter = attrs.field(factory=Counter)
+    missing_routes: Counter = attrs.field(factory=Counter)
     unreadable_loads: Counter = attrs.field(factory=Counter)
     pauses: Counter = attrs.field(factory=Counter)
     memory_refusals: Counter = attrs.field(factory=Counter)
@@ -95,6 +97,7 @@
         "Responses whose statement on the server's departure can't be read.",
     ),
     ("key_refusals", ("reason",), "Requests that were refused for their key."),
+    ("missing_routes", ("reason",), "Requests for which this VM has no route."),
     ("unreadable_loads", ("service",), "Responses whose stated load can't be read."),
     ("pauses", ("service",), "Pauses that backend servers have asked for."),
     ("memory_refusals", ("stage",), "Requests refused since this VM holds too much for others."),
--- a/camphorspread/request/caller_identity.py
+++ b/camphorspread/request/caller_identity.py
@@ -34,6 +34,7 @@
     "identify_caller",
     "identify_forwarded",
     "is_still_identified",
+    "measure_silence",
 ]
 
 MILLISECOND = timedelta(milliseconds=1)
--- a/camphorspread/request/route_exchange.py
+++ b/camphorspread/request/route_exchange.py
@@ -16,6 +16,7 @@
 from camphorspread.request.fleet_retry_budget import record_first_send
 from camphorspread.request.identify import combine_home_regions
 from camphorspread.request.memory_limit import check_memory, drop_body
+from camphorspread.request.missing_route import deny_missing_route
 from camphorspread.request.quota import Ticket, observe_sends
 from camphorspread.request.quota_admission import (
     Admitted,
@@ -68,8 +69,7 @@
         return
     route = find_route(state.table, call.host, call.target)
     if route is None:
-        refusal = Refusal(ErrorKind.UNKNOWN_SERVICE, "no route has this host and path")
-        await respond_denied(state, exchange, Denied(refusal))
+        await respond_denied(state, exchange, deny_missing_route(state, call))
         return
     match identify_caller(state, call, route):
         case Denied() as denied:
