--- a/camphorspread/version/catalogue.py
+++ b/camphorspread/version/catalogue.py
@@ -1,6 +1,7 @@
 """Catalogue entries, which operators write, and the catalogue that holds them."""
 
 import enum
+import hashlib
 from datetime import timedelta
 from functools import cached_property
 
@@ -133,13 +134,19 @@
 class RoutingDocument:
     """The routes and services of one revision, as the text that the operator sent.
 
-    The text is stored unchanged, so that operators read back what they sent. Entry VMs decode it
+    The text is stored unchanged, so that operators read back what they sent. Control VMs decode it
     into a `RouteTable`. It contains keys, so it is left out of the text form.
     """
 
     revision: int
     text: str = attrs.field(repr=False)
 
+    @cached_property
+    def identity(self) -> str:
+        """Revision and digest: operators may send different documents with one revision."""
+        digest = hashlib.blake2b(self.text.encode(), digest_size=8).hexdigest()
+        return f"{self.revision}.{digest}"
+
 
 @attrs.frozen
 class Versioned:
--- a/camphorspread/version/codec.py
+++ b/camphorspread/version/codec.py
@@ -30,6 +30,9 @@
     "encode_deltas",
     "make_catalogue_converter",
     "make_structure_error",
+    "structure_bool",
+    "structure_int",
+    "structure_str",
 ]
 
 
