Ask the control VM whose failure is longest ago if all have failed

A link that is full for 700 ms let the entry VM avoid all control VMs for 2 s, one after the other, in which it fetched nothing (seen when reading the change; a scenario shows the choice). The one whose failure is longest ago is asked then, 100 ms after the last failure.

--- a/camphorspread/process/catalogue_fetch.py
+++ b/camphorspread/process/catalogue_fetch.py
@@ -36,7 +36,7 @@
 # requests may be ahead of them on a slow link.
 STALL_LIMIT = timedelta(milliseconds=700)
 PART_TIMEOUT = timedelta(seconds=5)
-# A control VM that failed is asked again after this time, unless there is no other one.
+# While another one has the catalogue, a control VM that failed isn't asked for this time.
 AVOIDANCE_TIME = timedelta(seconds=2)
 RETRY_INTERVAL = timedelta(milliseconds=100)
 # A control VM that responded to a poll within this time may be the source of the catalogue.
@@ -58,21 +58,23 @@
 def choose_source(state: SteeringState, now: timedelta) -> ControlVm | None:
     """Return the control VM that is asked for the next part, None to wait.
 
-    It is the nearest one that has a newer catalogue and hasn't failed just now. For a short time
-    after the announcement, it is worth waiting for the nearest one of all.
+    It is the nearest one that has a newer catalogue and hasn't failed just now, or else the one
+    whose failure is longest ago. For a short time after the announcement, it is worth waiting for
+    the nearest one of all.
     """
     sources = [
         item
         for item in list_reachable(state, now)
         if item.catalogue_version > state.catalogue_version
     ]
-    usable = [item for item in sources if item.avoided_until <= now]
-    source = min(usable, key=distance, default=None)
-    nearest = find_nearest(state, now)
     is_recent = now - state.announced_at < NEAREST_WAIT
-    if state.catalogue_version and is_recent and nearest not in sources:
+    if state.catalogue_version and is_recent and find_nearest(state, now) not in sources:
         return None
-    return source
+    return min(
+        sources,
+        key=lambda item: (max(item.avoided_until - now, timedelta(0)), distance(item)),
+        default=None,
+    )
 
 
 def list_reachable(state: SteeringState, now: timedelta) -> list[ControlVm]:
@@ -109,14 +111,20 @@
                     await state.announced.wait()
             continue
         announced_at, version = state.announced_at, state.catalogue_version
-        await fetch_part(state, source)
+        if not await fetch_part(state, source):
+            await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+            continue
         is_late = state.clock.monotonic() - announced_at >= CONFIRM_WAIT
         if state.catalogue_version > version and is_late:
             await confirm(state)
 
 
-async def fetch_part(state: SteeringState, source: ControlVm) -> None:
-    """Fetch the next part of the update from a control VM, and apply the update once complete."""
+async def fetch_part(state: SteeringState, source: ControlVm) -> bool:
+    """Fetch the next part of the update from a control VM, and apply the update once complete.
+
+    Returns:
+        False if that failed.
+    """
     transfer = state.transfer
     request = PartRequest(
         state.catalogue_version,
@@ -139,10 +147,10 @@
         part = decode_part(response.value)
     except (LinkError, ValueError) as exc:
         avoid_source(state, source, str(exc))
-        return
+        return False
     if part is None or part.version <= state.catalogue_version:
         source.catalogue_version = min(source.catalogue_version, state.catalogue_version)
-        return
+        return False
     state.transfer = add_part(transfer, part, requested_at)
     if state.transfer.is_complete:
         transfer, state.transfer = state.transfer, None
@@ -150,6 +158,8 @@
             apply_transfer(state, transfer)
         except ValueError as exc:
             avoid_source(state, source, str(exc))
+            return False
+    return True
 
 
 def avoid_source(state: SteeringState, source: ControlVm, cause: str) -> None:
--- a/features/process/catalogue_transfer.feature
+++ b/features/process/catalogue_transfer.feature
@@ -68,5 +68,6 @@
       | 0    | 0   | has version 1, is avoided | has version 2             | has version 2 | middle |
       | 1    | 0   | has version 2, is avoided | has version 2             | has version 2 | middle |
       | 1    | 0   | is silent                 | has version 2             | has version 2 | middle |
-      | 1    | 0   | is silent                 | has version 2, is avoided | has version 1 | none   |
+      | 1    | 0   | is silent                 | has version 2, is avoided | has version 1 | middle |
+      | 1    | 0   | has version 1, is avoided | has version 1             | has version 1 | none   |
       | 1    | 300 | is silent                 | is silent                 | is silent     | none   |
