Test fleets of which some processes run an earlier version

An entry VM that fetches no updates still gets the whole document in the response to a poll, and an entry VM applies one that a control VM of an earlier version sends (docs/OPERATIONS.md, Roll out a new version).

--- a/features/process/vm_poll.feature
+++ b/features/process/vm_poll.feature
@@ -46,3 +46,20 @@
     Given a fleet with an endpoint of each service in each zone
     When a control VM leaves the group and another one joins it between two polls of an entry VM
     Then the response lists the new control VM
+
+  # Guards against entry VMs without routes while one VM after the other gets a new version.
+  @fixture.platform_fleet
+  Scenario: An entry VM of an earlier version gets the whole document
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When an entry VM that fetches no updates polls without a catalogue
+    Then the response has the document of configuration 1
+
+  # Guards against entry VMs without routes while the control VMs still run an earlier version.
+  @fixture.platform_fleet
+  Scenario: A control VM of an earlier version sends the whole document
+    Given a fleet with an endpoint of each service in each zone
+    And configuration 1 is in force
+    When a control VM of an earlier version sends configuration 2 in its response to a poll
+    Then configuration 2 is in force at the entry VM
+    And a later configuration 3 is in force on every entry VM
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -7,11 +7,12 @@
 from behave import then, when
 
 from camphorspread.connection.network import Address
+from camphorspread.platform.routing_codec import decode_table
 from camphorspread.process import vm_poll_listener
 from camphorspread.process.live_vms import ALIVE_TTL
-from camphorspread.process.vm_poll import encode_poll, poll_hold
+from camphorspread.process.vm_poll import apply_poll_response, encode_poll, poll_hold
 from camphorspread.process.vm_record_codec import encode_address
-from features.fixtures.platform_fleet import PEER_PORT
+from features.fixtures.platform_fleet import PEER_PORT, make_configuration
 
 
 @then(
@@ -107,3 +108,43 @@
 @then("the response lists all {count:d} entry VMs")
 def step_whole_list(context, count):
     assert len(context.response["vms"]) == count, context.response
+
+
+@when("an entry VM that fetches no updates polls without a catalogue")
+def step_poll_without_updates(context):
+    steering, poll = make_poll(context)
+    del poll["is_nearest"]
+    context.response = vm_poll_listener.encode_poll_response(steering, poll | {"version": 0})
+
+
+@then("the response has the document of configuration 1")
+def step_has_document(context):
+    routing = context.response["catalogue"]["routing"]
+    assert routing == {"revision": 1, "text": make_configuration(1).decode()}, routing
+
+
+@when("a control VM of an earlier version sends configuration 2 in its response to a poll")
+def step_whole_document(context):
+    context.state = context.fleet.entries["front-sofia-a-2"].state
+    version = context.state.catalogue_version + 1
+    routing = {"revision": 2, "text": make_configuration(2).decode()}
+    catalogue = {"version": version, "routing": routing, "evacuated": []}
+    control = next(iter(context.state.controls.values()))
+    value = {"version": version, "catalogue": catalogue}
+    apply_poll_response(context.state, control, value, decode_table)
+
+
+@then("configuration 2 is in force at the entry VM")
+def step_whole_in_force(context):
+    assert context.state.table.revision == 2, context.state.table.revision
+
+
+@then("a later configuration 3 is in force on every entry VM")
+def step_later(context):
+    answer = context.fleet.send_operator_call("/-/Evacuations.Start/varna-b")
+    assert answer[0] == 200, answer
+    answer = context.fleet.send_operator_call("/-/Config.Put", make_configuration(3))
+    assert answer[0] == 200, answer
+    context.fleet.run(2)
+    found = {vm: node.state.table.revision for vm, node in context.fleet.entries.items()}
+    assert set(found.values()) == {3}, found
