Keep an entry VM alive for as long as an earlier poll is held

A message that isn't held, such as the confirmation of a version, replaced the hold of the poll that was still open, so that control VMs listed the VM as dead 1.3 s later (found in a review; 1.6 to 2.5 s of silence are normal with six to ten control VMs). Messages on two connections may also arrive swapped; the version that the control VM knows doesn't decrease within a process of the entry VM.

--- a/camphorspread/process/steering_control.py
+++ b/camphorspread/process/steering_control.py
@@ -169,14 +169,18 @@
         and known.record.is_accepting == record.is_accepting
         and known.record.is_leaving == record.is_leaving
     )
+    is_same_process = (
+        known is not None and known.is_alive and known.record.incarnation == record.incarnation
+    )
+    if is_same_process:
+        # An earlier poll may still be held, and polls on two connections may arrive swapped.
+        hold = max(hold, known.last_poll_at + known.hold - now)
+        catalogue_version = max(catalogue_version, known.catalogue_version)
     if is_unchanged:
         known.last_poll_at, known.hold = now, hold
         known.catalogue_version = catalogue_version
         known.record.caller_rate = record.caller_rate
         return
-    is_same_process = (
-        known is not None and known.is_alive and known.record.incarnation == record.incarnation
-    )
     alive_since = known.alive_since if is_same_process else now
     steering.vms[record.vm] = listed = ListedVm(record, now, hold, catalogue_version, alive_since)
     log_vm_change(steering, record, True)
