--- a/camphorspread/process/catalogue_fetch.py
+++ b/camphorspread/process/catalogue_fetch.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from camphorspread.connection.link import LinkError
@@ -32,9 +31,10 @@
 NEAREST_WAIT = timedelta(milliseconds=250)
 # Polls wait for an announced catalogue, so that the next one confirms it.
 CONFIRM_WAIT = timedelta(milliseconds=250)
-# A control VM of which no byte arrives within this time is left for another one. Bytes of callers'
-# requests may be ahead of them on a slow link.
+# A control VM of which no byte arrives within this time is left for another one. The time doubles
+# with each failure in a row, since bytes of callers' requests may be ahead on a slow link.
 STALL_LIMIT = timedelta(milliseconds=700)
+MAX_STALL_LIMIT = timedelta(milliseconds=2800)
 PART_TIMEOUT = timedelta(seconds=5)
 # While another one has the catalogue, a control VM that failed isn't asked for this time.
 AVOIDANCE_TIME = timedelta(seconds=2)
@@ -62,11 +62,8 @@
     whose failure is longest ago. For a short time after the announcement, it is worth waiting for
     the nearest one of all.
     """
-    sources = [
-        item
-        for item in list_reachable(state, now)
-        if item.catalogue_version > state.catalogue_version
-    ]
+    reachable = list_reachable(state, now) or state.controls.values()
+    sources = [item for item in reachable if item.catalogue_version > state.catalogue_version]
     is_recent = now - state.announced_at < NEAREST_WAIT
     if state.catalogue_version and is_recent and find_nearest(state, now) not in sources:
         return None
@@ -91,16 +88,8 @@
     return control.round_trip or timedelta.max, str(control.peers)
 
 
-async def fetch_catalogues(
-    state: SteeringState, confirm: Callable[[SteeringState], Awaitable[None]]
-) -> None:
-    """Fetch each newer catalogue that is announced, until cancelled.
-
-    Args:
-        state: State of the entry VM.
-        confirm: Tells the control VMs which catalogue is in force, if it came too late for their
-            polls.
-    """
+async def fetch_catalogues(state: SteeringState) -> None:
+    """Fetch each newer catalogue that is announced, until cancelled."""
     while True:
         while not is_behind(state):
             await state.announced.wait()
@@ -116,7 +105,7 @@
             continue
         is_late = state.clock.monotonic() - announced_at >= CONFIRM_WAIT
         if state.catalogue_version > version and is_late:
-            await confirm(state)
+            state.confirmation_due.set()
 
 
 async def fetch_part(state: SteeringState, source: ControlVm) -> bool:
@@ -140,14 +129,17 @@
             CATALOGUE_PATH,
             encode_part_request(request),
             PART_TIMEOUT,
-            STALL_LIMIT,
+            min(STALL_LIMIT * 2**state.failed_parts, MAX_STALL_LIMIT),
         )
         if response.status != 200:
+            # It can't send updates, and is asked again once it states a version again.
+            source.catalogue_version = state.catalogue_version
             raise ValueError(f"status {response.status}")
         part = decode_part(response.value)
     except (LinkError, ValueError) as exc:
         avoid_source(state, source, str(exc))
         return False
+    state.failed_parts = 0
     if part is None or part.version <= state.catalogue_version:
         source.catalogue_version = min(source.catalogue_version, state.catalogue_version)
         return False
@@ -165,6 +157,7 @@
 def avoid_source(state: SteeringState, source: ControlVm, cause: str) -> None:
     """Leave a control VM for another one; what has arrived is kept."""
     source.avoided_until = state.clock.monotonic() + AVOIDANCE_TIME
+    state.failed_parts += 1
     state.metrics.transfers[("failed",)] += 1
     state.log.write(
         Event.TRANSFER_FAILED,
--- a/camphorspread/process/operation_shell.py
+++ b/camphorspread/process/operation_shell.py
@@ -31,7 +31,7 @@
 
 OPERATOR = "operator"
 # An accepted change is normally in force everywhere after a round trip between regions and
-# FETCH_TIMEOUT of the entry VMs. The operator waits a second for the response.
+# NEAREST_WAIT of the entry VMs. The operator waits a second for the response.
 IN_FORCE_TIMEOUT = timedelta(milliseconds=500)
 # Entry VMs that a log line names.
 MAX_LOGGED_VMS = 10
--- a/camphorspread/process/steering_state.py
+++ b/camphorspread/process/steering_state.py
@@ -102,12 +102,15 @@
         splitter: Division of routes among their services.
         catalogue_version: Version of the catalogue in force, 0 before the first one.
         announced_version: Newest catalogue version that a control VM has announced.
-        announced_at: When it was first announced.
+        announced_at: Since when a version is known that is newer than the one in force.
         announced: Event that is set, and replaced by a new one, when a control VM states a newer
             version than the one in force.
         in_force: Event that is set, and replaced by a new one, when a newer version is in force.
+        confirmation_due: Event that is set when polls don't tell control VMs which version is in
+            force.
         document: Identity of the document of the routes in force, empty if it isn't known.
         transfer: The update that is arriving.
+        failed_parts: Failed requests for its parts since the last one that arrived.
         confirmed_at: When a control VM that knows the newest catalogue last responded; None before
             that.
         table: Routes in force; None before the first catalogue with routes.
@@ -155,8 +158,10 @@
     announced_at: timedelta = timedelta(0)
     announced: asyncio.Event = attrs.field(factory=asyncio.Event)
     in_force: asyncio.Event = attrs.field(factory=asyncio.Event)
+    confirmation_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     document: str = ""
     transfer: Transfer | None = None
+    failed_parts: int = 0
     confirmed_at: timedelta | None = None
     table: RouteTable | None = None
     controls: dict[Address, ControlVm] = attrs.field(factory=dict)
@@ -193,7 +198,9 @@
     def announce(self, version: int, now: timedelta) -> None:
         """Record that a control VM has stated a catalogue version."""
         if version > self.announced_version:
-            self.announced_version, self.announced_at = version, now
+            if self.announced_version <= self.catalogue_version:
+                self.announced_at = now
+            self.announced_version = version
         if version > self.catalogue_version:
             self.announced.set()
             self.announced = asyncio.Event()
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -26,6 +26,7 @@
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.events import Event
 from camphorspread.process.live_vms import hold_live_vms, record_listed_vms
+from camphorspread.process.poll_times import poll_hold
 from camphorspread.process.routes_in_force import put_in_force
 from camphorspread.process.steering_state import RATE_WINDOW, ControlVm, SteeringState
 from camphorspread.process.supervision import start_supervised
@@ -36,11 +37,6 @@
 __all__ = ["TableDecoder", "notify_control_vms", "poll_control_vms"]
 
 POLL_PATH = "/v1/vm/poll"
-# Long-poll time: a control VM responds immediately after a change, or else after this time. With
-# many control VMs it grows, so that a VM sends about five polls a second.
-POLL_HOLD = timedelta(milliseconds=900)
-POLL_HOLD_STEP = timedelta(milliseconds=200)
-MAX_POLL_HOLD = timedelta(seconds=2)
 # Longer than a round trip between regions that loses a packet.
 RESPONSE_TIMEOUT = timedelta(milliseconds=900)
 RETRY_INTERVAL = timedelta(milliseconds=250)
@@ -66,8 +62,10 @@
         address = Address(seed.host, state.settings.control_peer_port)
         state.controls.setdefault(address, ControlVm(address))
     polls: dict[Address, asyncio.Task] = {}
-    fetch = partial(fetch_catalogues, state, notify_control_vms)
-    fetching = start_supervised(fetch, "catalogue_fetch", state.log)
+    tasks = (
+        start_supervised(partial(fetch_catalogues, state), "catalogue_fetch", state.log),
+        start_supervised(partial(confirm_late_updates, state), "confirmations", state.log),
+    )
     try:
         while True:
             for address in list(state.controls):
@@ -78,7 +76,7 @@
             hold_live_vms(state, poll_hold(len(state.controls)), state.clock.monotonic())
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
     finally:
-        for task in (fetching, *polls.values()):
+        for task in (*tasks, *polls.values()):
             task.cancel()
 
 
@@ -107,9 +105,7 @@
             if was_reachable:
                 state.log.write(Event.CONTROL_LOST, control=str(address), cause=str(exc))
             was_reachable = False
-            control.listed_vms = frozenset()
-            control.fleet_list_version = ""
-            control.departures_sent = None
+            control.departures_sent = control.round_trip = None
             await asyncio.sleep(RETRY_INTERVAL.total_seconds())
             continue
         if not was_reachable:
@@ -131,15 +127,6 @@
                 await state.in_force.wait()
 
 
-def poll_hold(controls: int) -> timedelta:
-    """Return for how long a poll may be held.
-
-    Args:
-        controls: Number of control VMs, each of which is polled.
-    """
-    return min(max(POLL_HOLD, POLL_HOLD_STEP * controls), MAX_POLL_HOLD)
-
-
 async def notify_control_vms(state: SteeringState) -> None:
     """Notify all control VMs at once that the record of this VM has changed."""
 
@@ -148,13 +135,23 @@
         value = encode_poll(state, control, timedelta(0))
         try:
             await state.link.call(control.peers, "POST", POLL_PATH, value, RESPONSE_TIMEOUT)
-            control.round_trip = state.clock.monotonic() - sent_at
+            measured = state.clock.monotonic() - sent_at
+            # A message may wait for others on a slow link, which says nothing about the distance.
+            control.round_trip = min(control.round_trip or measured, measured)
         except LinkError as exc:
             state.log.write(Event.CONTROL_LOST, control=str(control.peers), cause=str(exc))
 
     await asyncio.gather(*(notify(control) for control in list(state.controls.values())))
 
 
+async def confirm_late_updates(state: SteeringState) -> None:
+    """Tell the control VMs of catalogues that came too late for their polls, until cancelled."""
+    while True:
+        await state.confirmation_due.wait()
+        state.confirmation_due.clear()
+        await notify_control_vms(state)
+
+
 def is_nearest(state: SteeringState, control: ControlVm) -> bool:
     """Return True if a control VM is the nearest one, or if none responded recently."""
     return find_nearest(state, state.clock.monotonic()) in (None, control)
--- a/features/platform/large_catalogue.feature
+++ b/features/platform/large_catalogue.feature
@@ -48,12 +48,37 @@
 
   # Guards against a route that is denied by a VM that can't know whether it has been added.
   @fixture.platform_fleet
-  Scenario: An entry VM without contact gets a request on a new route
-    When the entry VM of "varna-b" is cut off from the control VMs for 5 s
+  Scenario Outline: An entry VM without contact gets a request on a new route
+    When the entry VM of "varna-b" is cut off from the control VMs for <seconds> s
     And configuration 2 with a new route is acknowledged
     Then the entry VM of "varna-b" refuses a request on the new route with 503 and a retry time
     And its log names the cause "no_contact"
 
+    Examples:
+      | seconds |
+      | 1.5     |
+      | 5       |
+
+  # Guards against an entry VM that leaves each control VM before its bytes arrive.
+  @fixture.platform_fleet
+  Scenario: Other bytes delay each message to the entry VMs
+    When each message to the entry VMs waits 0.9 s behind other bytes
+    And configuration 2 with 1400 more routes is sent
+    Then it is in force at each entry VM within 10 s of its acknowledgement
+
+  # Guards against an entry VM that waits for its nearest control VM as long as changes follow.
+  @fixture.platform_fleet
+  Scenario: Changes follow each other while the nearest control VM is behind
+    When newer versions are announced every 0.1 s for 0.5 s, but not by the nearest control VM
+    Then another control VM is the source
+
+  # Guards against an entry VM that counts as dead because it confirms a version.
+  @fixture.platform_fleet
+  Scenario: A confirmation arrives while a poll is held
+    When an entry VM whose poll is held confirms its version, and an older message arrives after that
+    Then the control VM counts the entry VM as alive for as long as the poll is held
+    And it knows the newer version
+
   # Guards against a route that is denied on the word of control VMs that may lack changes.
   @fixture.platform_fleet
   Scenario: An entry VM hears only control VMs that have no leader
--- a/features/process/vm_poll.feature
+++ b/features/process/vm_poll.feature
@@ -33,6 +33,14 @@
     Then every entry VM knows the new process of "varna-a"
     And no response to a running VM listed more than 1 VM
 
+  # Guards against whole lists that follow each lost poll on a slow link.
+  @fixture.platform_fleet
+  Scenario: An entry VM that loses polls gets the changes of the list only
+    Given a fleet with an endpoint of each service in each zone
+    When the entry VM of "varna-a" is cut off from the control VMs for 4 s and the lists are counted
+    Then every entry VM knows that of "varna-a"
+    And no response listed all entry VMs
+
   @fixture.platform_fleet
   Scenario: An entry VM of an earlier version gets the whole list
     Given a fleet with an endpoint of each service in each zone
--- a/features/steps/large_catalogue_steps.py
+++ b/features/steps/large_catalogue_steps.py
@@ -5,6 +5,8 @@
 
 from behave import given, then, when
 
+from camphorspread.process.catalogue_fetch import choose_source
+from camphorspread.process.steering_control import record_poll
 from features.fixtures.platform_fleet import ZONES, make_configuration, make_route
 
 NEW_PATH = "/new/x"
@@ -131,6 +133,73 @@
             fleet.network.cut({fleet.host(zone, 1)}, others)
 
 
+@when("each message to the entry VMs waits {seconds:g} s behind other bytes")
+def step_delayed(context, seconds):
+    fleet = context.fleet
+    network = fleet.network
+
+    async def delay():
+        while True:
+            for zone in ZONES:
+                link = fleet.host(zone, 2), "in"
+                busy = network.busy_until.get(link, 0)
+                network.busy_until[link] = max(busy, fleet.loop.time() + seconds)
+            await asyncio.sleep(STEP_S)
+
+    context.delaying = fleet.loop.create_task(delay())
+    fleet.run(2)
+
+
+@when("configuration 2 with {added:d} more routes is sent")
+def step_send_large(context, added):
+    context.fleet.run_coroutine(put(context, 2, make_routes(added)))
+
+
+@when(
+    "newer versions are announced every {interval:g} s for {seconds:g} s, but not by the nearest "
+    "control VM"
+)
+def step_announced(context, interval, seconds):
+    context.state = state = next(iter(context.fleet.entries.values())).state
+    now = context.fleet.clock.monotonic()
+    nearest, other, *_ = sorted(state.controls.values(), key=lambda item: item.round_trip)
+    context.nearest = nearest
+    for number in range(1, round(seconds / interval) + 1):
+        version = state.catalogue_version + number
+        other.catalogue_version = version
+        state.announce(version, now + timedelta(seconds=number * interval))
+    context.now = now + timedelta(seconds=seconds)
+
+
+@then("another control VM is the source")
+def step_other_source(context):
+    source = choose_source(context.state, context.now)
+    assert source is not None and source is not context.nearest, source
+
+
+@when(
+    "an entry VM whose poll is held confirms its version, and an older message arrives after that"
+)
+def step_confirm(context):
+    node = next(iter(context.fleet.controls.values()))
+    listed = next(item for item in node.steering.vms.values() if item.hold)
+    context.listed, context.held_until = listed, listed.last_poll_at + listed.hold
+    context.version = listed.catalogue_version + 1
+    record_poll(node.steering, listed.record, timedelta(0), context.version)
+    record_poll(node.steering, listed.record, timedelta(0), context.version - 1)
+
+
+@then("the control VM counts the entry VM as alive for as long as the poll is held")
+def step_held(context):
+    listed = context.listed
+    assert listed.last_poll_at + listed.hold >= context.held_until, listed
+
+
+@then("it knows the newer version")
+def step_newer(context):
+    assert context.listed.catalogue_version == context.version, context.listed
+
+
 @when("configuration 3 changes the weights of one route")
 def step_change_weights(context):
     fleet = context.fleet
--- a/features/steps/retry_sharers_steps.py
+++ b/features/steps/retry_sharers_steps.py
@@ -11,8 +11,9 @@
 from camphorspread.connection.network import Address
 from camphorspread.process.entry_vms import EntryVm
 from camphorspread.process.live_vms import find_retry_share, hold_live_vms, record_listed_vms
+from camphorspread.process.poll_times import poll_hold
 from camphorspread.process.steering_state import ControlVm
-from camphorspread.process.vm_poll import RETRY_INTERVAL, poll_hold
+from camphorspread.process.vm_poll import RETRY_INTERVAL
 from camphorspread.request.fleet_retry_budget import (
     FleetRetryBudget,
     record_first_send,
--- a/features/steps/vm_poll_steps.py
+++ b/features/steps/vm_poll_steps.py
@@ -10,9 +10,10 @@
 from camphorspread.platform.routing_codec import decode_table
 from camphorspread.process import vm_poll_listener
 from camphorspread.process.live_vms import ALIVE_TTL
-from camphorspread.process.vm_poll import apply_poll_response, encode_poll, poll_hold
+from camphorspread.process.poll_times import poll_hold
+from camphorspread.process.vm_poll import apply_poll_response, encode_poll
 from camphorspread.process.vm_record_codec import encode_address
-from features.fixtures.platform_fleet import PEER_PORT, make_configuration
+from features.fixtures.platform_fleet import PEER_PORT, ZONES, make_configuration
 
 
 @then(
@@ -56,6 +57,41 @@
         context.fleet.run(3)
 
 
+@when(
+    'the entry VM of "{zone}" is cut off from the control VMs for {seconds:g} s and the lists are '
+    "counted"
+)
+def step_cut_counted(context, zone, seconds):
+    fleet = context.fleet
+    encode = vm_poll_listener.encode_poll_response
+    context.vm = f"front-{zone}-2"
+    context.whole_lists = 0
+
+    def count(steering, poll):
+        value = encode(steering, poll)
+        context.whole_lists += "vms" in value
+        return value
+
+    with mock.patch.object(vm_poll_listener, "encode_poll_response", count):
+        fleet.network.cut({fleet.host(zone, 2)}, {fleet.host(item, 1) for item in ZONES})
+        fleet.run(seconds)
+        fleet.network.heal()
+        fleet.run(4)
+
+
+@then('every entry VM knows that of "{zone}"')
+def step_knows(context, zone):
+    now = context.fleet.clock.monotonic()
+    for vm, node in context.fleet.entries.items():
+        alive = {name for name, peer in node.state.board.peers.items() if now < peer.alive_until}
+        assert alive == set(context.fleet.entries) - {vm}, (vm, alive)
+
+
+@then("no response listed all entry VMs")
+def step_no_whole_list(context):
+    assert context.whole_lists == 0, context.whole_lists
+
+
 @then('every entry VM knows the new process of "{zone}"')
 def step_known(context, zone):
     states = {vm: node.state for vm, node in context.fleet.entries.items()}
