Test the limit without a byte of responses, and name a missing response

The line control_lost of the incident ended in an empty cause, as the text of a time-out is empty; it says "no response" now. Scenarios show that a response may take longer than the limit without a byte as long as it makes progress, and is given up within that limit otherwise. wait_for_update of the polls had the name of another function of the control VMs.

--- a/camphorspread/connection/link.py
+++ b/camphorspread/connection/link.py
@@ -85,7 +85,7 @@
         except LINK_FAILURES as exc:
             if conn is not None:
                 conn.abort()
-            raise LinkError(f"{method} {target} at {address}: {exc or 'no response'}") from exc
+            raise LinkError(f"{method} {target} at {address}: {str(exc) or 'no response'}") from exc
         except asyncio.CancelledError:
             if conn is not None:
                 conn.abort()
--- a/camphorspread/process/vm_poll.py
+++ b/camphorspread/process/vm_poll.py
@@ -116,10 +116,10 @@
         if response.status == 200:
             control.departures_sent = revision
         apply_poll_response(state, control, response.value, decode_table)
-        await wait_until_in_force(state, CONFIRM_WAIT)
+        await wait_for_update(state, CONFIRM_WAIT)
 
 
-async def wait_until_in_force(state: SteeringState, limit: timedelta) -> None:
+async def wait_for_update(state: SteeringState, limit: timedelta) -> None:
     """Wait until the newest catalogue that was announced is in force, so that a poll states it."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(limit.total_seconds()):
--- a/features/connection/link.feature
+++ b/features/connection/link.feature
@@ -35,3 +35,24 @@
     Given a process that counts the pieces of a message
     When a message is sent to it
     Then it has received 1 piece
+
+  # Guards against a log line that doesn't say what happened.
+  @fixture.virtual_loop
+  Scenario: Another process is silent
+    Given a slow process that sends a response in 8 parts every 0.4 s, and stops after 0 parts
+    When a message is sent to it with a limit of 10 s, and of 0.5 s without a byte
+    Then the error says that there was no response
+
+  # Guards against a limit on the whole response that a slow link can't keep, and against a long wait
+  # for a process that has stopped sending.
+  @fixture.virtual_loop
+  Scenario Outline: A response is read for as long as it makes progress
+    Given a slow process that sends a response in 8 parts every <interval> s, and stops after <parts> parts
+    When a message is sent to it with a limit of 10 s, and of 0.5 s without a byte
+    Then the call <result> within <seconds> s
+
+    Examples:
+      | interval | parts | result                    | seconds |
+      | 0.4      | 8     | succeeds                  | 3.3     |
+      | 0.4      | 4     | fails with a link error   | 2.2     |
+      | 0.4      | 0     | fails with a link error   | 0.6     |
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -69,14 +69,43 @@
     context.loop.run_until_complete(host.listen(ADDRESS, handle))
 
 
+@given(
+    "a slow process that sends a response in {count:d} parts every {interval:g} s, and stops after "
+    "{parts:d} parts"
+)
+def step_slow_process(context, count, interval, parts):
+    context.network = MemoryNetwork(lambda _source, _target: 0.001)
+
+    async def handle(stream):
+        await stream.read()
+        with contextlib.suppress(ConnectionError):
+            for number in range(parts):
+                await asyncio.sleep(interval)
+                await stream.write((HEAD % count if number == 0 else b"") + b"1")
+            await asyncio.Event().wait()
+
+    host = context.network.host(ADDRESS.host)
+    context.loop.run_until_complete(host.listen(ADDRESS, handle))
+
+
 @when("a message is sent to it")
 def step_send(context):
+    send_message(context, timedelta(seconds=1))
+
+
+@when("a message is sent to it with a limit of {limit:g} s, and of {stall:g} s without a byte")
+def step_send_limited(context, limit, stall):
+    send_message(context, timedelta(seconds=limit), timedelta(seconds=stall))
+
+
+def send_message(context, *limits):
+    """Send a message, and record the error and the time it took."""
     pool = ConnectionPool(SlowHost(context.network.host("10.1.0.2")), context.clock)
 
     async def send():
         started = context.clock.monotonic()
         try:
-            await JsonLink(pool).call(ADDRESS, "POST", "/x", {"a": 1}, timedelta(seconds=1))
+            await JsonLink(pool).call(ADDRESS, "POST", "/x", {"a": 1}, *limits)
         except LinkError as exc:
             context.error = exc
         context.spent = context.clock.monotonic() - started
@@ -91,6 +120,17 @@
     assert context.spent <= timedelta(seconds=seconds), context.spent
 
 
+@then("the call succeeds within {seconds:g} s")
+def step_success(context, seconds):
+    assert context.error is None, context.error
+    assert context.spent <= timedelta(seconds=seconds), context.spent
+
+
+@then("the error says that there was no response")
+def step_no_response(context):
+    assert "no response" in str(context.error), context.error
+
+
 @then("the error says that the connection was closed before the {part}")
 def step_error_text(context, part):
     assert f"the connection was closed before the {part}" in str(context.error), context.error
