--- a/camphorspread/request/caller_identity.py
+++ b/camphorspread/request/caller_identity.py
@@ -5,7 +5,6 @@
 import attrs
 
 from camphorspread.process.events import Event
-from camphorspread.process.poll_times import contact_limit
 from camphorspread.process.steering_state import SteeringState
 from camphorspread.request.dialect import KeyCredential, SteeredCall
 from camphorspread.request.errors import ErrorKind, Refusal
@@ -137,10 +136,9 @@
     bounds = state.settings.bounds
     silence = measure_silence(state)
     limit = bounds.revocation_limit
-    contact = min(contact_limit(len(state.controls)), bounds.contact_window)
     return ContactState(
         state.announced_version > state.catalogue_version,
-        silence is not None and silence <= contact,
+        silence is not None and silence <= bounds.contact_window,
         limit is None or (silence is not None and silence <= limit),
     )
 
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -131,7 +131,7 @@
         log=SimpleNamespace(write=lambda *_, **__: None),
         wake_polls=lambda: None,
     )
-    steering = SteeringControl(None, control, None, START, context.allocator)
+    steering = SteeringControl(None, control, None, START, context.allocator, None)
     address = Address("10.0.0.1", 7620)
     record = EntryVm(vm, 1, "sofia-a", "sofia", address, address, is_leaving=True)
     record_poll(steering, record, timedelta(0), 1)
